--- /dev/null
+++ b/jacinthcart/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier over many shards: entry, gather and control programs."""
--- /dev/null
+++ b/jacinthcart/errors/__init__.py
@@ -0,0 +1,26 @@
+"""Exception tree and refusal codes shared by every program."""
+
+from jacinthcart.errors._codes import Ran, RefusalCode
+from jacinthcart.errors._tree import (
+    InvalidMessageError,
+    InvariantViolationError,
+    JacinthcartError,
+    NotSentError,
+    OutcomeUnknownError,
+    RefusalError,
+    SettingsError,
+    WireError,
+)
+
+__all__ = [
+    'InvalidMessageError',
+    'InvariantViolationError',
+    'JacinthcartError',
+    'NotSentError',
+    'OutcomeUnknownError',
+    'Ran',
+    'RefusalCode',
+    'RefusalError',
+    'SettingsError',
+    'WireError',
+]
--- /dev/null
+++ b/jacinthcart/ownership/__init__.py
@@ -0,0 +1,17 @@
+"""Which VMs of the roster own a right."""
+
+from jacinthcart.ownership._ranking import (
+    count_connection_owners,
+    find_part_owners,
+    find_token_owners,
+    find_warmer,
+    rank_owners,
+)
+
+__all__ = [
+    'count_connection_owners',
+    'find_part_owners',
+    'find_token_owners',
+    'find_warmer',
+    'rank_owners',
+]
--- /dev/null
+++ b/jacinthcart/ownership/_ranking.py
@@ -0,0 +1,60 @@
+"""Rendezvous hashing over the roster's VM ids."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from jacinthcart.settings import Service
+
+#: Half of a searcher's connections stay free for roster changes.
+USED_CONNECTION_SHARE = 0.5
+
+
+def rank_owners(key: str, vm_ids: Iterable[str], count: int) -> list[str]:
+    """Return the `count` VM ids that rank first for `key`.
+
+    Every process with the same roster gets the same list. Removing a VM
+    changes only the keys that it owned.
+    """
+    ranked = sorted(
+        vm_ids,
+        key=lambda vm_id: (
+            xxhash.xxh64_intdigest(f'{key}|{vm_id}'.encode()),
+            vm_id,
+        ),
+        reverse=True,
+    )
+    return ranked[:count]
+
+
+def count_connection_owners(service: Service, vm_count: int) -> int:
+    """Return how many VMs hold connections to each searcher, at least 1."""
+    usable = service.connection_limit * USED_CONNECTION_SHARE
+    owners = int(usable // service.connections_per_owner)
+    return max(1, min(vm_count, owners))
+
+
+def find_part_owners(
+    service_id: str,
+    part: str,
+    service: Service,
+    vm_ids: Iterable[str],
+) -> list[str]:
+    """Return the VMs that hold the connections to a part's searchers."""
+    known = list(vm_ids)
+    count = count_connection_owners(service, len(known))
+    return rank_owners(f'part/{service_id}/{part}', known, count)
+
+
+def find_warmer(searcher_id: str, part_owners: Iterable[str]) -> str:
+    """Return the one VM that may send to the searcher while it is cold."""
+    return rank_owners(f'warm/{searcher_id}', part_owners, 1)[0]
+
+
+def find_token_owners(
+    workspace_id: str,
+    vm_ids: Iterable[str],
+    share_spread: int,
+) -> list[str]:
+    """Return the VMs that each own an equal share of a workspace's rate."""
+    return rank_owners(f'tokens/{workspace_id}', vm_ids, share_spread)
--- /dev/null
+++ b/jacinthcart/settings/_store.py
@@ -0,0 +1,162 @@
+"""Settings known to a process: revisions, validation, the view in force."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from jacinthcart.errors import SettingsError
+from jacinthcart.settings._tree import find_unit, parse_unit
+from jacinthcart.settings._view import SettingsView, build_view
+
+
+@dataclasses.dataclass(frozen=True)
+class SettingsValue:
+    """One path's JSON value with the revision of its last change."""
+
+    #: Revision of the change that set this value.
+    revision: int
+    #: Decoded JSON value; None marks a deleted path.
+    json_value: Any
+
+
+class SettingsStore:
+    """Keeps the newest value of each path and the newest valid view.
+
+    A lower revision never replaces a higher one. A unit that fails its
+    validation keeps the values of its last valid state; other units take
+    effect.
+    """
+
+    def __init__(self) -> None:
+        """Start with no settings at revision 0."""
+        self.revision = 0
+        self.ignored_stale_changes = 0
+        self._latest_by_path: dict[str, SettingsValue] = {}
+        self._valid_by_path: dict[str, SettingsValue] = {}
+        self._errors_by_unit: dict[str, tuple[SettingsError, ...]] = {}
+        self._view = build_view({}, 0)
+
+    @property
+    def view(self) -> SettingsView:
+        """The settings in force."""
+        return self._view
+
+    @property
+    def errors(self) -> list[SettingsError]:
+        """Errors of the units whose newest values are not in force."""
+        return [
+            error
+            for errors in self._errors_by_unit.values()
+            for error in errors
+        ]
+
+    def apply(
+        self,
+        changes: Mapping[str, SettingsValue],
+        revision: int,
+        valid: Mapping[str, SettingsValue] | None = None,
+    ) -> bool:
+        """Take changed paths that are complete through `revision`.
+
+        `valid` holds a peer's last valid values of units whose newest
+        values are invalid. Return whether the view in force changed.
+        """
+        self._adopt_valid(valid or {})
+        newer = self._select_newer(changes)
+        self._latest_by_path.update(newer)
+        for unit in sorted({find_unit(path) for path in newer}):
+            self._validate_unit(unit)
+        self.revision = max(self.revision, revision)
+        changed = bool(newer) or self._view.revision != self.revision
+        if changed or valid:
+            self._view = build_view(self._valid_json(), self.revision)
+        return changed
+
+    def export_after(self, revision: int) -> dict[str, SettingsValue]:
+        """Return the newest values whose revision is above `revision`."""
+        return {
+            path: setting
+            for path, setting in self._latest_by_path.items()
+            if setting.revision > revision
+        }
+
+    def export_valid(self) -> dict[str, SettingsValue]:
+        """Return values in force that differ from the newest ones."""
+        return {
+            path: setting
+            for path, setting in self._valid_by_path.items()
+            if self._latest_by_path.get(path) != setting
+        }
+
+    def _select_newer(
+        self,
+        changes: Mapping[str, SettingsValue],
+    ) -> dict[str, SettingsValue]:
+        newer = {}
+        for path, change in changes.items():
+            known = self._latest_by_path.get(path)
+            if known is None or change.revision > known.revision:
+                newer[path] = change
+            elif change.revision < known.revision:
+                self.ignored_stale_changes += 1
+        return newer
+
+    def _adopt_valid(self, valid: Mapping[str, SettingsValue]) -> None:
+        units = {find_unit(path) for path in valid}
+        for unit in units:
+            if not _select_unit(self._valid_by_path, unit):
+                self._valid_by_path.update(_select_unit(valid, unit))
+
+    def _validate_unit(self, unit: str) -> None:
+        latest = _select_unit(self._latest_by_path, unit)
+        errors = parse_unit(
+            {path: setting.json_value for path, setting in latest.items()},
+        )
+        if errors:
+            self._errors_by_unit[unit] = tuple(errors)
+            return
+        self._errors_by_unit.pop(unit, None)
+        for path in _select_unit(self._valid_by_path, unit):
+            self._valid_by_path.pop(path)
+        self._valid_by_path.update(latest)
+
+    def _valid_json(self) -> dict[str, Any]:
+        return {
+            path: setting.json_value
+            for path, setting in self._valid_by_path.items()
+            if setting.json_value is not None
+        }
+
+
+def _select_unit(
+    values_by_path: Mapping[str, SettingsValue],
+    unit: str,
+) -> dict[str, SettingsValue]:
+    return {
+        path: setting
+        for path, setting in values_by_path.items()
+        if find_unit(path) == unit
+    }
+
+
+def encode_values(
+    values_by_path: Mapping[str, SettingsValue],
+) -> dict[str, dict[str, Any]]:
+    """Return the JSON form `{path: {revision, value}}`."""
+    return {
+        path: {'revision': setting.revision, 'value': setting.json_value}
+        for path, setting in values_by_path.items()
+    }
+
+
+def decode_values(
+    message: Mapping[str, Mapping[str, Any]],
+) -> dict[str, SettingsValue]:
+    """Read the JSON form `{path: {revision, value}}`.
+
+    Raise KeyError or TypeError when the message has another shape.
+    """
+    return {
+        path: SettingsValue(int(entry['revision']), entry['value'])
+        for path, entry in message.items()
+    }
--- /dev/null
+++ b/jacinthcart/settings/_tree.py
@@ -0,0 +1,129 @@
+"""Paths of the settings tree: units and their validation."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+import orjson
+import pydantic
+
+from jacinthcart.errors import SettingsError
+from jacinthcart.settings._models import (
+    DataCentres,
+    Keys,
+    Roster,
+    Route,
+    Service,
+    SettingsModel,
+    Workspace,
+)
+from jacinthcart.settings._policy import Policy
+
+MAX_VALUE_BYTES = 1_000_000
+
+_FLEET_MODEL_BY_PATH: Mapping[str, type[SettingsModel]] = MappingProxyType(
+    {
+        'fleet/roster': Roster,
+        'fleet/policy': Policy,
+        'fleet/data_centres': DataCentres,
+    },
+)
+_TEAM_MODEL_BY_KIND: Mapping[str, type[SettingsModel]] = MappingProxyType(
+    {
+        'services': Service,
+        'routes': Route,
+        'workspaces': Workspace,
+        'keys': Keys,
+    },
+)
+_TEAM_PATH_LENGTH = 4
+
+
+def find_unit(path: str) -> str:
+    """Return the unit that is validated together with `path`.
+
+    Each fleet path and each keys path is a unit of its own, so that a key
+    withdrawal never waits for an unrelated error. A team's services, routes
+    and workspaces are one unit.
+    """
+    steps = path.split('/')
+    if steps[0] == 'teams' and len(steps) == _TEAM_PATH_LENGTH:
+        return path if steps[2] == 'keys' else f'teams/{steps[1]}'
+    return path
+
+
+def find_model(path: str) -> type[SettingsModel] | None:
+    """Return the model of the value at `path`, None for unknown paths."""
+    steps = path.split('/')
+    if steps[0] == 'fleet':
+        return _FLEET_MODEL_BY_PATH.get(path)
+    if len(steps) != _TEAM_PATH_LENGTH or steps[0] != 'teams':
+        return None
+    return _TEAM_MODEL_BY_KIND.get(steps[2])
+
+
+def parse_unit(json_by_path: Mapping[str, Any]) -> list[SettingsError]:
+    """Validate the values of one unit; return every error found."""
+    errors: list[SettingsError] = []
+    models_by_path: dict[str, SettingsModel] = {}
+    for path, json_value in json_by_path.items():
+        if json_value is None:
+            continue
+        try:
+            models_by_path[path] = parse_value(path, json_value)
+        except SettingsError as error:
+            errors.append(error)
+        except pydantic.ValidationError as error:
+            errors.extend(_convert_errors(path, error))
+    if not errors:
+        errors.extend(_check_references(models_by_path))
+    return errors
+
+
+def parse_value(path: str, json_value: Any) -> SettingsModel:
+    """Validate one value.
+
+    Raise SettingsError for an unknown path or a value above the size
+    limit, and pydantic.ValidationError for a value that breaks its model.
+    """
+    model = find_model(path)
+    if model is None:
+        raise SettingsError(path, 'unknown settings path')
+    encoded = orjson.dumps(json_value)
+    if len(encoded) > MAX_VALUE_BYTES:
+        raise SettingsError(path, f'value above {MAX_VALUE_BYTES} bytes')
+    return model.model_validate_json(encoded)
+
+
+def _convert_errors(
+    path: str,
+    error: pydantic.ValidationError,
+) -> list[SettingsError]:
+    return [
+        SettingsError(
+            '/'.join([path, *(str(step) for step in detail['loc'])]),
+            detail['msg'],
+        )
+        for detail in error.errors(include_input=False, include_url=False)
+    ]
+
+
+def _check_references(
+    models_by_path: Mapping[str, SettingsModel],
+) -> list[SettingsError]:
+    errors = []
+    for path, model in models_by_path.items():
+        if not isinstance(model, Route):
+            continue
+        team = path.split('/')[1]
+        if f'teams/{team}/services/{model.service}' not in models_by_path:
+            errors.append(SettingsError(path, 'service is not defined'))
+        charged = model.charged_workspace
+        if (
+            charged is not None
+            and f'teams/{team}/workspaces/{charged}' not in models_by_path
+        ):
+            errors.append(
+                SettingsError(path, 'charged_workspace is not defined'),
+            )
+    return errors
--- /dev/null
+++ b/jacinthcart/telemetry/__init__.py
@@ -0,0 +1,21 @@
+"""Logs, histograms, counters, decision records and invariant checks."""
+
+from jacinthcart.telemetry._decisions import Decision, DecisionLog
+from jacinthcart.telemetry._logs import (
+    Logger,
+    create_logger,
+    set_log_level,
+    start_logging,
+)
+from jacinthcart.telemetry._metrics import HistogramKey, Metrics
+
+__all__ = [
+    'Decision',
+    'DecisionLog',
+    'HistogramKey',
+    'Logger',
+    'Metrics',
+    'create_logger',
+    'set_log_level',
+    'start_logging',
+]
--- /dev/null
+++ b/jacinthcart/telemetry/_logs.py
@@ -0,0 +1,106 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+import orjson
+
+_REPEAT_INTERVAL_S = 10.0
+
+
+class _JsonLinesHandler(logbook.StreamHandler):  # type: ignore[misc]
+    """Writes each record as one JSON object."""
+
+    def format(self, record: Any) -> str:
+        """Return the JSON line of a record."""
+        return orjson.dumps(
+            {
+                'time': record.time.isoformat(),
+                'level': record.level_name,
+                'program': record.channel,
+                'event': record.message,
+                **record.extra.get('fields', {}),
+            },
+            default=str,
+        ).decode()
+
+
+class Logger:
+    """Logs named events with fields; suppresses quick repeats.
+
+    Fields hold no keys of callers and no query text. A repeat of an event
+    with the same `limit_key` within ten seconds is counted instead of
+    written; the count is in the next line's `suppressed` field.
+    """
+
+    def __init__(
+        self,
+        program: str,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Name the program that appears in each line."""
+        self._logger = logbook.Logger(program)
+        self._clock = clock
+        self._next_time_by_key: dict[str, float] = {}
+        self._suppressed_by_key: dict[str, int] = {}
+
+    def debug(self, event: str, **fields: Any) -> None:
+        """Log an event for developers."""
+        self._write(logbook.DEBUG, event, fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Log an ordinary event."""
+        self._write(logbook.INFO, event, fields)
+
+    def warning(
+        self,
+        event: str,
+        limit_key: str | None = None,
+        **fields: Any,
+    ) -> None:
+        """Log an event that operators may want to act on."""
+        if limit_key is None or self._passes_limit(limit_key, fields):
+            self._write(logbook.WARNING, event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Log a failure of this program."""
+        self._write(logbook.ERROR, event, fields)
+
+    def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
+        self._logger.log(level, event, extra={'fields': fields})
+
+    def _passes_limit(self, limit_key: str, fields: dict[str, Any]) -> bool:
+        now = self._clock()
+        if now < self._next_time_by_key.get(limit_key, now):
+            suppressed = self._suppressed_by_key.get(limit_key, 0)
+            self._suppressed_by_key[limit_key] = suppressed + 1
+            return False
+        self._next_time_by_key[limit_key] = now + _REPEAT_INTERVAL_S
+        suppressed = self._suppressed_by_key.pop(limit_key, 0)
+        if suppressed:
+            fields['suppressed'] = suppressed
+        return True
+
+
+_handlers: list[_JsonLinesHandler] = []
+
+
+def start_logging(level: str = 'INFO') -> None:
+    """Send every log line of this process to standard error."""
+    handler = _JsonLinesHandler(sys.stderr, level=level)
+    handler.push_application()
+    _handlers.append(handler)
+
+
+def set_log_level(level: str) -> None:
+    """Change the least severe level that is written."""
+    for handler in _handlers:
+        handler.level = logbook.lookup_level(level)
+
+
+def create_logger(program: str) -> Logger:
+    """Return the logger of one program."""
+    return Logger(program)
--- /dev/null
+++ b/jacinthcart/telemetry/_metrics.py
@@ -0,0 +1,92 @@
+"""HDR histograms, counters and invariant checks of one process."""
+
+import collections
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from jacinthcart.errors import InvariantViolationError
+
+HistogramKey = tuple[str, ...]
+
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 120_000_000
+_SIGNIFICANT_DIGITS = 2
+_MICROSECONDS_PER_SECOND = 1_000_000
+_KEY_SEPARATOR = '|'
+
+
+class Metrics:
+    """Histograms of durations and counters, both by key.
+
+    A key is a tuple of a metric name and its labels, for example
+    `('request', 'team/workspace', 'priority')`. Labels hold no keys of
+    callers and no query text.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.counts_by_key: collections.Counter[HistogramKey] = (
+            collections.Counter()
+        )
+        self._histograms_by_key: dict[HistogramKey, Any] = {}
+
+    def record_seconds(self, key: HistogramKey, seconds: float) -> None:
+        """Add one duration in seconds to the histogram of `key`."""
+        histogram = self._histograms_by_key.get(key)
+        if histogram is None:
+            histogram = create_histogram()
+            self._histograms_by_key[key] = histogram
+        microseconds = int(seconds * _MICROSECONDS_PER_SECOND)
+        histogram.record_value(
+            min(max(microseconds, _LOWEST_MICROSECONDS), _HIGHEST_MICROSECONDS),
+        )
+
+    def count(self, *key: str, amount: int = 1) -> None:
+        """Add `amount` to the counter of `key`."""
+        self.counts_by_key[key] += amount
+
+    def quantile_seconds(
+        self,
+        key: HistogramKey,
+        quantile: float,
+        minimum_count: int = 1,
+    ) -> float | None:
+        """Return a quantile, None while fewer than `minimum_count` values."""
+        histogram = self._histograms_by_key.get(key)
+        if histogram is None:
+            return None
+        if histogram.get_total_count() < minimum_count:
+            return None
+        percentile = quantile * 100
+        found = histogram.get_value_at_percentile(percentile)
+        return float(found) / _MICROSECONDS_PER_SECOND
+
+    def check(self, invariant: str, condition: bool, detail: str = '') -> None:
+        """Count and raise InvariantViolationError unless `condition`."""
+        if condition:
+            return
+        self.count('invariant_violation', invariant)
+        raise InvariantViolationError(invariant, detail)
+
+    def export(self) -> dict[str, dict[str, Any]]:
+        """Return encoded histograms and counters by joined key."""
+        return {
+            'histograms': {
+                _KEY_SEPARATOR.join(key): histogram.encode().decode()
+                for key, histogram in self._histograms_by_key.items()
+            },
+            'counters': {
+                _KEY_SEPARATOR.join(key): amount
+                for key, amount in self.counts_by_key.items()
+            },
+        }
+
+
+def create_histogram() -> Any:
+    """Return an empty HDR histogram of microseconds."""
+    return HdrHistogram(
+        _LOWEST_MICROSECONDS,
+        _HIGHEST_MICROSECONDS,
+        _SIGNIFICANT_DIGITS,
+    )
--- /dev/null
+++ b/jacinthcart/wire/__init__.py
@@ -0,0 +1,15 @@
+"""HTTP with JSON between processes: client connections and serving."""
+
+from jacinthcart.wire._client import HttpConnection, HttpResponse
+from jacinthcart.wire._codec import decode_json, encode_json
+from jacinthcart.wire._pool import ConnectionPool
+from jacinthcart.wire._server import serve_application
+
+__all__ = [
+    'ConnectionPool',
+    'HttpConnection',
+    'HttpResponse',
+    'decode_json',
+    'encode_json',
+    'serve_application',
+]
--- /dev/null
+++ b/jacinthcart/wire/_client.py
@@ -0,0 +1,179 @@
+"""One kept HTTP/1.1 connection, driven by the h11 codec."""
+
+import dataclasses
+import socket
+from collections.abc import Iterable
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from jacinthcart.errors import NotSentError, OutcomeUnknownError
+
+_RECEIVE_BYTES = 65536
+_SUCCESS_STATUS = 200
+_FAILURES = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    h11.RemoteProtocolError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpResponse:
+    """A complete response."""
+
+    #: HTTP status code.
+    status: int
+    #: Header values by lower-case name.
+    headers: dict[bytes, bytes]
+    #: The whole body.
+    body: bytes
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether the status is 200."""
+        return self.status == _SUCCESS_STATUS
+
+
+class HttpConnection:
+    """A connection that carries one request at a time.
+
+    Errors tell whether bytes of the request may have left: NotSentError
+    when none did, OutcomeUnknownError otherwise. A connection whose call
+    failed or was cancelled is not reusable and must be closed. The client
+    never sends a request again by itself.
+    """
+
+    def __init__(self, stream: SocketStream, host: str) -> None:
+        """Wrap a connected stream; use `open` to connect."""
+        self._stream = stream
+        self._host = host.encode()
+        self._codec = h11.Connection(h11.CLIENT)
+        self._usable = True
+
+    @classmethod
+    async def open(
+        cls,
+        address: str,
+        port: int,
+        timeout_s: float = 1,
+    ) -> 'HttpConnection':
+        """Connect; raise NotSentError when that fails or takes too long."""
+        try:
+            with anyio.fail_after(timeout_s):
+                stream = await anyio.connect_tcp(address, port)
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f'connect {address}:{port}: {error}') from error
+        return cls(stream, f'{address}:{port}')
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent."""
+        return self._usable and not self._is_closed_by_peer()
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        headers: Iterable[tuple[bytes, bytes]] = (),
+    ) -> HttpResponse:
+        """Send one request and return its complete response."""
+        if not self.is_reusable:
+            raise NotSentError('connection closed by the server')
+        message = self._encode_request(method, target, body, headers)
+        self._usable = False
+        try:
+            await self._stream.send(message)
+            response = await self._receive_response()
+        except _FAILURES as error:
+            raise OutcomeUnknownError(
+                f'{method} {target}: {type(error).__name__}',
+            ) from error
+        self._prepare_next_request()
+        return response
+
+    async def close(self) -> None:
+        """Close the connection without waiting for the peer."""
+        self._usable = False
+        await anyio.aclose_forcefully(self._stream)
+
+    def _encode_request(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Iterable[tuple[bytes, bytes]],
+    ) -> bytes:
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                (b'host', self._host),
+                (b'content-type', b'application/json'),
+                (b'content-length', str(len(body)).encode()),
+                *headers,
+            ],
+        )
+        return b''.join(
+            self._codec.send(event) or b''
+            for event in (request, h11.Data(body), h11.EndOfMessage())
+        )
+
+    async def _receive_response(self) -> HttpResponse:
+        head = await self._receive_event()
+        while not isinstance(head, h11.Response):
+            head = await self._receive_event()
+        chunks: list[bytes] = []
+        event = await self._receive_event()
+        while isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+            event = await self._receive_event()
+        if not isinstance(event, h11.EndOfMessage):
+            raise h11.RemoteProtocolError('response is not complete')
+        return HttpResponse(
+            head.status_code,
+            dict(head.headers),
+            b''.join(chunks),
+        )
+
+    async def _receive_event(self) -> object:
+        event = self._codec.next_event()
+        while event is h11.NEED_DATA:
+            await self._receive_bytes()
+            event = self._codec.next_event()
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError('connection closed by the server')
+        return event
+
+    async def _receive_bytes(self) -> None:
+        try:
+            received = await self._stream.receive(_RECEIVE_BYTES)
+        except anyio.EndOfStream:
+            received = b''
+        self._codec.receive_data(received)
+
+    def _prepare_next_request(self) -> None:
+        if self._codec.our_state is h11.MUST_CLOSE:
+            return
+        if self._codec.their_state is not h11.DONE:
+            return
+        self._codec.start_next_cycle()
+        self._usable = True
+
+    def _is_closed_by_peer(self) -> bool:
+        raw_socket = self._stream.extra(
+            SocketAttribute.raw_socket,
+        )
+        try:
+            # Bytes outside a request are a protocol error: the connection
+            # is as unusable as after an end of stream.
+            raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
--- /dev/null
+++ b/jacinthcart/wire/_server.py
@@ -0,0 +1,48 @@
+"""Serving an ASGI application with Hypercorn under anyio."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import sniffio
+from hypercorn import asyncio as asyncio_worker
+from hypercorn import trio as trio_worker
+from hypercorn.config import Config
+
+_KEEP_ALIVE_SECONDS = 600
+_MAX_KEEP_ALIVE_REQUESTS = 1_000_000_000
+_BACKLOG = 1024
+
+AsgiApplication = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+async def serve_application(
+    application: AsgiApplication,
+    address: str,
+    port: int,
+    stopping: anyio.Event,
+    grace_s: float,
+) -> None:
+    """Serve until `stopping` is set, then finish requests in flight.
+
+    Requests still running after `grace_s` seconds are cut.
+    """
+    config = Config()
+    config.bind = [f'{address}:{port}']
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = grace_s
+    config.shutdown_timeout = grace_s
+    config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
+    config.keep_alive_max_requests = _MAX_KEEP_ALIVE_REQUESTS
+    config.backlog = _BACKLOG
+    config.include_server_header = False
+    backend: Any = asyncio_worker
+    if sniffio.current_async_library() == 'trio':
+        backend = trio_worker
+    await backend.serve(
+        application,
+        config,
+        shutdown_trigger=stopping.wait,
+        mode='asgi',
+    )
--- /dev/null
+++ b/jacinthcart_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that jacinthcart works with."""
--- /dev/null
+++ b/jacinthcart_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher, demo and bench; not a part of the product."""
