--- /dev/null
+++ b/jacinthcart/feed/_feed.py
@@ -0,0 +1,135 @@
+"""Long-polls control for the state that a neighbour serves with."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import anyio
+
+from jacinthcart.errors import InvalidMessageError, WireError
+from jacinthcart.program import Clock, read_boot_clock
+from jacinthcart.settings import (
+    ProcessSettings,
+    SettingsStore,
+    SettingsView,
+    decode_values,
+)
+from jacinthcart.wire import ConnectionPool, decode_json
+
+#: Lifetimes from another clock are shortened by the rate difference.
+CLOCK_RATE_MARGIN = 0.99
+_WAIT_SHARE_OF_LEASE = 0.25
+_RETRY_PAUSE_S = 0.1
+_CALL_TIMEOUT_S = 2
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class WarmEntry:
+    """What the fleet knows about one searcher's warmth."""
+
+    #: How often the searcher was seen to turn cold; the higher one wins.
+    incident: int
+    #: Whether its warmer announced that it bears full load.
+    warm: bool
+    #: The searcher's run that the entry speaks of.
+    generation: str
+
+
+def decode_warm_entries(
+    message: Mapping[str, Mapping[str, Any]],
+) -> dict[str, WarmEntry]:
+    """Read the JSON form of warm entries by searcher id."""
+    return {
+        searcher_id: WarmEntry(
+            int(entry['incident']),
+            bool(entry['warm']),
+            str(entry['generation']),
+        )
+        for searcher_id, entry in message.items()
+    }
+
+
+class StateFeed:
+    """Keeps the newest state from the VM's control process.
+
+    `run` is a task of the owning program. While control is silent the
+    serving lease runs out and `is_serving` turns false.
+    """
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        program: str,
+        clock: Clock = read_boot_clock,
+    ) -> None:
+        """Prepare the feed of `program`, `entry` or `gather`."""
+        self.process = settings
+        self.clock = clock
+        self.store = SettingsStore()
+        self.live_vms: dict[str, str] = {}
+        self.warm_by_searcher_id: dict[str, WarmEntry] = {}
+        self.is_leaving = False
+        self.is_ready = True
+        self.listeners: list[Callable[[], None]] = []
+        self._program = program
+        self._version = ''
+        self._lease_expires_at = 0.0
+        self._pool = ConnectionPool(
+            settings.address,
+            settings.control_port,
+            limit=1,
+        )
+
+    @property
+    def view(self) -> SettingsView:
+        """The settings in force."""
+        return self.store.view
+
+    def is_serving(self) -> bool:
+        """Return whether the serving lease has not run out."""
+        return self.clock() < self._lease_expires_at
+
+    async def run(self) -> None:
+        """Poll control until cancelled."""
+        while True:
+            try:
+                await self._poll()
+            except (WireError, TimeoutError, InvalidMessageError):
+                await anyio.sleep(_RETRY_PAUSE_S)
+
+    async def close(self) -> None:
+        """Close the connection to control."""
+        await self._pool.close()
+
+    async def _poll(self) -> None:
+        lease_ms = self.view.policy.serving_lease_ms
+        wait_ms = int(lease_ms * _WAIT_SHARE_OF_LEASE)
+        sent_at = self.clock()
+        response = await self._pool.call(
+            'GET',
+            f'/v1/state?program={self._program}&after={self._version}'
+            f'&wait_ms={wait_ms}&ready={int(self.is_ready)}',
+            timeout_s=_CALL_TIMEOUT_S,
+        )
+        if not response.is_success:
+            await anyio.sleep(_RETRY_PAUSE_S)
+            return
+        self._take_state(decode_json(response.body), sent_at)
+
+    def _take_state(self, message: dict[str, Any], sent_at: float) -> None:
+        try:
+            self.store.apply(
+                decode_values(message['values']),
+                int(message['revision']),
+            )
+            self.warm_by_searcher_id = decode_warm_entries(message['warm'])
+            self.live_vms = dict(message['live_vms'])
+            lease_s = float(message['lease_ms']) / _MS_PER_S
+        except (KeyError, TypeError, ValueError) as error:
+            raise InvalidMessageError(f'state: {error!r}') from error
+        self._version = str(message['version'])
+        self.is_leaving = bool(message['leaving'])
+        self._lease_expires_at = sent_at + lease_s * CLOCK_RATE_MARGIN
+        for listener in self.listeners:
+            listener()
