--- a/jacinthcart_emulator/__init__.py
+++ b/jacinthcart_emulator/__init__.py
@@ -1,1 +1,25 @@
 """Stand-ins for the systems that jacinthcart works with."""
+
+from jacinthcart_emulator._corpus import (
+    DOCUMENTS_PER_SHARD,
+    compute_hits,
+    merge_hits,
+)
+from jacinthcart_emulator._models import (
+    ConfigFault,
+    ConfigPut,
+    SearcherFault,
+    SearcherSpec,
+    SearchersFile,
+)
+
+__all__ = [
+    'DOCUMENTS_PER_SHARD',
+    'ConfigFault',
+    'ConfigPut',
+    'SearcherFault',
+    'SearcherSpec',
+    'SearchersFile',
+    'compute_hits',
+    'merge_hits',
+]
--- /dev/null
+++ b/jacinthcart_emulator/_config_app.py
@@ -0,0 +1,85 @@
+"""HTTP interface of the emulated configuration service and VM list."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pydantic
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from jacinthcart.wire import encode_json
+from jacinthcart_emulator._config_state import ConfigState
+from jacinthcart_emulator._models import ConfigFault, ConfigPut
+
+_UNAVAILABLE = 503
+_BAD_REQUEST = 400
+_Endpoint = Callable[[Request], Awaitable[Response]]
+
+
+def create_config_app(state: ConfigState) -> Starlette:
+    """Return the ASGI application over `state`."""
+
+    async def watch(request: Request) -> Response:
+        after = int(request.query_params.get('after', '0'))
+        wait_s = float(request.query_params.get('wait_s', '0'))
+        return _reply(await state.watch(after, wait_s))
+
+    async def list_vms(_request: Request) -> Response:
+        return _reply(
+            {
+                'vms': {
+                    vm_id: {'state': vm_state}
+                    for vm_id, vm_state in state.read_vms().items()
+                },
+            },
+        )
+
+    async def put(request: Request) -> Response:
+        change = ConfigPut.model_validate_json(await request.body())
+        return _reply({'revision': state.put(change.values)})
+
+    async def apply_fault(request: Request) -> Response:
+        fault = ConfigFault.model_validate_json(await request.body())
+        state.apply_fault(fault)
+        return _reply({})
+
+    async def read_counts(_request: Request) -> Response:
+        return _reply({'calls': dict(state.counts)})
+
+    return Starlette(
+        routes=[
+            Route('/v1/watch', _count_call(state, 'watch', watch)),
+            Route('/v1/vms', _count_call(state, 'vms', list_vms)),
+            Route('/emulator/put', put, methods=['POST']),
+            Route('/emulator/fault', apply_fault, methods=['POST']),
+            Route('/emulator/counts', read_counts),
+        ],
+        exception_handlers={pydantic.ValidationError: _reply_invalid},
+    )
+
+
+def _count_call(
+    state: ConfigState,
+    name: str,
+    endpoint: _Endpoint,
+) -> _Endpoint:
+    async def counted(request: Request) -> Response:
+        state.counts[name] += 1
+        if state.is_down:
+            return Response(status_code=_UNAVAILABLE)
+        response = await endpoint(request)
+        if state.is_down:
+            return Response(status_code=_UNAVAILABLE)
+        return response
+
+    return counted
+
+
+def _reply(message: Any) -> Response:
+    return Response(encode_json(message), media_type='application/json')
+
+
+async def _reply_invalid(_request: Request, error: Exception) -> Response:
+    return Response(str(error), status_code=_BAD_REQUEST)
--- /dev/null
+++ b/jacinthcart_emulator/_corpus.py
@@ -0,0 +1,47 @@
+"""The emulated index: results that a test can compute by itself."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import orjson
+import xxhash
+
+#: Hits that one shard returns for any query.
+DOCUMENTS_PER_SHARD = 3
+_SCORE_RANGE = 1_000_000
+
+
+def compute_hits(
+    query: Any,
+    shard: int,
+    index_version: int,
+) -> list[dict[str, Any]]:
+    """Return the hits of one shard, a pure function of its arguments.
+
+    Each hit is `{id, score, shard, index_version}`, so that a caller can
+    tell which snapshot it came from.
+    """
+    encoded = orjson.dumps(query, option=orjson.OPT_SORT_KEYS)
+    return [
+        {
+            'id': f'{shard}-{number}',
+            'score': _score(encoded, shard, index_version, number),
+            'shard': shard,
+            'index_version': index_version,
+        }
+        for number in range(DOCUMENTS_PER_SHARD)
+    ]
+
+
+def merge_hits(
+    hits: Iterable[dict[str, Any]],
+    limit: int,
+) -> list[dict[str, Any]]:
+    """Return the best `limit` hits: highest score first, then by id."""
+    ranked = sorted(hits, key=lambda hit: (-hit['score'], hit['id']))
+    return ranked[:limit]
+
+
+def _score(encoded: bytes, shard: int, version: int, number: int) -> int:
+    label = f'{shard}|{version}|{number}|'.encode()
+    return xxhash.xxh64_intdigest(label + encoded) % _SCORE_RANGE
