--- a/tests/emulator/test_searcher.py
+++ b/tests/emulator/test_searcher.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import anyio
-import trio.testing
+from trio.testing import MockClock
 
 from jacinthcart_emulator import SearcherFault, SearcherSpec
 from jacinthcart_emulator._searcher import EmulatedSearcher
@@ -56,7 +56,7 @@
         count,
         backend='trio',
         backend_options={
-            'clock': trio.testing.MockClock(autojump_threshold=0),
+            'clock': MockClock(autojump_threshold=0),
         },
     )
     return sorted(status for status, _ in replies)
--- /dev/null
+++ b/tests/wire/test_client.py
@@ -0,0 +1,95 @@
+"""Tests of the HTTP client connection on real loopback sockets."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from jacinthcart.errors import NotSentError, OutcomeUnknownError
+from jacinthcart.wire import ConnectionPool
+
+RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+Serve = Callable[[SocketStream], Awaitable[None]]
+Check = Callable[[ConnectionPool], Awaitable[None]]
+
+
+async def _answer_once(stream: SocketStream) -> None:
+    await stream.receive()
+    await stream.send(RESPONSE)
+
+
+async def _close_after_request(stream: SocketStream) -> None:
+    await stream.receive()
+
+
+async def _truncate(stream: SocketStream) -> None:
+    await stream.receive()
+    await stream.send(RESPONSE[:-1])
+
+
+async def _with_server(serve: Serve, check: Check) -> None:
+    async def serve_and_close(stream: SocketStream) -> None:
+        async with stream:
+            await serve(stream)
+
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(SocketAttribute.local_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve_and_close)
+        pool = ConnectionPool('127.0.0.1', port, limit=1)
+        await check(pool)
+        await pool.close()
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+class ConnectionPoolTest(unittest.TestCase):
+    """Errors must tell truthfully whether a request may have been sent."""
+
+    def _run(self, serve: Serve, check: Check) -> None:
+        for backend in ('asyncio', 'trio'):
+            with self.subTest(backend=backend):
+                anyio.run(_with_server, serve, check, backend=backend)
+
+    def test_closed_idle_connection_is_replaced(self) -> None:
+        """Guards against a request lost on a connection closed by the peer.
+
+        The client must see the end of stream before it sends.
+        """
+
+        async def check(pool: ConnectionPool) -> None:
+            for _ in range(3):
+                response = await pool.call('GET', '/')
+                self.assertEqual(response.body, b'ok')
+                await anyio.wait_all_tasks_blocked()
+
+        self._run(_answer_once, check)
+
+    def test_close_after_request_leaves_the_outcome_unknown(self) -> None:
+        """Guards against `not_run` for a request that the server read."""
+
+        async def check(pool: ConnectionPool) -> None:
+            with self.assertRaises(OutcomeUnknownError):
+                await pool.call('GET', '/')
+
+        self._run(_close_after_request, check)
+
+    def test_truncated_response_is_an_error(self) -> None:
+        """Guards against half an answer passing for a whole one."""
+
+        async def check(pool: ConnectionPool) -> None:
+            with self.assertRaises(OutcomeUnknownError):
+                await pool.call('GET', '/')
+
+        self._run(_truncate, check)
+
+    def test_refused_connection_is_not_sent(self) -> None:
+        """Guards against `unknown` when nothing was sent."""
+
+        async def check(_pool: ConnectionPool) -> None:
+            refused = ConnectionPool('127.0.0.1', 1, limit=1)
+            with self.assertRaises(NotSentError):
+                await refused.call('GET', '/')
+
+        self._run(_answer_once, check)
