Add the entry program

Callers connect to the entry; it checks lease, key, workspace, body and deadline, takes a permit, repeats the checks and forwards to gather.

--- /dev/null
+++ b/jacinthcart/entry/_admission.py
@@ -0,0 +1,121 @@
+"""Decides whether a request may be forwarded."""
+
+import anyio
+
+from jacinthcart.entry._drain import Drain
+from jacinthcart.entry._keys import Grant, authorize
+from jacinthcart.entry._permits import BasePermitSource, Permit
+from jacinthcart.errors import RefusalCode, RefusalError
+from jacinthcart.feed import StateFeed
+from jacinthcart.telemetry import Metrics
+
+_PERMIT_TRIES = 2
+
+
+class Admission:
+    """Checks lease, key, rate and deadline.
+
+    Every check that a wait can make obsolete is made again after it, so
+    that a key withdrawn or a lease run out meanwhile stops the request.
+    """
+
+    def __init__(
+        self,
+        feed: StateFeed,
+        permits: BasePermitSource,
+        drain: Drain,
+        metrics: Metrics,
+    ) -> None:
+        """Keep what the checks read."""
+        self._feed = feed
+        self._permits = permits
+        self._drain = drain
+        self._metrics = metrics
+
+    def check_accepting(self) -> None:
+        """Raise RefusalError when the VM takes no new requests."""
+        if self._drain.is_refusing:
+            raise RefusalError(RefusalCode.LEAVING, detail='VM is leaving')
+        self._check_serving()
+
+    def authorize(self, route_id: str, digest: str | None) -> Grant:
+        """Return the right of a request by the settings in force."""
+        return authorize(self._feed.view, route_id, digest)
+
+    async def admit(
+        self,
+        grant: Grant,
+        digest: str | None,
+        deadline: float,
+    ) -> Grant:
+        """Take a permit and repeat every check that the wait outdated.
+
+        `deadline` is in seconds on the feed's clock. Return the grant by
+        the settings in force now; raise RefusalError.
+        """
+        started_at = self._feed.clock()
+        permit = await self._take_permit(grant, deadline)
+        self._metrics.record_seconds(
+            ('permit_wait', grant.workspace_id, grant.route.request_class),
+            self._feed.clock() - started_at,
+        )
+        self._check_serving()
+        renewed = self._renew_grant(grant, digest)
+        now = self._feed.clock()
+        if now >= deadline:
+            raise _refuse_late()
+        if now >= permit.expires_at:
+            raise RefusalError(
+                RefusalCode.NOT_READY,
+                detail='permits expired before use',
+            )
+        return renewed
+
+    def _check_serving(self) -> None:
+        if not self._feed.is_serving():
+            raise RefusalError(
+                RefusalCode.NOT_READY,
+                detail='no serving lease',
+            )
+        own_data_centre = self._feed.process.data_centre
+        if not self._feed.view.is_data_centre_in(own_data_centre):
+            raise RefusalError(
+                RefusalCode.LEAVING,
+                detail='data centre is out',
+            )
+
+    async def _take_permit(self, grant: Grant, deadline: float) -> Permit:
+        permit = await self._acquire(grant.workspace_id, deadline)
+        for _ in range(_PERMIT_TRIES - 1):
+            if self._feed.clock() < permit.expires_at:
+                break
+            permit = await self._acquire(grant.workspace_id, deadline)
+        return permit
+
+    async def _acquire(self, workspace_id: str, deadline: float) -> Permit:
+        try:
+            with anyio.fail_after(max(0, deadline - self._feed.clock())):
+                return await self._permits.acquire(workspace_id)
+        except TimeoutError as error:
+            raise _refuse_late() from error
+
+    def _renew_grant(self, grant: Grant, digest: str | None) -> Grant:
+        renewed = self.authorize(grant.route_id, digest)
+        if renewed.workspace_id != grant.workspace_id:
+            raise RefusalError(
+                RefusalCode.KEY_INVALID,
+                detail='the key was granted to another workspace',
+            )
+        if renewed.route.kind is not grant.route.kind:
+            raise RefusalError(
+                RefusalCode.UNKNOWN_ROUTE,
+                detail='the route changed its kind',
+            )
+        return renewed
+
+
+def _refuse_late() -> RefusalError:
+    return RefusalError(
+        RefusalCode.DEADLINE_PASSED,
+        detail='deadline passed before the request was forwarded',
+    )
--- /dev/null
+++ b/jacinthcart/entry/_handler.py
@@ -0,0 +1,173 @@
+"""Handles one caller's request from its arrival to its answer."""
+
+import random
+
+import anyio
+from starlette.requests import ClientDisconnect, Request
+
+from jacinthcart.entry._admission import Admission
+from jacinthcart.entry._forward import GatherCall, GatherClient
+from jacinthcart.entry._gather_messages import GatherAnswerMessage
+from jacinthcart.entry._keys import Grant, read_key_digest
+from jacinthcart.entry._messages import (
+    Exchange,
+    QueryMessage,
+    find_home_vm,
+    parse_query_message,
+)
+from jacinthcart.errors import RefusalCode, RefusalError
+from jacinthcart.feed import StateFeed
+from jacinthcart.settings import Route, RouteKind
+from jacinthcart.telemetry import Metrics
+
+_ID_BITS = 128
+_MS_PER_S = 1000
+
+
+class QueryHandler:
+    """Runs the steps of a request in order."""
+
+    def __init__(
+        self,
+        feed: StateFeed,
+        admission: Admission,
+        gather: GatherClient,
+        metrics: Metrics,
+        random_source: random.Random,
+    ) -> None:
+        """Keep what the steps use."""
+        self._feed = feed
+        self._admission = admission
+        self._gather = gather
+        self._metrics = metrics
+        self._random = random_source
+
+    async def handle(
+        self,
+        request: Request,
+        exchange: Exchange,
+    ) -> GatherAnswerMessage:
+        """Return the answer; raise RefusalError.
+
+        `exchange` is filled as soon as its fields are known.
+        """
+        self._admission.check_accepting()
+        digest = read_key_digest(request.headers.raw)
+        grant = self._admission.authorize(exchange.route_id, digest)
+        exchange.workspace_id = grant.workspace_id
+        exchange.request_class = grant.route.request_class
+        message = parse_query_message(await _read_body(request, grant.route))
+        _check_workspace(message, grant)
+        deadline = _find_deadline(message, grant.route, exchange.arrived_at)
+        home_vm = await self._choose_id(message, grant.route, exchange)
+        grant = await self._admission.admit(grant, digest, deadline)
+        call = GatherCall(
+            request_id=exchange.request_id or '',
+            service_id=_find_service_id(grant),
+            route_kind=grant.route.kind,
+            workspace_id=grant.workspace_id,
+            request_class=grant.route.request_class,
+            deadline=deadline,
+            query=message.query,
+            home_vm=home_vm,
+        )
+        return await self._forward(call, exchange)
+
+    async def _forward(
+        self,
+        call: GatherCall,
+        exchange: Exchange,
+    ) -> GatherAnswerMessage:
+        try:
+            return await self._gather.forward(call)
+        finally:
+            self._metrics.record_seconds(
+                ('request', call.workspace_id, call.request_class),
+                self._feed.clock() - exchange.arrived_at,
+            )
+
+    async def _choose_id(
+        self,
+        message: QueryMessage,
+        route: Route,
+        exchange: Exchange,
+    ) -> str | None:
+        """Set the request's id; return its home VM, None if idempotent."""
+        exchange.request_id = message.request_id
+        is_submit = route.kind is RouteKind.SUBMIT
+        if exchange.request_id is None:
+            prefix = self._feed.process.vm_id
+            if is_submit:
+                prefix = await self._require_prefix()
+            digits = f'{self._random.getrandbits(_ID_BITS):032x}'
+            exchange.request_id = f'{prefix}.{digits}'
+        return find_home_vm(exchange.request_id) if is_submit else None
+
+    async def _require_prefix(self) -> str:
+        prefix = await self._gather.find_prefix()
+        if prefix is None:
+            raise RefusalError(
+                RefusalCode.NOT_READY,
+                detail='gather is not reachable',
+            )
+        return prefix
+
+
+async def _read_body(request: Request, route: Route) -> bytes:
+    """Read at most the route's bytes within the route's deadline."""
+    try:
+        with anyio.fail_after(route.deadline_ms / _MS_PER_S):
+            return await _read_bounded(request, route.max_body_bytes)
+    except TimeoutError as error:
+        raise RefusalError(
+            RefusalCode.DEADLINE_PASSED,
+            detail='the body did not arrive before the deadline',
+        ) from error
+    except ClientDisconnect as error:
+        raise RefusalError(
+            RefusalCode.INVALID_REQUEST,
+            detail='the caller disconnected',
+        ) from error
+
+
+async def _read_bounded(request: Request, max_bytes: int) -> bytes:
+    announced = request.headers.get('content-length', '0')
+    if announced.isdecimal() and int(announced) > max_bytes:
+        raise _refuse_body(max_bytes)
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > max_bytes:
+            raise _refuse_body(max_bytes)
+    return bytes(body)
+
+
+def _refuse_body(max_bytes: int) -> RefusalError:
+    return RefusalError(
+        RefusalCode.BODY_TOO_LARGE,
+        detail=f'the route accepts {max_bytes} bytes',
+    )
+
+
+def _check_workspace(message: QueryMessage, grant: Grant) -> None:
+    if message.workspace not in {None, grant.workspace_id}:
+        raise RefusalError(
+            RefusalCode.WORKSPACE_MISMATCH,
+            detail='the key belongs to another workspace',
+        )
+
+
+def _find_deadline(
+    message: QueryMessage,
+    route: Route,
+    arrived_at: float,
+) -> float:
+    deadline_ms = min(
+        message.deadline_ms or route.deadline_ms, route.deadline_ms
+    )
+    return arrived_at + deadline_ms / _MS_PER_S
+
+
+def _find_service_id(grant: Grant) -> str:
+    team = grant.route_id.split('/')[0]
+    return f'{team}/{grant.route.service}'
--- /dev/null
+++ b/jacinthcart/entry/_keys.py
@@ -0,0 +1,97 @@
+"""Keys of callers: read once, kept only as a digest."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+from jacinthcart.errors import RefusalCode, RefusalError
+from jacinthcart.settings import Route, SettingsView
+
+_SCHEME = 'bearer'
+_MAX_KEY_LENGTH = 512
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """The right of a request to run, under one view of the settings."""
+
+    #: Route id, `<team>/<name>`.
+    route_id: str
+    #: The route's settings.
+    route: Route
+    #: Workspace that the request runs for and is charged to.
+    workspace_id: str
+
+
+def read_key_digest(headers: Iterable[tuple[bytes, bytes]]) -> str | None:
+    """Return the SHA-256 digest of the caller's key, None without a key.
+
+    Raise RefusalError INVALID_REQUEST for a header that is not UTF-8 or an
+    Authorization header that is not one `Bearer <key>`.
+    """
+    fields: list[str] = []
+    for name, field in headers:
+        text = _decode_header(name, field)
+        if name.lower() == b'authorization':
+            fields.append(text)
+    if not fields:
+        return None
+    if len(fields) > 1:
+        raise _refuse_header('more than one Authorization header')
+    return _digest_key(fields[0])
+
+
+def authorize(
+    view: SettingsView,
+    route_id: str,
+    digest: str | None,
+) -> Grant:
+    """Return the right to run, by the settings in force.
+
+    Raise RefusalError UNKNOWN_ROUTE, KEY_MISSING, KEY_INVALID, or
+    WORKSPACE_MISMATCH for a key of another team.
+    """
+    route = view.routes_by_id.get(route_id)
+    if route is None:
+        raise RefusalError(RefusalCode.UNKNOWN_ROUTE)
+    team = route_id.split('/')[0]
+    if route.open_to_all:
+        return Grant(route_id, route, f'{team}/{route.charged_workspace}')
+    workspace_id = _find_workspace(view, digest)
+    if workspace_id.split('/')[0] != team:
+        raise RefusalError(
+            RefusalCode.WORKSPACE_MISMATCH,
+            detail='the key belongs to another team',
+        )
+    return Grant(route_id, route, workspace_id)
+
+
+def _find_workspace(view: SettingsView, digest: str | None) -> str:
+    if digest is None:
+        raise RefusalError(RefusalCode.KEY_MISSING)
+    workspace_id = view.workspace_id_by_digest.get(digest)
+    if workspace_id is None or workspace_id not in view.workspaces_by_id:
+        raise RefusalError(RefusalCode.KEY_INVALID)
+    return workspace_id
+
+
+def _decode_header(name: bytes, field: bytes) -> str:
+    try:
+        return field.decode()
+    except UnicodeDecodeError as error:
+        shown = name.decode('ascii', 'replace')
+        raise _refuse_header(f'header {shown} is not UTF-8') from error
+
+
+def _digest_key(field: str) -> str:
+    scheme, _, key = field.strip().partition(' ')
+    key = key.strip()
+    if scheme.lower() != _SCHEME or not key or ' ' in key:
+        raise _refuse_header('Authorization is not Bearer <key>')
+    if len(key) > _MAX_KEY_LENGTH:
+        raise _refuse_header('the key is too long')
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _refuse_header(detail: str) -> RefusalError:
+    return RefusalError(RefusalCode.INVALID_REQUEST, detail=detail)
--- /dev/null
+++ b/jacinthcart/entry/_program.py
@@ -0,0 +1,97 @@
+"""The entry program: wires its parts and runs until stopped."""
+
+import random
+
+import anyio
+
+from jacinthcart.entry._addresses import AddressBook
+from jacinthcart.entry._admission import Admission
+from jacinthcart.entry._app import EntryApp, EntryParts
+from jacinthcart.entry._drain import Drain
+from jacinthcart.entry._forward import GatherClient
+from jacinthcart.entry._handler import QueryHandler
+from jacinthcart.entry._permits import BasePermitSource, ControlPermitSource
+from jacinthcart.feed import StateFeed
+from jacinthcart.program import StopSignal
+from jacinthcart.settings import ProcessSettings
+from jacinthcart.telemetry import (
+    DecisionLog,
+    Logger,
+    Metrics,
+    create_logger,
+    set_log_level,
+)
+from jacinthcart.wire import ConnectionPool, serve_application
+
+_PROGRAM = 'entry'
+_CONTROL_CONNECTIONS = 8
+#: Time for responses that are being written when the drain has ended.
+_CLOSE_GRACE_S = 1
+
+
+def build_parts(
+    feed: StateFeed,
+    permits: BasePermitSource,
+    logger: Logger,
+    random_source: random.Random,
+) -> EntryParts:
+    """Wire the parts of one entry."""
+    metrics = Metrics()
+    drain = Drain(feed)
+    gather = GatherClient(feed, metrics)
+    admission = Admission(feed, permits, drain, metrics)
+    return EntryParts(
+        feed=feed,
+        drain=drain,
+        handler=QueryHandler(feed, admission, gather, metrics, random_source),
+        gather=gather,
+        addresses=AddressBook(feed, drain, random_source),
+        metrics=metrics,
+        decisions=DecisionLog(),
+        logger=logger,
+    )
+
+
+async def run_entry(settings: ProcessSettings, stop: StopSignal) -> None:
+    """Serve callers until the stop signal, then drain and return."""
+    feed = StateFeed(settings, _PROGRAM)
+    permits = ControlPermitSource(
+        ConnectionPool(
+            settings.address,
+            settings.control_port,
+            _CONTROL_CONNECTIONS,
+        ),
+        feed.clock,
+    )
+    logger = create_logger(_PROGRAM)
+    parts = build_parts(feed, permits, logger, random.SystemRandom())
+    feed.listeners.append(lambda: set_log_level(feed.view.policy.log_level))
+    logger.info('starting', vm=settings.vm_id, port=settings.entry_port)
+    try:
+        await _serve(settings, parts, stop)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await permits.close()
+            await parts.gather.close()
+            await feed.close()
+    logger.info('stopped', vm=settings.vm_id)
+
+
+async def _serve(
+    settings: ProcessSettings,
+    parts: EntryParts,
+    stop: StopSignal,
+) -> None:
+    drain = parts.drain
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(parts.feed.run)
+        tasks.start_soon(drain.run)
+        tasks.start_soon(drain.follow_signal, stop)
+        await serve_application(
+            drain.track(EntryApp(parts).build()),
+            settings.address,
+            settings.entry_port,
+            drain.closing,
+            _CLOSE_GRACE_S,
+        )
+        tasks.cancel_scope.cancel()
