--- /dev/null
+++ b/jacinthcart/limits/_borrower.py
@@ -0,0 +1,182 @@
+"""Borrowing tokens from the other owners of a workspace."""
+
+import collections
+import itertools
+import random
+from collections.abc import Mapping
+from typing import Any
+
+import anyio
+
+from jacinthcart.limits._ledger import (
+    AcquireResult,
+    CountsByOwner,
+    Loan,
+    TokenLedger,
+)
+from jacinthcart.limits._lender import BasePeerMessenger
+from jacinthcart.limits._messages import (
+    BorrowMessage,
+    LendMessage,
+    parse_message,
+)
+from jacinthcart.limits._pending import PendingBorrows
+from jacinthcart.program import Clock
+from jacinthcart.telemetry import Metrics
+
+_MS_PER_S = 1000
+#: Rounds on demand in one borrowing interval, at most.
+_ROUNDS_PER_INTERVAL = 5
+#: Datagrams hold at most 1,400 bytes, of which 200 are for other fields.
+_COUNTS_BYTES = 1200
+#: Bytes of one workspace in a reply beside its id.
+_ENTRY_BYTES = 60
+
+
+class Borrower:
+    """Gets permits for callers, from this VM first and then from others.
+
+    `run` is a task of the owning program. Rounds on demand are shared by
+    all waiting callers and spaced, so that the number of datagrams a second
+    has a bound that does not depend on traffic or fleet size.
+    """
+
+    def __init__(
+        self,
+        ledger: TokenLedger,
+        messenger: BasePeerMessenger,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Borrow for `ledger` through `messenger`."""
+        self._ledger = ledger
+        self._messenger = messenger
+        self._clock = clock
+        self._metrics = metrics
+        self._pending = PendingBorrows(clock, rng or random.Random())
+        self._reply_arrived = anyio.Event()
+        self._round_ended: anyio.Event | None = None
+        self._round_ended_at = float('-inf')
+        self._waiter_ids = itertools.count()
+        self._counts_by_waiter: dict[int, Mapping[str, int]] = {}
+
+    async def acquire(self, counts: Mapping[str, int]) -> AcquireResult:
+        """Grant permits; wait at most `borrow_timeout_ms` for loans."""
+        if self._find_plan(counts):
+            await self._borrow(counts)
+        return self._ledger.acquire(counts)
+
+    async def handle(self, message: Any, received_at: float) -> None:
+        """Take a `lend` datagram; raise InvalidMessageError.
+
+        A reply to an unknown request is dropped: when its tokens left
+        their bucket is not known, and neither is their expiry.
+        """
+        reply = parse_message(LendMessage, message)
+        borrow = self._pending.pop(reply.seq, reply.vm)
+        if borrow is None:
+            self._metrics.count('loans_of_unknown_request')
+            return
+        granted = {
+            workspace_id: Loan(permits.count, permits.lifetime_ms)
+            for workspace_id, permits in reply.granted.items()
+        }
+        self._ledger.receive_loan(granted, borrow.sent_at)
+        self._ledger.book.note_reply(
+            borrow.vm_id,
+            borrow.counts,
+            {key: loan.count for key, loan in granted.items()},
+        )
+        self._reply_arrived.set()
+        self._reply_arrived = anyio.Event()
+
+    async def run(self) -> None:
+        """Borrow the predicted demand each interval until cancelled."""
+        while True:
+            interval_ms = self._ledger.policy.borrow_interval_ms
+            await anyio.sleep(interval_ms / _MS_PER_S)
+            self._note_overdue()
+            await self._send(self._ledger.plan_borrowing())
+
+    async def _borrow(self, counts: Mapping[str, int]) -> None:
+        timeout_s = self._ledger.policy.borrow_timeout_ms / _MS_PER_S
+        waiter_id = next(self._waiter_ids)
+        self._counts_by_waiter[waiter_id] = counts
+        try:
+            with anyio.move_on_after(timeout_s):
+                await self._repeat_rounds(counts)
+        finally:
+            self._counts_by_waiter.pop(waiter_id)
+
+    async def _repeat_rounds(self, counts: Mapping[str, int]) -> None:
+        while self._find_plan(counts):
+            if self._round_ended is None:
+                await self._lead_round()
+            else:
+                await self._round_ended.wait()
+
+    async def _lead_round(self) -> None:
+        """Run one round for all waiting callers."""
+        ended = anyio.Event()
+        self._round_ended = ended
+        try:
+            await self._run_round()
+        finally:
+            self._round_ended = None
+            ended.set()
+
+    async def _run_round(self) -> None:
+        interval_s = self._ledger.policy.borrow_interval_ms / _MS_PER_S
+        pause_s = interval_s / _ROUNDS_PER_INTERVAL
+        elapsed_s = self._clock() - self._round_ended_at
+        await anyio.sleep(max(0.0, pause_s - elapsed_s))
+        wanted = self._sum_wanted()
+        self._note_overdue()
+        self._round_ended_at = self._clock()
+        seqs = await self._send(self._find_plan(wanted))
+        while self._pending.is_waiting(seqs):
+            if not self._ledger.find_shortage(wanted):
+                return
+            await self._reply_arrived.wait()
+
+    def _sum_wanted(self) -> dict[str, int]:
+        wanted: collections.Counter[str] = collections.Counter()
+        for counts in self._counts_by_waiter.values():
+            wanted.update(counts)
+        return dict(wanted)
+
+    def _find_plan(self, counts: Mapping[str, int]) -> CountsByOwner:
+        return self._ledger.split(self._ledger.find_shortage(counts))
+
+    def _note_overdue(self) -> None:
+        timeout_s = self._ledger.policy.borrow_timeout_ms / _MS_PER_S
+        for vm_id in self._pending.list_newly_overdue(timeout_s):
+            self._ledger.book.note_silence(vm_id)
+
+    async def _send(self, counts_by_owner: CountsByOwner) -> list[int]:
+        seqs = []
+        for vm_id, counts in counts_by_owner.items():
+            fitting = _select_fitting(counts)
+            seq = self._pending.add(vm_id, fitting)
+            seqs.append(seq)
+            self._metrics.count('borrow_requests_sent')
+            message = BorrowMessage(
+                vm=self._ledger.vm_id,
+                seq=seq,
+                counts=fitting,
+            )
+            await self._messenger.send(vm_id, message.model_dump())
+        return seqs
+
+
+def _select_fitting(counts: Mapping[str, int]) -> dict[str, int]:
+    """Return the largest counts whose reply fits into one datagram."""
+    fitting = {}
+    size = 0
+    for workspace_id in sorted(counts, key=counts.__getitem__, reverse=True):
+        size += len(workspace_id) + _ENTRY_BYTES
+        if size > _COUNTS_BYTES:
+            break
+        fitting[workspace_id] = counts[workspace_id]
+    return fitting
--- /dev/null
+++ b/jacinthcart/limits/_bucket.py
@@ -0,0 +1,75 @@
+"""Token bucket of one owner for one workspace."""
+
+from jacinthcart.program import Clock
+from jacinthcart.telemetry import Metrics
+
+
+class TokenBucket:
+    """Fills at `rate` tokens a second up to `capacity`; starts empty.
+
+    It starts empty because a predecessor on the same roster entry may have
+    spent everything that the share allows.
+    """
+
+    def __init__(
+        self,
+        rate: float,
+        capacity: float,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Start empty at the clock's present time."""
+        self._rate = rate
+        self._capacity = capacity
+        self._clock = clock
+        self._metrics = metrics
+        self._level = 0.0
+        self._updated_at = clock()
+
+    @property
+    def rate(self) -> float:
+        """Tokens that arrive a second."""
+        return self._rate
+
+    @property
+    def capacity(self) -> float:
+        """Most tokens that the bucket holds."""
+        return self._capacity
+
+    @property
+    def level(self) -> float:
+        """Tokens in the bucket now."""
+        self._refill()
+        return self._level
+
+    def configure(self, rate: float, capacity: float) -> None:
+        """Change rate and capacity from now on; drop what exceeds them."""
+        self._refill()
+        self._rate = rate
+        self._capacity = capacity
+        self._level = min(self._level, capacity)
+
+    def take(self, count: int) -> int:
+        """Debit up to `count` whole tokens and return how many."""
+        self._refill()
+        held = self._level
+        granted = max(0, min(count, int(held)))
+        self._level = held - granted
+        self._metrics.check(
+            'bucket_grants_what_it_held',
+            granted <= held,
+            f'granted {granted} of {held}',
+        )
+        return granted
+
+    def _refill(self) -> None:
+        now = self._clock()
+        elapsed = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        filled = self._level + elapsed * self._rate
+        self._level = min(filled, self._capacity)
+        self._metrics.check(
+            'bucket_within_capacity',
+            0 <= self._level <= self._capacity,
+            f'level {self._level}, capacity {self._capacity}',
+        )
--- /dev/null
+++ b/jacinthcart/limits/_client.py
@@ -0,0 +1,173 @@
+"""Entry's side of `POST /v1/permits`."""
+
+import collections
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import anyio
+
+from jacinthcart.errors import (
+    InvalidMessageError,
+    RefusalCode,
+    RefusalError,
+    WireError,
+)
+from jacinthcart.limits._account import Waiter, WorkspaceAccount
+from jacinthcart.limits._messages import PermitsReply, parse_message
+from jacinthcart.limits._permits import CLOCK_RATE_MARGIN, Permit
+from jacinthcart.program import Clock
+from jacinthcart.telemetry import Metrics
+
+#: Sends the body of `POST /v1/permits` and returns the reply's body.
+PostPermits = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
+
+_MS_PER_S = 1000
+#: Times that a request asks again because its permit expired on the way.
+_MAX_ATTEMPTS = 3
+
+
+class PermitClient:
+    """Gets permits from control, with one call in flight at a time.
+
+    `run` is a task of the owning program. One call carries all requests
+    that wait, and asks ahead for workspaces with steady demand.
+    """
+
+    def __init__(
+        self,
+        post: PostPermits,
+        read_batch_ms: Callable[[], int],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Call control through `post`.
+
+        `read_batch_ms` returns the setting `permit_batch_ms` in force.
+        """
+        self._post = post
+        self._read_batch_ms = read_batch_ms
+        self._clock = clock
+        self._metrics = metrics
+        self._wanted = anyio.Event()
+        self._accounts: collections.defaultdict[str, WorkspaceAccount] = (
+            collections.defaultdict(lambda: WorkspaceAccount(clock, metrics))
+        )
+
+    async def acquire(self, workspace_id: str) -> Permit:
+        """Return a permit that is valid now.
+
+        Raise RefusalError with OVER_RATE and a retry delay when control
+        has no permit, with NOT_READY when it cannot be reached.
+        """
+        account = self._accounts[workspace_id]
+        account.count_request()
+        for _ in range(_MAX_ATTEMPTS):
+            permit = await self._take_or_wait(account)
+            if permit.expires_at > self._clock():
+                return permit
+        raise RefusalError(
+            RefusalCode.NOT_READY,
+            detail='permits expired before use',
+        )
+
+    async def run(self) -> None:
+        """Call control whenever permits are wanted, until cancelled."""
+        while True:
+            await self._wanted.wait()
+            self._wanted = anyio.Event()
+            counts = self._plan()
+            while counts:
+                await self._call(counts)
+                counts = self._plan() if self._has_waiters() else {}
+
+    async def _take_or_wait(self, account: WorkspaceAccount) -> Permit:
+        permit = account.take()
+        if permit is not None:
+            if account.count_ahead(self._batch_s):
+                self._wanted.set()
+            return permit
+        waiter = Waiter()
+        account.waiters.append(waiter)
+        self._wanted.set()
+        try:
+            await waiter.decided.wait()
+        finally:
+            if waiter in account.waiters:
+                account.waiters.remove(waiter)
+        return waiter.read_permit()
+
+    @property
+    def _batch_s(self) -> float:
+        return self._read_batch_ms() / _MS_PER_S
+
+    def _has_waiters(self) -> bool:
+        return any(account.waiters for account in self._accounts.values())
+
+    def _plan(self) -> dict[str, int]:
+        batch_s = self._batch_s
+        wanted = {
+            workspace_id: len(account.waiters) + account.count_ahead(batch_s)
+            for workspace_id, account in self._accounts.items()
+        }
+        return {key: count for key, count in wanted.items() if count > 0}
+
+    async def _call(self, counts: dict[str, int]) -> None:
+        waiting = {
+            workspace_id: list(self._accounts[workspace_id].waiters)
+            for workspace_id in counts
+        }
+        sent_at = self._clock()
+        try:
+            body = await self._post({'counts': counts})
+            reply = parse_message(PermitsReply, body)
+        except (WireError, TimeoutError, InvalidMessageError) as error:
+            self._metrics.count('permit_calls_failed')
+            self._refuse_unreachable(waiting, error)
+            return
+        self._take_reply(reply, sent_at)
+        self._refuse_over_rate(reply, waiting)
+
+    def _take_reply(self, reply: PermitsReply, sent_at: float) -> None:
+        for workspace_id, granted in reply.granted.items():
+            lifetime_s = granted.lifetime_ms / _MS_PER_S * CLOCK_RATE_MARGIN
+            self._accounts[workspace_id].add(
+                granted.count,
+                sent_at + lifetime_s,
+                lifetime_s,
+            )
+
+    def _refuse_over_rate(
+        self,
+        reply: PermitsReply,
+        waiting: Mapping[str, list[Waiter]],
+    ) -> None:
+        for workspace_id in reply.retry_after_ms:
+            refusal = RefusalError(
+                RefusalCode.OVER_RATE,
+                retry_after_ms=reply.retry_after_ms[workspace_id],
+            )
+            self._refuse(workspace_id, waiting.get(workspace_id, []), refusal)
+
+    def _refuse_unreachable(
+        self,
+        waiting: Mapping[str, list[Waiter]],
+        error: Exception,
+    ) -> None:
+        for workspace_id, waiters in waiting.items():
+            refusal = RefusalError(
+                RefusalCode.NOT_READY,
+                detail=f'control does not answer: {error}',
+            )
+            self._refuse(workspace_id, waiters, refusal)
+
+    def _refuse(
+        self,
+        workspace_id: str,
+        waiters: list[Waiter],
+        refusal: RefusalError,
+    ) -> None:
+        account = self._accounts[workspace_id]
+        for waiter in waiters:
+            if waiter in account.waiters:
+                account.waiters.remove(waiter)
+                waiter.refuse(refusal)
