Add warm table entries and the dispatcher without hedging

Purpose: gather needs one place that owns the connections to searchers, decides how many requests each may get, and verifies every reply.

Rights follow the warm table, own evidence and the warmer's ramp.

--- a/jacinthcart/dispatch/__init__.py
+++ b/jacinthcart/dispatch/__init__.py
@@ -1,5 +1,38 @@
 """Requests to searchers: connections, queues, replicas, hedges, ramps."""
 
+from jacinthcart.dispatch._client import (
+    BaseSearcherClient,
+    HttpSearcherClient,
+    OpenSearcherClient,
+    SearcherTarget,
+    create_http_client_factory,
+)
+from jacinthcart.dispatch._dispatcher import Dispatcher, PostWarm
 from jacinthcart.dispatch._messages import PartCall, PartResult, Snapshot
+from jacinthcart.dispatch._outcome import MissingReason
+from jacinthcart.dispatch._reply import (
+    SearcherRefusalError,
+    SearcherReply,
+    SearchMessage,
+    WrongReplyError,
+    parse_reply,
+)
 
-__all__ = ['PartCall', 'PartResult', 'Snapshot']
+__all__ = [
+    'BaseSearcherClient',
+    'Dispatcher',
+    'HttpSearcherClient',
+    'MissingReason',
+    'OpenSearcherClient',
+    'PartCall',
+    'PartResult',
+    'PostWarm',
+    'SearchMessage',
+    'SearcherRefusalError',
+    'SearcherReply',
+    'SearcherTarget',
+    'Snapshot',
+    'WrongReplyError',
+    'create_http_client_factory',
+    'parse_reply',
+]
--- /dev/null
+++ b/jacinthcart/dispatch/_budget.py
@@ -0,0 +1,45 @@
+"""Budgets: a share of requests, and a rate."""
+
+import anyio
+
+from jacinthcart.program import Clock
+
+#: Unused budget is kept up to this many extra requests, so that a quiet
+#: period does not pay for a burst.
+_MAX_TOKENS = 10.0
+
+
+class ShareBudget:
+    """Permits extra requests up to a share of the ordinary ones."""
+
+    def __init__(self, initial_tokens: float = 0) -> None:
+        """Start with tokens for the first extra requests."""
+        self._tokens = initial_tokens
+
+    def earn(self, share: float) -> None:
+        """Count one ordinary request."""
+        self._tokens = min(self._tokens + share, _MAX_TOKENS)
+
+    def take(self) -> bool:
+        """Return whether one extra request may be sent; count it."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class RateGate:
+    """Spaces events to at most a rate, with a burst of one second."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with a full second's burst."""
+        self._clock = clock
+        self._next_at = clock() - 1
+
+    async def wait(self, rate_per_s: float) -> None:
+        """Wait for this event's turn."""
+        now = self._clock()
+        turn_at = max(self._next_at, now - 1)
+        self._next_at = turn_at + 1 / rate_per_s
+        if turn_at > now:
+            await anyio.sleep(turn_at - now)
--- /dev/null
+++ b/jacinthcart/dispatch/_choice.py
@@ -0,0 +1,58 @@
+"""Choice of the replica that a request is sent to."""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+
+from jacinthcart.dispatch._link import SearcherLink
+
+_CHOICES = 2
+
+Score = tuple[float, float]
+
+
+def choose_link(
+    links: Iterable[SearcherLink],
+    excluded: Collection[str],
+    now: float,
+    max_age_s: float,
+    random_source: random.Random,
+) -> SearcherLink | None:
+    """Return the better of two random links with a right.
+
+    Links that failed recently are used only when no other is left. A
+    latency older than `max_age_s` is taken as the best known one, so that
+    a replica that was slow once is tried again.
+    """
+    usable = [
+        link
+        for link in links
+        if link.replica.searcher_id not in excluded and link.allowance
+    ]
+    healthy = [link for link in usable if link.failing_until <= now]
+    candidates = healthy or usable
+    if not candidates:
+        return None
+    count = min(_CHOICES, len(candidates))
+    pair = random_source.sample(candidates, count)
+    return min(pair, key=_create_score(candidates, now - max_age_s))
+
+
+def _create_score(
+    candidates: Iterable[SearcherLink],
+    oldest: float,
+) -> Callable[[SearcherLink], Score]:
+    latencies = [
+        link.latency_s
+        for link in candidates
+        if link.latency_s is not None and link.latency_at >= oldest
+    ]
+    best_known = min(latencies, default=1.0)
+
+    def score(link: SearcherLink) -> Score:
+        latency_s = link.latency_s
+        if latency_s is None or link.latency_at < oldest:
+            latency_s = best_known
+        waiting = link.in_flight + len(link.queue) + 1
+        return waiting * latency_s / max(link.allowance, 1), link.load
+
+    return score
--- /dev/null
+++ b/jacinthcart/dispatch/_dispatcher.py
@@ -0,0 +1,255 @@
+"""Runs calls to parts on the searchers that this VM may use."""
+
+import random
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any
+
+import anyio
+
+from jacinthcart.dispatch._budget import ShareBudget
+from jacinthcart.dispatch._choice import choose_link
+from jacinthcart.dispatch._client import OpenSearcherClient
+from jacinthcart.dispatch._link import SearcherLink
+from jacinthcart.dispatch._links import LinkTable
+from jacinthcart.dispatch._messages import PartCall, PartResult, Snapshot
+from jacinthcart.dispatch._outcome import Outcome
+from jacinthcart.dispatch._part_run import PartRun
+from jacinthcart.dispatch._replicas import Replica, build_replica_index
+from jacinthcart.dispatch._rights import Rights
+from jacinthcart.dispatch._sender import Sender
+from jacinthcart.errors import RefusalCode, RefusalError, WireError
+from jacinthcart.feed import StateFeed, WarmEntry
+from jacinthcart.settings import RequestClass
+from jacinthcart.telemetry import DecisionLog, Logger, Metrics
+
+_MS_PER_S = 1000
+#: Time between two looks at ramps, queues and retired connections.
+_TICK_S = 0.05
+#: Time until entries that control does not show yet are posted again.
+_POST_AGAIN_S = 0.5
+_PROBE_TIMEOUT_S = 1.0
+#: First retries of a quiet service, before requests have earned budget.
+_INITIAL_RETRIES = 10.0
+
+#: Posts warm entries to control; raises WireError or TimeoutError.
+PostWarm = Callable[[Mapping[str, WarmEntry]], Awaitable[None]]
+
+
+class Dispatcher:
+    """Sends requests to the searchers whose connections this VM owns."""
+
+    def __init__(
+        self,
+        feed: StateFeed,
+        metrics: Metrics,
+        decisions: DecisionLog,
+        logger: Logger,
+        *,
+        random_source: random.Random,
+        open_searcher_client: OpenSearcherClient,
+        post_warm: PostWarm,
+    ) -> None:
+        """Keep the collaborators; `run` starts the background work."""
+        self._feed = feed
+        self._logger = logger
+        self._random = random_source
+        self._post_warm = post_warm
+        self._rights = Rights(feed, decisions)
+        self._sender = Sender(
+            feed,
+            self._rights,
+            metrics,
+            decisions,
+            random_source,
+        )
+        self._links = LinkTable(
+            open_searcher_client,
+            self._rights.find_allowance,
+            feed.clock,
+        )
+        self._retries_by_service: dict[str, ShareBudget] = {}
+        self._view = feed.view
+        self._index = build_replica_index(feed.view, feed.process.vm_id)
+        self._take_view()
+        feed.listeners.append(self._take_state)
+
+    async def run(self) -> None:
+        """Step ramps, send probes and post warm entries until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._post_entries)
+            while True:
+                self._take_state()
+                self._rights.step_ramps(self._index)
+                for link in self._list_links_to_probe():
+                    tasks.start_soon(self._probe, link)
+                await self._links.close_retired()
+                await anyio.sleep(_TICK_S)
+
+    async def close(self) -> None:
+        """Close the connections to every searcher."""
+        await self._links.close()
+
+    async def run_part(self, call: PartCall) -> PartResult:
+        """Run a call on one of the part's replicas.
+
+        Raise RefusalError for a submit that was not answered, with a
+        truthful `ran`, and for any call that was not sent because this VM
+        does not serve (NOT_READY), the deadline passed (DEADLINE_PASSED) or
+        the expected wait passes the deadline (OVERLOADED). Otherwise an
+        idempotent call returns a reason for each missing shard.
+        """
+        self._check_serving()
+        policy = self._feed.view.policy
+        deadline = call.deadline - policy.merge_margin_ms / _MS_PER_S
+        if self._feed.clock() >= deadline:
+            raise RefusalError(RefusalCode.DEADLINE_PASSED)
+        links = self._list_links(call)
+        retries = self._find_retries(call.service_id)
+        retries.earn(policy.retry_budget)
+
+        async def attempt(
+            link: SearcherLink,
+            _excluded: set[str],
+        ) -> Iterable[Outcome]:
+            sending = anyio.Event()
+            outcome = await self._sender.attempt(link, call, deadline, sending)
+            return (outcome,)
+
+        return await PartRun(
+            call,
+            lambda excluded: self._choose(links, excluded, deadline),
+            attempt,
+            retries.take,
+        ).run()
+
+    def describe(self) -> dict[str, Any]:
+        """Return rights, queues and why searchers receive nothing."""
+        return {
+            link.replica.searcher_id: {
+                'allowance': link.allowance,
+                'in_flight': link.in_flight,
+                'queued': len(link.queue),
+                'is_warmer': link.replica.is_warmer,
+                'set_aside': self._rights.find_reason(link.replica),
+                'is_failing': link.failing_until > self._feed.clock(),
+            }
+            for link in self._links.list_all()
+        }
+
+    def _check_serving(self) -> None:
+        if not self._feed.is_serving():
+            raise RefusalError(
+                RefusalCode.NOT_READY,
+                detail='serving lease ran out',
+            )
+
+    def _list_links(self, call: PartCall) -> list[SearcherLink]:
+        if self._feed.view is not self._view:
+            self._take_view()
+        replicas = self._index.replicas_by_part.get(
+            (call.service_id, call.part),
+            (),
+        )
+        return self._links.list_links(replicas)
+
+    def _choose(
+        self,
+        links: Iterable[SearcherLink],
+        excluded: set[str],
+        deadline: float,
+    ) -> SearcherLink | None:
+        now = self._feed.clock()
+        if now >= deadline or not self._feed.is_serving():
+            return None
+        return choose_link(
+            links,
+            excluded,
+            now,
+            self._feed.view.policy.evidence_max_age_ms / _MS_PER_S,
+            self._random,
+        )
+
+    def _find_retries(self, service_id: str) -> ShareBudget:
+        budget = self._retries_by_service.get(service_id)
+        if budget is None:
+            budget = ShareBudget(_INITIAL_RETRIES)
+            self._retries_by_service[service_id] = budget
+        return budget
+
+    def _take_state(self) -> None:
+        if self._feed.view is not self._view:
+            self._take_view()
+        self._links.pump()
+
+    def _take_view(self) -> None:
+        self._view = self._feed.view
+        self._index = build_replica_index(
+            self._view,
+            self._feed.process.vm_id,
+        )
+        self._rights.take_index(self._index)
+        self._links.update(self._index)
+
+    async def _post_entries(self) -> None:
+        while True:
+            changed = anyio.Event()
+            self._rights.entries.listeners = [changed.set]
+            entries = self._rights.entries.list_unknown_to_control()
+            try:
+                if entries:
+                    await self._post_warm(entries)
+            except (WireError, TimeoutError) as error:
+                self._logger.warning(
+                    'posting warm entries to control failed',
+                    limit_key='post_warm',
+                    error=str(error),
+                )
+            with anyio.move_on_after(_POST_AGAIN_S):
+                await changed.wait()
+
+    def _list_links_to_probe(self) -> list[SearcherLink]:
+        return [
+            link
+            for link in self._links.list_links(self._index.owned)
+            if self._needs_probe(link)
+        ]
+
+    def _needs_probe(self, link: SearcherLink) -> bool:
+        if link.in_flight or link.queue:
+            return False
+        if not self._rights.needs_probe(link.replica):
+            return False
+        step_s = self._feed.view.policy.ramp_step_ms / _MS_PER_S
+        now = self._feed.clock()
+        if link.probed_at is not None and now - link.probed_at < step_s:
+            return False
+        return self._feed.is_serving()
+
+    async def _probe(self, link: SearcherLink) -> None:
+        now = self._feed.clock()
+        link.probed_at = now
+        call = _create_probe(link.replica, link.versions, now)
+        sending = anyio.Event()
+        await self._sender.attempt(link, call, call.deadline, sending)
+
+
+def _create_probe(
+    replica: Replica,
+    held_versions: frozenset[int],
+    now: float,
+) -> PartCall:
+    service = replica.service
+    listed = service.index_versions
+    held = [version for version in listed if version in held_versions]
+    version = held[0] if held else listed[0]
+    return PartCall(
+        request_id='probe',
+        service_id=replica.service_id,
+        part=replica.part,
+        shards=service.parts_by_name[replica.part].shards[:1],
+        snapshot=Snapshot(version, service.partition_map),
+        query={'probe': True},
+        workspace_id='',
+        request_class=RequestClass.BACKGROUND,
+        deadline=now + _PROBE_TIMEOUT_S,
+    )
--- /dev/null
+++ b/jacinthcart/dispatch/_link.py
@@ -0,0 +1,110 @@
+"""One searcher's slots, queue and observed latency on this VM."""
+
+from collections.abc import Callable
+
+import anyio
+
+from jacinthcart.dispatch._client import BaseSearcherClient
+from jacinthcart.dispatch._queue import FairQueue, Flow, Waiter
+from jacinthcart.dispatch._replicas import Replica
+from jacinthcart.program import Clock
+
+#: Weight of the newest latency in the moving average.
+_EWMA_WEIGHT = 0.2
+
+
+class SearcherLink:
+    """Grants slots to waiting requests in fair order.
+
+    A slot is granted only while fewer requests are in flight than the
+    right allows. Without a right every waiting request is ejected.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        client: BaseSearcherClient,
+        find_allowance: Callable[[Replica], int],
+        clock: Clock,
+    ) -> None:
+        """Start with no request in flight."""
+        self.replica = replica
+        self.client = client
+        self.in_flight = 0
+        self.latency_s: float | None = None
+        self.load = 0.0
+        self.latency_at = 0.0
+        self.failing_until = 0.0
+        self.probed_at: float | None = None
+        self.versions: frozenset[int] = frozenset()
+        self.queue = FairQueue()
+        self._find_allowance = find_allowance
+        self._clock = clock
+
+    @property
+    def allowance(self) -> int:
+        """Concurrent requests that the right allows now."""
+        return self._find_allowance(self.replica)
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Return whether a request would be granted a slot at once."""
+        return not self.queue and self.in_flight < self.allowance
+
+    def estimate_wait_s(self, flow: Flow) -> float:
+        """Return the expected wait of a new request in seconds."""
+        if self.has_free_slot:
+            return 0
+        ahead = self.queue.count_ahead(flow) + 1
+        return ahead * (self.latency_s or 0) / max(self.allowance, 1)
+
+    async def acquire(
+        self,
+        flow: Flow,
+        weight: float,
+        deadline: float,
+    ) -> bool:
+        """Wait for a slot; return False when ejected or too late."""
+        waiter = self.queue.push(flow, weight)
+        self.pump()
+        is_kept = False
+        try:
+            with anyio.move_on_after(deadline - self._clock()):
+                await waiter.decided.wait()
+                is_kept = waiter.is_granted
+        finally:
+            if not is_kept:
+                self._abandon(waiter)
+        return is_kept
+
+    def release(self) -> None:
+        """Return a slot and grant it to the next request."""
+        self.in_flight -= 1
+        self.pump()
+
+    def pump(self) -> None:
+        """Grant free slots; eject every request without a right."""
+        allowance = self.allowance
+        while self.queue and (not allowance or self.in_flight < allowance):
+            waiter = self.queue.pop()
+            if waiter is None:
+                return
+            if allowance:
+                waiter.is_granted = True
+                self.in_flight += 1
+            waiter.decided.set()
+
+    def note_latency(self, seconds: float) -> None:
+        """Take the latency of one request."""
+        known = self.latency_s
+        self.latency_at = self._clock()
+        self.latency_s = (
+            seconds
+            if known is None
+            else known + _EWMA_WEIGHT * (seconds - known)
+        )
+
+    def _abandon(self, waiter: Waiter) -> None:
+        self.queue.remove(waiter)
+        if waiter.is_granted:
+            self.release()
--- /dev/null
+++ b/jacinthcart/dispatch/_ramps.py
@@ -0,0 +1,75 @@
+"""The ramps of the searchers that this VM warms."""
+
+from jacinthcart.dispatch._entries import EntryBook
+from jacinthcart.dispatch._replicas import Replica
+from jacinthcart.dispatch._reply import CODE_SHED, Observation
+from jacinthcart.feed import StateFeed
+from jacinthcart.telemetry import DecisionLog
+from jacinthcart.warming import Ramp
+
+_MS_PER_S = 1000
+
+
+class RampTable:
+    """Keeps one ramp for each searcher, begun anew with each incident."""
+
+    def __init__(
+        self,
+        feed: StateFeed,
+        entries: EntryBook,
+        decisions: DecisionLog,
+    ) -> None:
+        """Start without ramps."""
+        self._feed = feed
+        self._entries = entries
+        self._decisions = decisions
+        self._ramps_by_id: dict[str, Ramp] = {}
+
+    def find(self, replica: Replica) -> Ramp:
+        """Return the ramp of the searcher's current incident."""
+        searcher_id = replica.searcher_id
+        incident = self._entries.find(searcher_id).incident
+        ramp = self._ramps_by_id.get(searcher_id)
+        if ramp is None or ramp.incident != incident:
+            ramp = Ramp(
+                incident,
+                replica.service.cold_allowance,
+                self._feed.clock(),
+            )
+            self._ramps_by_id[searcher_id] = ramp
+        return ramp
+
+    def note_response(self, replica: Replica, seen: Observation) -> None:
+        """Count a response as good or bad.
+
+        A searcher that reports `cold` while it gets its cold allowance is
+        as expected, but the allowance must not rise yet.
+        """
+        ramp = self.find(replica)
+        is_bad = seen.says_cold or seen.says_draining or seen.code == CODE_SHED
+        if is_bad:
+            ramp.note_bad(self._feed.clock())
+        else:
+            ramp.note_good(seen.sent_at)
+
+    def note_failure(self, replica: Replica) -> None:
+        """Return to the first step after a failed request."""
+        self.find(replica).note_bad(self._feed.clock())
+
+    def step(self, replica: Replica) -> None:
+        """Raise the allowance or announce warm when a step is over."""
+        now = self._feed.clock()
+        step_s = self._feed.view.policy.ramp_step_ms / _MS_PER_S
+        ramp = self.find(replica)
+        if not ramp.is_step_over(now, step_s):
+            return
+        is_complete = ramp.advance(now, replica.bound)
+        if is_complete:
+            self._entries.announce_warm(replica.searcher_id)
+        self._decisions.record(
+            'searcher_warm' if is_complete else 'ramp_step',
+            replica.searcher_id,
+            reason='responses were good for a whole step',
+            observation=f'allowance {ramp.allowance}, incident {ramp.incident}',
+            setting='ramp_step_ms',
+        )
--- /dev/null
+++ b/jacinthcart/dispatch/_reply.py
@@ -0,0 +1,187 @@
+"""Messages to and from one searcher, and their verification."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from jacinthcart.dispatch._messages import Snapshot
+from jacinthcart.errors import (
+    InvalidMessageError,
+    OutcomeUnknownError,
+    WireError,
+)
+from jacinthcart.wire import decode_json
+
+STATE_COLD = 'cold'
+STATE_DRAINING = 'draining'
+CODE_WRONG_VERSION = 'wrong_version'
+CODE_SHED = 'shed'
+
+_STATUS_SUCCESS = 200
+_REFUSAL_STATUSES = frozenset((409, 503))
+_MALFORMED = (
+    InvalidMessageError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class SearchMessage:
+    """One request to one searcher."""
+
+    #: Id of this request; a reply must repeat it.
+    sub_id: str
+    #: Id of the caller's request.
+    request_id: str
+    #: What the results must come from.
+    snapshot: Snapshot
+    #: Shards asked for.
+    shards: tuple[int, ...]
+    #: The caller's query.
+    query: Any
+    #: Whether the request is non-idempotent.
+    is_submit: bool = False
+
+    def encode(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        return {
+            'sub_id': self.sub_id,
+            'request_id': self.request_id,
+            'index_version': self.snapshot.index_version,
+            'partition_map': self.snapshot.partition_map,
+            'shards': self.shards,
+            'query': self.query,
+            'submit': self.is_submit,
+        }
+
+
+@dataclasses.dataclass(frozen=True)
+class SearcherReply:
+    """One searcher's results."""
+
+    #: Id of the request that the reply answers.
+    sub_id: str
+    #: The searcher's run.
+    generation: str
+    #: `warm`, `cold` or `draining`.
+    state: str
+    #: Reported load; a hint only.
+    load: float
+    #: What the results come from.
+    snapshot: Snapshot
+    #: Hits by shard.
+    hits_by_shard: Mapping[int, list[dict[str, Any]]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Observation:
+    """What one response says about a searcher."""
+
+    #: When the request was sent, in seconds on the program's clock.
+    sent_at: float
+    #: The searcher's run.
+    generation: str
+    #: `warm`, `cold` or `draining`.
+    state: str
+    #: Code of a refusal, empty for results.
+    code: str = ''
+
+    @property
+    def says_cold(self) -> bool:
+        """Return whether the searcher reports a cold start."""
+        return STATE_COLD in {self.state, self.code}
+
+    @property
+    def says_draining(self) -> bool:
+        """Return whether the searcher reports that it drains."""
+        return STATE_DRAINING in {self.state, self.code}
+
+
+class WrongReplyError(OutcomeUnknownError):
+    """A reply does not answer the request that it arrived for."""
+
+
+class SearcherRefusalError(WireError):
+    """The searcher refused the request before running it."""
+
+    def __init__(
+        self,
+        code: str,
+        generation: str,
+        state: str,
+        versions: frozenset[int],
+    ) -> None:
+        """Keep the code, the searcher's run and state, and its versions."""
+        super().__init__(f'searcher refused the request: {code}')
+        self.code = code
+        self.generation = generation
+        self.state = state
+        self.versions = versions
+
+
+def parse_reply(
+    message: SearchMessage,
+    status: int,
+    body: bytes,
+) -> SearcherReply:
+    """Return the verified reply to `message`.
+
+    Raise SearcherRefusalError for a refusal, WrongReplyError for a reply
+    that is malformed or belongs to another request, and
+    OutcomeUnknownError for any other status.
+    """
+    if status != _STATUS_SUCCESS and status not in _REFUSAL_STATUSES:
+        raise OutcomeUnknownError(f'searcher responded with status {status}')
+    try:
+        fields = decode_json(body)
+        reply = _read_fields(message, status, fields)
+    except _MALFORMED as error:
+        raise WrongReplyError(f'malformed reply: {error!r}') from error
+    verify_reply(message, reply)
+    return reply
+
+
+def verify_reply(message: SearchMessage, reply: SearcherReply) -> None:
+    """Raise WrongReplyError unless the reply is exactly what was asked."""
+    if reply.sub_id != message.sub_id:
+        raise WrongReplyError('reply to another request')
+    if reply.snapshot != message.snapshot:
+        raise WrongReplyError('reply from another snapshot')
+    if reply.hits_by_shard.keys() != set(message.shards):
+        raise WrongReplyError('reply with other shards')
+
+
+def _read_fields(
+    message: SearchMessage,
+    status: int,
+    fields: Mapping[str, Any],
+) -> SearcherReply:
+    if status in _REFUSAL_STATUSES:
+        raise _read_refusal(message, fields)
+    return SearcherReply(
+        sub_id=fields['sub_id'],
+        generation=str(fields['generation']),
+        state=str(fields['state']),
+        load=float(fields['load']),
+        snapshot=Snapshot(fields['index_version'], fields['partition_map']),
+        hits_by_shard={
+            int(shard): list(hits) for shard, hits in fields['results'].items()
+        },
+    )
+
+
+def _read_refusal(
+    message: SearchMessage,
+    fields: Mapping[str, Any],
+) -> WireError:
+    if fields['sub_id'] != message.sub_id:
+        return WrongReplyError('refusal of another request')
+    return SearcherRefusalError(
+        str(fields['code']),
+        str(fields['generation']),
+        str(fields['state']),
+        frozenset(int(version) for version in fields.get('versions', ())),
+    )
--- /dev/null
+++ b/jacinthcart/dispatch/_rights.py
@@ -0,0 +1,150 @@
+"""How many concurrent requests this VM may have at each searcher."""
+
+from jacinthcart.dispatch._entries import EntryBook
+from jacinthcart.dispatch._handover import HandoverTracker
+from jacinthcart.dispatch._ramps import RampTable
+from jacinthcart.dispatch._replicas import Replica, ReplicaIndex
+from jacinthcart.dispatch._reply import (
+    STATE_COLD,
+    STATE_DRAINING,
+    Observation,
+)
+from jacinthcart.feed import StateFeed
+from jacinthcart.telemetry import DecisionLog
+
+_MS_PER_S = 1000
+
+#: Time until a searcher that reported `draining` gets another request. A
+#: drained searcher usually restarts, and only a response shows that it did.
+DRAINING_RECHECK_S = 10.0
+
+
+class Rights:
+    """Decides allowances from settings, the warm table and responses."""
+
+    def __init__(self, feed: StateFeed, decisions: DecisionLog) -> None:
+        """Start without evidence."""
+        self.entries = EntryBook(feed, decisions)
+        self._feed = feed
+        self._handover = HandoverTracker()
+        self._ramps = RampTable(feed, self.entries, decisions)
+        self._responded_at_by_id: dict[str, float] = {}
+        self._set_aside_until_by_id: dict[str, float] = {}
+
+    def take_index(self, index: ReplicaIndex) -> None:
+        """Take the replicas of a new settings view."""
+        self._handover.update(index, self._feed.clock())
+
+    def find_allowance(self, replica: Replica) -> int:
+        """Return the most concurrent requests, 0 without a right.
+
+        A searcher without a response for `evidence_max_age_ms` may have
+        turned cold unseen, so it gets one request at a time.
+        """
+        if not self._may_use(replica):
+            return 0
+        if self.entries.find(replica.searcher_id).warm:
+            allowance = replica.bound
+        elif self._may_warm(replica):
+            allowance = min(self._ramps.find(replica).allowance, replica.bound)
+        else:
+            return 0
+        return allowance if self._is_evidence_recent(replica) else 1
+
+    def find_reason(self, replica: Replica) -> str:
+        """Return why a searcher receives nothing, empty when it may."""
+        if not replica.is_owner:
+            return 'not_owner'
+        if not replica.is_in_service:
+            return 'out_of_service'
+        if self._is_set_aside(replica):
+            return STATE_DRAINING
+        if not self._may_use(replica):
+            return 'handover'
+        return '' if self.find_allowance(replica) else STATE_COLD
+
+    def is_ramping(self, replica: Replica) -> bool:
+        """Return whether this VM warms the searcher now."""
+        return (
+            self._may_use(replica)
+            and self._may_warm(replica)
+            and not self.entries.find(replica.searcher_id).warm
+        )
+
+    def needs_probe(self, replica: Replica) -> bool:
+        """Return whether a ramp lacks a response in its current step."""
+        return (
+            self.is_ramping(replica)
+            and not self._ramps.find(replica).has_good_response
+        )
+
+    def note_response(self, replica: Replica, seen: Observation) -> None:
+        """Take what a response says; evidence counts at once."""
+        now = self._feed.clock()
+        searcher_id = replica.searcher_id
+        self._responded_at_by_id[searcher_id] = now
+        if seen.says_draining:
+            self._set_aside_until_by_id[searcher_id] = now + DRAINING_RECHECK_S
+        reason = self._find_cold_reason(replica, seen)
+        if reason:
+            self.entries.raise_incident(searcher_id, seen.generation, reason)
+        if self.is_ramping(replica):
+            self._ramps.note_response(replica, seen)
+
+    def note_failure(self, replica: Replica) -> None:
+        """Take a request without a usable response."""
+        if self.is_ramping(replica):
+            self._ramps.note_failure(replica)
+
+    def step_ramps(self, index: ReplicaIndex) -> None:
+        """Raise allowances whose step is over, or announce warm."""
+        if self._feed.view.policy.automatic_changes_frozen:
+            return
+        for replica in index.owned:
+            if self.is_ramping(replica):
+                self._ramps.step(replica)
+
+    def _may_use(self, replica: Replica) -> bool:
+        return (
+            replica.is_owner
+            and replica.is_in_service
+            and not self._is_set_aside(replica)
+            and self._handover.may_own(
+                replica.searcher_id,
+                self._feed.clock(),
+                self._feed.view.policy.handover_seconds,
+            )
+        )
+
+    def _may_warm(self, replica: Replica) -> bool:
+        return replica.is_warmer and self._handover.may_warm(
+            replica.searcher_id,
+            self._feed.clock(),
+            self._feed.view.policy.handover_seconds,
+        )
+
+    def _is_set_aside(self, replica: Replica) -> bool:
+        until = self._set_aside_until_by_id.get(replica.searcher_id, 0)
+        return self._feed.clock() < until
+
+    def _is_evidence_recent(self, replica: Replica) -> bool:
+        responded_at = self._responded_at_by_id.get(replica.searcher_id)
+        if responded_at is None:
+            return False
+        max_age_s = self._feed.view.policy.evidence_max_age_ms / _MS_PER_S
+        return self._feed.clock() - responded_at <= max_age_s
+
+    def _find_cold_reason(self, replica: Replica, seen: Observation) -> str:
+        entry = self.entries.find(replica.searcher_id)
+        if seen.generation != entry.generation:
+            return 'new generation'
+        is_trusted = entry.warm or (
+            replica.is_warmer and self._ramps.find(replica).is_raised
+        )
+        if is_trusted and seen.says_cold:
+            return 'reported cold'
+        # A drained searcher comes back with a cold start, so only the
+        # warmer may find out that it is back.
+        if is_trusted and seen.says_draining:
+            return 'reported draining'
+        return ''
--- /dev/null
+++ b/jacinthcart/warming/_ramp.py
@@ -0,0 +1,56 @@
+"""Stepwise rise of the concurrency that a cold searcher receives."""
+
+
+class Ramp:
+    """One incident's ramp; only the searcher's warmer keeps one.
+
+    The allowance doubles after each step in which every response was good
+    and at least one arrived. A failed request or a response that reports
+    the state `cold` returns the allowance to its start.
+    """
+
+    def __init__(self, incident: int, cold_allowance: int, now: float) -> None:
+        """Start at `cold_allowance` concurrent requests."""
+        self.incident = incident
+        self.allowance = cold_allowance
+        self.started_at = now
+        self.has_good_response = False
+        self._cold_allowance = cold_allowance
+        self._step_started_at = now
+
+    @property
+    def is_raised(self) -> bool:
+        """Return whether the allowance is above its start."""
+        return self.allowance > self._cold_allowance
+
+    def note_good(self, sent_at: float) -> None:
+        """Count a good response to a request sent at `sent_at`.
+
+        Requests sent before the ramp started say nothing about it.
+        """
+        if sent_at >= self.started_at:
+            self.has_good_response = True
+
+    def note_bad(self, now: float) -> None:
+        """Return to the first step after a bad response or a failure."""
+        self.allowance = self._cold_allowance
+        self._begin_step(now)
+
+    def is_step_over(self, now: float, step_s: float) -> bool:
+        """Return whether a step has lasted and had a good response."""
+        return self.has_good_response and now - self._step_started_at >= step_s
+
+    def advance(self, now: float, limit: int) -> bool:
+        """End a step; return whether the ramp is complete.
+
+        A ramp is complete after a whole step at `limit`.
+        """
+        if self.allowance >= limit:
+            return True
+        self.allowance = min(self.allowance * 2, limit)
+        self._begin_step(now)
+        return False
+
+    def _begin_step(self, now: float) -> None:
+        self.has_good_response = False
+        self._step_started_at = now
--- /dev/null
+++ b/tests/dispatch/support.py
@@ -0,0 +1,289 @@
+"""A small fleet of dispatchers and stand-in searchers in virtual time."""
+
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import anyio
+import trio
+from trio.testing import MockClock
+
+from jacinthcart.dispatch import (
+    BaseSearcherClient,
+    Dispatcher,
+    PartCall,
+    SearcherRefusalError,
+    SearcherReply,
+    SearcherTarget,
+    SearchMessage,
+    Snapshot,
+)
+from jacinthcart.feed import StateFeed, WarmEntry
+from jacinthcart.ownership import find_part_owners, find_warmer
+from jacinthcart.settings import (
+    ProcessSettings,
+    RequestClass,
+    SettingsValue,
+)
+from jacinthcart.telemetry import DecisionLog, Metrics, create_logger
+from jacinthcart.warming import merge_warm_entries
+
+SERVICE_ID = 'team/katalog'
+SNAPSHOT = Snapshot(index_version=7, partition_map=3)
+PROCESS = {
+    'data_centre': 'dc-a',
+    'address': '127.0.0.1',
+    'entry_port': 1,
+    'gather_port': 2,
+    'control_port': 3,
+    'admin_port': 4,
+    'admin_key_sha256': '0' * 64,
+    'config_service': {'address': '127.0.0.1', 'port': 5},
+}
+ROSTER_ENTRY = {
+    'address': '127.0.0.1',
+    'data_centre': 'dc-a',
+    'entry_port': 1,
+    'gather_port': 2,
+    'control_port': 3,
+    'admin_port': 4,
+}
+
+
+def run_virtual(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario in trio's virtual time."""
+    clock = MockClock(autojump_threshold=0)
+    anyio.run(scenario, backend='trio', backend_options={'clock': clock})
+
+
+@dataclasses.dataclass
+class StandInSearcher:
+    """A searcher that counts what reaches it."""
+
+    searcher_id: str
+    latency_s: float = 0.01
+    generation: str = 'g1'
+    state: str = 'warm'
+    refusal: str = ''
+    versions: frozenset[int] = frozenset((SNAPSHOT.index_version,))
+    in_flight: int = 0
+    most_in_flight: int = 0
+    messages: list[SearchMessage] = dataclasses.field(default_factory=list)
+    cancelled: int = 0
+    change_reply: Callable[[SearcherReply], SearcherReply] | None = None
+    failure: Exception | None = None
+    find_latency_s: Callable[[], float] | None = None
+    on_search: Callable[[], None] | None = None
+
+    async def answer(self, message: SearchMessage) -> SearcherReply:
+        """Take a request and answer after the latency."""
+        self.messages.append(message)
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        generation, state = self.generation, self.state
+        try:
+            if self.on_search:
+                self.on_search()
+            await anyio.sleep(
+                self.find_latency_s() if self.find_latency_s else self.latency_s
+            )
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+        finally:
+            self.in_flight -= 1
+        self._refuse(message, generation, state)
+        reply = SearcherReply(
+            message.sub_id,
+            generation,
+            state,
+            0.0,
+            message.snapshot,
+            {shard: [{'id': f's{shard}'}] for shard in message.shards},
+        )
+        return self.change_reply(reply) if self.change_reply else reply
+
+    def _refuse(
+        self, message: SearchMessage, generation: str, state: str
+    ) -> None:
+        if self.failure:
+            raise self.failure
+        code = self.refusal
+        if message.snapshot.index_version not in self.versions:
+            code = 'wrong_version'
+        if code:
+            raise SearcherRefusalError(code, generation, state, self.versions)
+
+
+class StandInClient(BaseSearcherClient):
+    """Reaches a stand-in searcher without a network."""
+
+    def __init__(self, searcher: StandInSearcher) -> None:
+        """Keep the searcher."""
+        self.searcher = searcher
+
+    async def search(
+        self, message: SearchMessage, deadline: float
+    ) -> SearcherReply:
+        """Return the searcher's answer."""
+        return await self.searcher.answer(message)
+
+    async def cancel(self, sub_id: str) -> None:
+        """Do nothing: the cancelled task has left the searcher."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class StandInFeed(StateFeed):
+    """A feed whose state the test sets."""
+
+    is_lease_valid = True
+
+    def is_serving(self) -> bool:
+        """Return whether the lease is valid."""
+        return self.is_lease_valid
+
+
+class Fleet:
+    """Dispatchers of several VMs with one table of warm entries."""
+
+    def __init__(
+        self,
+        vm_count: int = 1,
+        searcher_count: int = 3,
+        *,
+        policy: Mapping[str, Any] | None = None,
+        service: Mapping[str, Any] | None = None,
+        gossip_delay_s: float = 0.05,
+        is_warm: bool = True,
+        seed: int = 1,
+    ) -> None:
+        """Create dispatchers and searchers; use inside a running loop."""
+        self.vm_ids = [f'vm-{number}' for number in range(vm_count)]
+        self.searchers = {
+            f's{number}': StandInSearcher(f's{number}')
+            for number in range(searcher_count)
+        }
+        self.random = random.Random(seed)
+        self.revision = 0
+        self.policy = {'merge_margin_ms': 0, **(policy or {})}
+        self.service = {
+            'slots': 4,
+            'connection_limit': 100,
+            'connections_per_owner': 4,
+            'index_versions': [7],
+            'partition_map': 3,
+            **(service or {}),
+        }
+        self.searcher_settings = {
+            searcher_id: {
+                'address': '127.0.0.1',
+                'port': 9000,
+                'data_centre': f'dc-{number}',
+            }
+            for number, searcher_id in enumerate(self.searchers)
+        }
+        self.centres: dict[str, str] = {}
+        self.gossip_delay_s = gossip_delay_s
+        self.table: dict[str, WarmEntry] = {}
+        if is_warm:
+            self.table = {
+                searcher_id: WarmEntry(1, warm=True, generation='g1')
+                for searcher_id in self.searchers
+            }
+        self.feeds = [
+            StandInFeed(
+                ProcessSettings.model_validate({'vm_id': vm_id, **PROCESS}),
+                'gather',
+                anyio.current_time,
+            )
+            for vm_id in self.vm_ids
+        ]
+        self.metrics = [Metrics() for _ in self.vm_ids]
+        self.decisions = [DecisionLog() for _ in self.vm_ids]
+        self.apply()
+        self.dispatchers = [
+            self._create_dispatcher(number) for number in range(vm_count)
+        ]
+
+    @property
+    def warmer(self) -> Dispatcher:
+        """Return the dispatcher that warms `s0`."""
+        view = self.feeds[0].view
+        service = view.services_by_id[SERVICE_ID]
+        owners = find_part_owners(SERVICE_ID, 'p0', service, self.vm_ids)
+        return self.dispatchers[self.vm_ids.index(find_warmer('s0', owners))]
+
+    def apply(self) -> None:
+        """Put the settings in force on every VM."""
+        self.revision += 1
+        part = {'shards': [0, 1], 'searchers_by_id': self.searcher_settings}
+        json_by_path = {
+            'fleet/roster': {
+                'vms_by_id': {vm_id: ROSTER_ENTRY for vm_id in self.vm_ids},
+            },
+            'fleet/policy': self.policy,
+            'fleet/data_centres': {'state_by_name': self.centres},
+            'teams/team/services/katalog': {
+                'parts_by_name': {'p0': part},
+                **self.service,
+            },
+            'teams/team/workspaces/large': {'rate': 10, 'burst': 10},
+            'teams/team/workspaces/small': {'rate': 10, 'burst': 10},
+        }
+        values = {
+            path: SettingsValue(self.revision, json_value)
+            for path, json_value in json_by_path.items()
+        }
+        for feed in self.feeds:
+            feed.store.apply(values, self.revision)
+            feed.warm_by_searcher_id = dict(self.table)
+            for listener in feed.listeners:
+                listener()
+
+    async def post_warm(self, entries: Mapping[str, WarmEntry]) -> None:
+        """Stand in for control: merge and spread after a delay."""
+        await anyio.sleep(self.gossip_delay_s)
+        self.table = merge_warm_entries(self.table, entries)
+        for feed in self.feeds:
+            feed.warm_by_searcher_id = dict(self.table)
+            for listener in feed.listeners:
+                listener()
+
+    def _create_dispatcher(self, number: int) -> Dispatcher:
+        def open_client(target: SearcherTarget) -> BaseSearcherClient:
+            return StandInClient(self.searchers[target.searcher_id])
+
+        return Dispatcher(
+            self.feeds[number],
+            self.metrics[number],
+            self.decisions[number],
+            create_logger('gather'),
+            random_source=random.Random(self.random.random()),
+            open_searcher_client=open_client,
+            post_warm=self.post_warm,
+        )
+
+
+def make_call(
+    deadline_s: float = 1,
+    workspace_id: str = 'team/small',
+    request_class: RequestClass = RequestClass.ORDINARY,
+    *,
+    is_submit: bool = False,
+) -> PartCall:
+    """Return a call to the part with a deadline from now."""
+    return PartCall(
+        'request',
+        SERVICE_ID,
+        'p0',
+        (0, 1),
+        SNAPSHOT,
+        {},
+        workspace_id,
+        request_class,
+        anyio.current_time() + deadline_s,
+        is_submit,
+    )
