Add the gather program: plan, fan-out, merge and request ids

On asyncio the planned stop ends with a CancelledError after the server has stopped; the cause is being looked for.

--- /dev/null
+++ b/jacinthcart/gather/__init__.py
@@ -0,0 +1,14 @@
+"""Queries over the parts of a service: plan, fan-out, merge, dedup."""
+
+from jacinthcart.gather._backend import BaseDispatcher
+from jacinthcart.gather._connect import WarmSender
+from jacinthcart.gather._plan import choose_lookup_shard
+from jacinthcart.gather._program import DispatcherFactory, run_gather
+
+__all__ = [
+    'BaseDispatcher',
+    'DispatcherFactory',
+    'WarmSender',
+    'choose_lookup_shard',
+    'run_gather',
+]
--- /dev/null
+++ b/jacinthcart/gather/_messages.py
@@ -0,0 +1,118 @@
+"""Messages of the gather's interfaces, validated at the border."""
+
+from typing import Any, TypeVar
+
+import pydantic
+
+from jacinthcart.errors import InvalidMessageError, Ran, RefusalCode
+from jacinthcart.settings import RequestClass, RouteKind
+
+DEFAULT_HIT_LIMIT = 10
+_MAX_HIT_LIMIT = 10_000
+_MAX_DEADLINE_MS = 600_000
+_MAX_ID_LENGTH = 200
+
+Hit = dict[str, Any]
+
+
+class _Message(pydantic.BaseModel):
+    """Unknown fields are ignored between programs of the system."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+
+class _Work(_Message):
+    """Fields that queries and subqueries share."""
+
+    request_id: str = pydantic.Field(min_length=1, max_length=_MAX_ID_LENGTH)
+    service_id: str
+    workspace_id: str
+    request_class: RequestClass
+    route_kind: RouteKind
+    deadline_ms: float = pydantic.Field(le=_MAX_DEADLINE_MS)
+    query: dict[str, Any]
+
+
+def _is_hit_limit(limit: object) -> bool:
+    if not isinstance(limit, int) or isinstance(limit, bool):
+        return False
+    return 1 <= limit <= _MAX_HIT_LIMIT
+
+
+class QueryMessage(_Work):
+    """`POST /v1/queries` from the entry; the deadline is in milliseconds."""
+
+    home_vm: str | None = None
+
+    @property
+    def hit_limit(self) -> int:
+        """Most hits in the answer."""
+        return int(self.query.get('limit', DEFAULT_HIT_LIMIT))
+
+    @pydantic.model_validator(mode='after')
+    def _check_query(self) -> 'QueryMessage':
+        limit = self.query.get('limit', DEFAULT_HIT_LIMIT)
+        if not _is_hit_limit(limit):
+            raise ValueError(f'limit is not between 1 and {_MAX_HIT_LIMIT}')
+        if self.route_kind is RouteKind.LOOKUP:
+            if not isinstance(self.query.get('id'), str | int):
+                raise ValueError('a lookup needs an id, text or integer')
+        return self
+
+
+class SubqueryMessage(_Work):
+    """`POST /v1/subqueries` from the gather of another VM."""
+
+    index_version: int
+    partition_map: int
+    parts: dict[str, tuple[int, ...]] = pydantic.Field(min_length=1)
+
+
+class SubqueryReply(_Message):
+    """Answer to a subquery; parts are keyed by name, shards by number."""
+
+    index_version: int
+    partition_map: int
+    hits_by_shard: dict[int, list[Hit]]
+    missing: dict[int, str]
+    #: Index versions that the searchers of a part hold instead.
+    other_versions: dict[str, frozenset[int]] = {}
+    #: Missing shards whose work certainly did not run.
+    not_run: frozenset[int] = frozenset()
+
+
+class RefusalBody(_Message):
+    """What a refused call carries."""
+
+    code: RefusalCode
+    ran: Ran
+    detail: str = ''
+    retry_after_ms: int | None = None
+
+
+class RefusalMessage(_Message):
+    """A refusal from another gather."""
+
+    refusal: RefusalBody
+
+
+_Model = TypeVar('_Model', bound=_Message)
+
+
+def parse_message(model: type[_Model], body: bytes) -> _Model:
+    """Validate a JSON body; raise InvalidMessageError."""
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise InvalidMessageError(describe_errors(error)) from error
+
+
+def describe_errors(error: pydantic.ValidationError) -> str:
+    """Name the fields and rules broken, without the values received."""
+    return '; '.join(
+        '{0}: {1}'.format(
+            '.'.join(str(step) for step in entry['loc']),
+            entry['msg'],
+        )
+        for entry in error.errors(include_input=False, include_url=False)
+    )
--- /dev/null
+++ b/jacinthcart/gather/_submit.py
@@ -0,0 +1,130 @@
+"""Ids of non-idempotent requests and the home's memory of them."""
+
+import dataclasses
+import heapq
+import random
+import re
+
+from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from jacinthcart.program import Clock
+
+_MS_PER_S = 1000
+_INCARNATION_BITS = 64
+_ID_PATTERN = re.compile(
+    r'(?P<vm>[a-z0-9][a-z0-9_-]*)\.(?P<incarnation>[0-9a-f]{1,32})'
+    r'\.(?P<issued_ms>[0-9]{1,15})\.(?P<random>[A-Za-z0-9_-]{1,64})',
+    re.ASCII,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class _RequestId:
+    """The fields of a non-idempotent request's id."""
+
+    #: VM that remembers the id.
+    home_vm: str
+    #: Run of that VM's gather that issued the prefix.
+    incarnation: str
+    #: Time of issue in milliseconds on that gather's clock.
+    issued_ms: int
+
+
+class RequestIdMemory:
+    """Lets each id of this home run once.
+
+    Ids are kept for `request_id_ttl_s` after their issue. An id that may
+    have been forgotten is refused by its age, also when the setting grows
+    later.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        """Choose the incarnation; no id is known."""
+        self._vm_id = vm_id
+        self._clock = clock
+        self._incarnation = f'{random_source.getrandbits(_INCARNATION_BITS):x}'
+        self._known_ids: set[str] = set()
+        self._ids_by_age: list[tuple[int, str]] = []
+        self._forgotten_before_ms = 0.0
+
+    def create_prefix(self) -> str:
+        """Return the prefix of ids that this process is the home of."""
+        return f'{self._vm_id}.{self._incarnation}.{int(self._now_ms())}'
+
+    def admit(self, request_id: str, ttl_s: float) -> None:
+        """Remember an id before its request runs; raise RefusalError."""
+        parsed = self._parse(request_id)
+        self._forget_old(ttl_s)
+        self._check_issue(parsed)
+        if request_id in self._known_ids:
+            raise RefusalError(
+                RefusalCode.DUPLICATE,
+                Ran.UNKNOWN,
+                detail='the request id was used before',
+            )
+        self._known_ids.add(request_id)
+        heapq.heappush(self._ids_by_age, (parsed.issued_ms, request_id))
+
+    def forget(self, request_id: str) -> None:
+        """Allow the id again; only for a request that did not run."""
+        self._known_ids.discard(request_id)
+
+    def __len__(self) -> int:
+        """Return how many ids are remembered."""
+        return len(self._known_ids)
+
+    def _check_issue(self, parsed: _RequestId) -> None:
+        if parsed.incarnation != self._incarnation:
+            raise RefusalError(
+                RefusalCode.EXPIRED_REQUEST_ID,
+                Ran.UNKNOWN,
+                detail='the home has restarted since it issued this id',
+            )
+        if parsed.issued_ms > self._now_ms():
+            raise RefusalError(
+                RefusalCode.INVALID_REQUEST,
+                detail='the request id is from the future',
+            )
+        if parsed.issued_ms < self._forgotten_before_ms:
+            raise RefusalError(
+                RefusalCode.EXPIRED_REQUEST_ID,
+                Ran.UNKNOWN,
+                detail='the request id is too old',
+            )
+
+    def _parse(self, request_id: str) -> _RequestId:
+        match = _ID_PATTERN.fullmatch(request_id)
+        if match is None:
+            raise RefusalError(
+                RefusalCode.INVALID_REQUEST,
+                detail='the request id has no valid prefix',
+            )
+        if match['vm'] != self._vm_id:
+            raise RefusalError(
+                RefusalCode.INVALID_REQUEST,
+                detail='this VM is not the home of the request id',
+            )
+        return _RequestId(
+            match['vm'],
+            match['incarnation'],
+            int(match['issued_ms']),
+        )
+
+    def _forget_old(self, ttl_s: float) -> None:
+        oldest_kept_ms = self._now_ms() - ttl_s * _MS_PER_S
+        self._forgotten_before_ms = max(
+            self._forgotten_before_ms,
+            oldest_kept_ms,
+        )
+        while (
+            self._ids_by_age
+            and self._ids_by_age[0][0] < self._forgotten_before_ms
+        ):
+            self._known_ids.discard(heapq.heappop(self._ids_by_age)[1])
+
+    def _now_ms(self) -> float:
+        return self._clock() * _MS_PER_S
