Add the control program with settings sync and membership

Purpose: one reader of the platform per VM, the state feed with serving leases, heartbeats with dated evidence, and the pull of settings from peers. Known at this commit: the process ends with a traceback after the stop signal.

--- /dev/null
+++ b/jacinthcart/control/_internal_api.py
@@ -0,0 +1,133 @@
+"""HTTP interface for this VM's neighbours and for peers."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from jacinthcart.control._neighbours import NEIGHBOURS
+from jacinthcart.control._node import ControlNode
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.settings import encode_values
+from jacinthcart.wire import decode_json, encode_json
+
+_MS_PER_S = 1000
+_WAIT_SHARE_OF_LEASE = 3
+_STATUS_INVALID = 400
+
+_JsonEndpoint = Callable[[Request], Awaitable[Any]]
+
+
+class InternalApi:
+    """Answers entry, gather and the controls of other VMs."""
+
+    def __init__(self, node: ControlNode) -> None:
+        """Serve the state of `node`."""
+        self._node = node
+
+    async def poll_state(self, request: Request) -> dict[str, Any]:
+        """Answer a neighbour's poll at the next change or after its wait.
+
+        Whether a lease is granted is decided when the answer is made.
+        """
+        query = request.query_params
+        program = query.get('program', '')
+        if program not in NEIGHBOURS:
+            raise InvalidMessageError('unknown program')
+        neighbours = self._node.neighbours
+        neighbours.start_poll(program, query.get('ready') == '1')
+        try:
+            await self._wait(query.get('after', ''), query.get('wait_ms', ''))
+        finally:
+            neighbours.end_poll(program)
+        state = self._node.state.export_after(query.get('after', ''))
+        state['lease_ms'] = self._node.lease_ms
+        return state
+
+    async def handle_permits(self, request: Request) -> dict[str, Any]:
+        """Answer the entry's demand for permits."""
+        message = await _read_object(request)
+        return await self._node.outside.permits.handle(message)
+
+    async def report_warm(self, request: Request) -> dict[str, Any]:
+        """Take gather's warm entries."""
+        message = await _read_object(request)
+        await self._node.warm.report(message.get('entries'))
+        return {}
+
+    async def export_warm(self, request: Request) -> dict[str, Any]:
+        """Answer a peer that lacks warm entries."""
+        return {'entries': self._node.state.warm.export()}
+
+    async def export_settings(self, request: Request) -> dict[str, Any]:
+        """Answer a peer that lacks settings."""
+        after = _read_number(request.query_params.get('after', '0'))
+        store = self._node.state.store
+        return {
+            'revision': store.revision,
+            'values': encode_values(store.export_after(after)),
+            'valid': encode_values(store.export_valid()),
+        }
+
+    async def _wait(self, after: str, wait_text: str) -> None:
+        state = self._node.state
+        lease_ms = state.view.policy.serving_lease_ms
+        wait_ms = min(
+            _read_number(wait_text or '0'),
+            lease_ms // _WAIT_SHARE_OF_LEASE,
+        )
+        if after == state.version:
+            await state.changed.wait(wait_ms / _MS_PER_S)
+
+
+def create_internal_application(node: ControlNode) -> Starlette:
+    """Return the application of the control port."""
+    api = InternalApi(node)
+    return Starlette(
+        routes=[
+            _create_route('/v1/state', 'GET', api.poll_state),
+            _create_route('/v1/permits', 'POST', api.handle_permits),
+            _create_route('/v1/warm', 'POST', api.report_warm),
+            _create_route('/v1/warm', 'GET', api.export_warm),
+            _create_route('/v1/settings', 'GET', api.export_settings),
+        ],
+    )
+
+
+def _create_route(path: str, method: str, endpoint: _JsonEndpoint) -> Route:
+    async def respond(request: Request) -> Response:
+        try:
+            message = await endpoint(request)
+        except InvalidMessageError as error:
+            return create_json_response(
+                {'error': str(error)},
+                _STATUS_INVALID,
+            )
+        return create_json_response(message)
+
+    return Route(path, respond, methods=[method])
+
+
+def create_json_response(message: Any, status: int = 200) -> Response:
+    """Return a response with a JSON body."""
+    return Response(
+        encode_json(message),
+        status_code=status,
+        media_type='application/json',
+    )
+
+
+async def _read_object(request: Request) -> dict[str, Any]:
+    message = decode_json(await request.body())
+    if not isinstance(message, dict):
+        raise InvalidMessageError('body is not an object')
+    return message
+
+
+def _read_number(text: str) -> int:
+    if not text.isdecimal():
+        raise InvalidMessageError('not a natural number')
+    return int(text)
--- /dev/null
+++ b/jacinthcart/control/_sink.py
@@ -0,0 +1,77 @@
+"""Puts settings of the service and of peers in force."""
+
+from collections.abc import Callable, Mapping
+
+from jacinthcart.control._state import ControlState
+from jacinthcart.membership import Currency
+from jacinthcart.settings import SettingsValue, SettingsView
+from jacinthcart.sync import PeerSettings, WatchChanges
+from jacinthcart.telemetry import Logger, Metrics, set_log_level
+
+#: Takes the settings in force after a change.
+ViewListener = Callable[[SettingsView], None]
+
+
+class SettingsSink:
+    """Applies changes and tells the parts that depend on settings."""
+
+    def __init__(
+        self,
+        state: ControlState,
+        currency: Currency,
+        metrics: Metrics,
+        logger: Logger,
+    ) -> None:
+        """Start without listeners."""
+        self.listeners: list[ViewListener] = []
+        self._state = state
+        self._currency = currency
+        self._metrics = metrics
+        self._logger = logger
+
+    def take_changes(self, changes: WatchChanges) -> None:
+        """Take changes of the service."""
+        self._apply(changes, {})
+
+    def take_peer_settings(self, settings: PeerSettings) -> None:
+        """Take changes of a peer."""
+        self._apply(settings.changes, settings.valid)
+
+    def _apply(
+        self,
+        changes: WatchChanges,
+        valid: Mapping[str, SettingsValue],
+    ) -> None:
+        store = self._state.store
+        ignored_before = store.ignored_stale_changes
+        changed = self._state.apply(
+            changes.values_by_path,
+            changes.revision,
+            valid,
+        )
+        self._count_ignored(store.ignored_stale_changes - ignored_before)
+        if changed:
+            self._put_in_force()
+        self._currency.note_held(store.revision)
+
+    def _put_in_force(self) -> None:
+        view = self._state.view
+        set_log_level(view.policy.log_level)
+        for listener in self.listeners:
+            listener(view)
+        self._logger.info(
+            'settings_in_force',
+            revision=view.revision,
+            errors=[str(error) for error in self._state.store.errors],
+        )
+
+    def _count_ignored(self, ignored: int) -> None:
+        if not ignored:
+            return
+        self._metrics.count('settings', 'stale_value', amount=ignored)
+        self._logger.warning(
+            'stale_values_ignored',
+            limit_key='stale_values_ignored',
+            count=ignored,
+            revision=self._state.store.revision,
+        )
--- /dev/null
+++ b/jacinthcart/control/_warm.py
@@ -0,0 +1,88 @@
+"""The fleet's warm table as this VM knows it.
+
+The rule that merges two entries is a parameter; it belongs to the package
+that ramps searchers.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import xxhash
+
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.feed import WarmEntry, decode_warm_entries
+from jacinthcart.wire import encode_json
+
+#: Merges a known and a received entry of one searcher.
+MergeEntries = Callable[[WarmEntry, WarmEntry], WarmEntry]
+
+
+class WarmTable:
+    """Warm entries by searcher id; entries only move forward."""
+
+    def __init__(self, merge: MergeEntries) -> None:
+        """Start empty."""
+        self.entries_by_searcher_id: dict[str, WarmEntry] = {}
+        self._merge = merge
+
+    @property
+    def digest(self) -> str:
+        """Return a digest that is equal for equal tables."""
+        ordered = sorted(self.export().items())
+        return xxhash.xxh64_hexdigest(encode_json(ordered))
+
+    def take(self, entries: Mapping[str, WarmEntry]) -> dict[str, WarmEntry]:
+        """Merge received entries; return those that changed the table."""
+        changed: dict[str, WarmEntry] = {}
+        for searcher_id, received in entries.items():
+            known = self.entries_by_searcher_id.get(searcher_id)
+            merged = received if known is None else self._merge(known, received)
+            if merged != known:
+                changed[searcher_id] = merged
+        self.entries_by_searcher_id.update(changed)
+        return changed
+
+    def retain(self, searcher_ids: frozenset[str]) -> None:
+        """Forget searchers that no service in force names."""
+        for searcher_id in set(self.entries_by_searcher_id) - searcher_ids:
+            self.entries_by_searcher_id.pop(searcher_id)
+
+    def export(self) -> dict[str, dict[str, Any]]:
+        """Return the JSON form of all entries."""
+        return encode_warm_entries(self.entries_by_searcher_id)
+
+
+def encode_warm_entries(
+    entries: Mapping[str, WarmEntry],
+) -> dict[str, dict[str, Any]]:
+    """Return the JSON form of warm entries by searcher id."""
+    return {
+        searcher_id: {
+            'incident': entry.incident,
+            'warm': entry.warm,
+            'generation': entry.generation,
+        }
+        for searcher_id, entry in entries.items()
+    }
+
+
+def read_warm_entries(message: Any) -> dict[str, WarmEntry]:
+    """Read the JSON form; raise InvalidMessageError."""
+    if not isinstance(message, dict):
+        raise InvalidMessageError('warm entries are not an object')
+    try:
+        return decode_warm_entries(message)
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidMessageError(f'warm entries: {error!r}') from error
+
+
+def keep_higher_incident(known: WarmEntry, received: WarmEntry) -> WarmEntry:
+    """Return the entry of the higher incident; equal ones: the warm one.
+
+    Stands in until the rule of the warming package is connected.
+    """
+    ranks = [
+        (entry.incident, entry.warm, entry.generation)
+        for entry in (known, received)
+    ]
+    return known if ranks[0] >= ranks[1] else received
--- /dev/null
+++ b/jacinthcart/control/_warm_spread.py
@@ -0,0 +1,94 @@
+"""Spreads changed warm entries to the VMs that use the searcher."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from jacinthcart.control._state import ControlState
+from jacinthcart.control._warm import encode_warm_entries, read_warm_entries
+from jacinthcart.feed import WarmEntry
+from jacinthcart.membership import BaseDatagrams
+from jacinthcart.ownership import find_part_owners
+from jacinthcart.settings import Endpoint, SettingsView
+
+#: Keeps a datagram below 1,400 bytes with ids of at most 64 characters.
+_ENTRIES_PER_DATAGRAM = 6
+
+
+class WarmSpread:
+    """Takes warm entries of gather and of peers."""
+
+    def __init__(
+        self,
+        vm_id: str,
+        state: ControlState,
+        datagrams: BaseDatagrams,
+    ) -> None:
+        """Start without settings."""
+        self._vm_id = vm_id
+        self._state = state
+        self._datagrams = datagrams
+        self._owners_by_searcher_id: dict[str, list[str]] = {}
+
+    def apply_settings(self, view: SettingsView) -> None:
+        """Take the searchers and owners in force."""
+        vm_ids = list(view.roster.vms_by_id) if view.roster else []
+        owners_by_searcher_id = {}
+        for service_id, service in view.services_by_id.items():
+            for name, part in service.parts_by_name.items():
+                owners = find_part_owners(service_id, name, service, vm_ids)
+                owners_by_searcher_id.update(
+                    dict.fromkeys(part.searchers_by_id, owners),
+                )
+        self._owners_by_searcher_id = owners_by_searcher_id
+        self._state.warm.retain(frozenset(owners_by_searcher_id))
+
+    async def report(self, message: Any) -> None:
+        """Take gather's entries; raise InvalidMessageError."""
+        entries = read_warm_entries(message)
+        changed = self._merge(entries)
+        for vm_id, for_owner in self._group_by_owner(changed).items():
+            await self._send(vm_id, for_owner)
+
+    def take(self, entries: Mapping[str, WarmEntry]) -> None:
+        """Merge a peer's entries."""
+        self._merge(entries)
+
+    def take_message(self, message: dict[str, Any]) -> None:
+        """Merge a `warm` datagram; raise InvalidMessageError."""
+        self.take(read_warm_entries(message.get('entries')))
+
+    def _merge(
+        self,
+        entries: Mapping[str, WarmEntry],
+    ) -> dict[str, WarmEntry]:
+        changed = self._state.warm.take(entries)
+        if changed:
+            self._state.mark_changed()
+        return changed
+
+    def _group_by_owner(
+        self,
+        entries: Mapping[str, WarmEntry],
+    ) -> dict[str, dict[str, WarmEntry]]:
+        grouped: dict[str, dict[str, WarmEntry]] = {}
+        for searcher_id, entry in entries.items():
+            for vm_id in self._owners_by_searcher_id.get(searcher_id, []):
+                grouped.setdefault(vm_id, {})[searcher_id] = entry
+        grouped.pop(self._vm_id, None)
+        return grouped
+
+    async def _send(
+        self,
+        vm_id: str,
+        entries: Mapping[str, WarmEntry],
+    ) -> None:
+        roster = self._state.view.roster
+        holder = roster.vms_by_id.get(vm_id) if roster else None
+        if holder is None:
+            return
+        peer = Endpoint(address=holder.address, port=holder.control_port)
+        encoded = list(encode_warm_entries(entries).items())
+        for first in range(0, len(encoded), _ENTRIES_PER_DATAGRAM):
+            chunk = dict(encoded[first : first + _ENTRIES_PER_DATAGRAM])
+            message = {'kind': 'warm', 'vm': self._vm_id, 'entries': chunk}
+            await self._datagrams.send(message, peer)
--- /dev/null
+++ b/jacinthcart/membership/__init__.py
@@ -0,0 +1,43 @@
+"""Heartbeats, peers and the rule that stops an isolated VM."""
+
+from jacinthcart.membership._ages import (
+    compute_age_step,
+    compute_roster_digest,
+    pack_ages,
+    unpack_ages,
+)
+from jacinthcart.membership._currency import (
+    Currency,
+    CurrencyReason,
+    Evidence,
+)
+from jacinthcart.membership._endpoint import (
+    BaseDatagrams,
+    DatagramEndpoint,
+    decode_datagram,
+)
+from jacinthcart.membership._heartbeats import HeartbeatPeers
+from jacinthcart.membership._messages import (
+    MAX_DATAGRAM_BYTES,
+    Member,
+    MemberState,
+)
+from jacinthcart.membership._ring import select_peers
+
+__all__ = [
+    'MAX_DATAGRAM_BYTES',
+    'BaseDatagrams',
+    'Currency',
+    'CurrencyReason',
+    'DatagramEndpoint',
+    'Evidence',
+    'HeartbeatPeers',
+    'Member',
+    'MemberState',
+    'compute_age_step',
+    'compute_roster_digest',
+    'decode_datagram',
+    'pack_ages',
+    'select_peers',
+    'unpack_ages',
+]
--- /dev/null
+++ b/jacinthcart/membership/_endpoint.py
@@ -0,0 +1,101 @@
+"""The UDP socket of a control process."""
+
+import abc
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import UDPSocket
+
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.membership._messages import MAX_DATAGRAM_BYTES
+from jacinthcart.program import Clock, read_boot_clock
+from jacinthcart.settings import Endpoint
+from jacinthcart.telemetry import Metrics
+from jacinthcart.wire import decode_json, encode_json
+
+#: Takes a message, its source and the moment (s) of its arrival; raises
+#: InvalidMessageError for a message of another shape.
+DatagramListener = Callable[[dict[str, Any], Endpoint, float], Awaitable[None]]
+
+
+class BaseDatagrams(abc.ABC):
+    """Sends messages to control processes; each may be lost."""
+
+    @abc.abstractmethod
+    async def send(self, message: dict[str, Any], peer: Endpoint) -> None:
+        """Send one message; a message that can't be sent is counted."""
+
+
+class DatagramEndpoint(BaseDatagrams):
+    """Sends and receives JSON datagrams on the control port."""
+
+    def __init__(
+        self,
+        local: Endpoint,
+        metrics: Metrics,
+        clock: Clock = read_boot_clock,
+    ) -> None:
+        """Keep the local address; `start` binds it."""
+        self._local = local
+        self._metrics = metrics
+        self._clock = clock
+        self._socket: UDPSocket | None = None
+
+    async def start(self) -> None:
+        """Bind the socket; raise OSError when the port is taken."""
+        self._socket = await anyio.create_udp_socket(
+            local_host=self._local.address,
+            local_port=self._local.port,
+        )
+
+    async def close(self) -> None:
+        """Close the socket."""
+        if self._socket is not None:
+            await self._socket.aclose()
+
+    async def send(self, message: dict[str, Any], peer: Endpoint) -> None:
+        """Send one message of at most MAX_DATAGRAM_BYTES."""
+        body = encode_json(message)
+        if self._socket is None or len(body) > MAX_DATAGRAM_BYTES:
+            self._metrics.count('datagram', 'not_sent')
+            return
+        try:
+            await self._socket.sendto(body, peer.address, peer.port)
+        except OSError:
+            self._metrics.count('datagram', 'not_sent')
+            return
+        self._metrics.count('bytes', 'datagram_sent', amount=len(body))
+
+    async def run(self, listener: DatagramListener) -> None:
+        """Receive until cancelled; drop and count malformed messages."""
+        if self._socket is None:
+            return
+        async for body, (address, port) in self._socket:
+            received_at = self._clock()
+            self._metrics.count('bytes', 'datagram_received', amount=len(body))
+            source = Endpoint.model_construct(address=address, port=port)
+            await self._deliver(body, source, received_at, listener)
+
+    async def _deliver(
+        self,
+        body: bytes,
+        source: Endpoint,
+        received_at: float,
+        listener: DatagramListener,
+    ) -> None:
+        try:
+            message = decode_datagram(body)
+            await listener(message, source, received_at)
+        except InvalidMessageError:
+            self._metrics.count('datagram', 'malformed')
+
+
+def decode_datagram(body: bytes) -> dict[str, Any]:
+    """Read one datagram; raise InvalidMessageError."""
+    if len(body) > MAX_DATAGRAM_BYTES:
+        raise InvalidMessageError('datagram is too long')
+    message = decode_json(body)
+    if not isinstance(message, dict):
+        raise InvalidMessageError('datagram is not an object')
+    return message
--- /dev/null
+++ b/jacinthcart/membership/_heartbeats.py
@@ -0,0 +1,198 @@
+"""Sends heartbeats to ring successors and answers those of others."""
+
+import collections
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from jacinthcart.membership._ages import (
+    compute_age_step,
+    compute_roster_digest,
+    pack_ages,
+    unpack_ages,
+)
+from jacinthcart.membership._currency import Currency
+from jacinthcart.membership._endpoint import BaseDatagrams
+from jacinthcart.membership._messages import (
+    MAX_DATAGRAM_BYTES,
+    HeartbeatAck,
+    Member,
+    MemberState,
+    decode_heartbeat,
+    decode_heartbeat_ack,
+)
+from jacinthcart.membership._peer import PeerHeartbeats
+from jacinthcart.membership._ring import select_peers
+from jacinthcart.program import Clock
+from jacinthcart.settings import Endpoint, SettingsView
+from jacinthcart.wire import encode_json
+
+_MS_PER_S = 1000
+_SEQUENCE_BITS = 48
+_MEMBERS_KEPT = 256
+
+#: Returns what this VM tells about itself now.
+StateReader = Callable[[], MemberState]
+
+
+class HeartbeatPeers:
+    """Heartbeats to peers, and evidence from their acknowledgements."""
+
+    def __init__(
+        self,
+        datagrams: BaseDatagrams,
+        currency: Currency,
+        read_state: StateReader,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        """Prepare; `run` sends."""
+        self.on_member: Callable[[Member], None] = _ignore_member
+        self.members_by_vm: collections.OrderedDict[str, Member] = (
+            collections.OrderedDict()
+        )
+        self.peers_by_vm: dict[str, PeerHeartbeats] = {}
+        self._datagrams = datagrams
+        self._currency = currency
+        self._read_state = read_state
+        self._clock = clock
+        self._random = source
+        self._roster_ids: frozenset[str] = frozenset()
+        self._roster_digest = ''
+        self._age_step_ms = 1.0
+        self._tasks: TaskGroup | None = None
+
+    @property
+    def is_first_round_done(self) -> bool:
+        """Return whether each peer answered or stayed silent for long."""
+        return all(peer.is_tried for peer in self.peers_by_vm.values())
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            for peer in self.peers_by_vm.values():
+                tasks.start_soon(peer.run)
+            await anyio.sleep_forever()
+
+    def apply_settings(self, view: SettingsView) -> None:
+        """Take roster and policy; news of it leaves at once."""
+        policy = view.policy
+        isolation_s = policy.isolation_ms / _MS_PER_S
+        entries = view.roster.vms_by_id if view.roster else {}
+        self._currency.configure(isolation_s, entries)
+        self._roster_ids = frozenset(entries)
+        self._roster_digest = compute_roster_digest(entries)
+        self._age_step_ms = compute_age_step(isolation_s)
+        own_id = self._read_state().vm
+        endpoints = {
+            vm_id: Endpoint(
+                address=entries[vm_id].address,
+                port=entries[vm_id].control_port,
+            )
+            for vm_id in select_peers(own_id, entries, policy.heartbeat_peers)
+        }
+        self._replace_peers(endpoints)
+        for peer in self.peers_by_vm.values():
+            peer.interval_s = policy.heartbeat_interval_ms / _MS_PER_S
+            peer.push()
+
+    def push(self) -> None:
+        """Send a heartbeat to each peer at once, for news about this VM."""
+        for peer in self.peers_by_vm.values():
+            peer.push()
+
+    async def answer(self, message: dict[str, Any], source: Endpoint) -> None:
+        """Acknowledge a heartbeat; raise InvalidMessageError."""
+        heartbeat = decode_heartbeat(message)
+        ack = self._create_ack(heartbeat.seq)
+        await self._datagrams.send(ack, source)
+        self._hear(heartbeat)
+
+    def take_ack(self, message: dict[str, Any]) -> None:
+        """Take an acknowledgement; raise InvalidMessageError.
+
+        The evidence is dated at the sending of the heartbeat: a datagram
+        that waited while this process was paused proves nothing newer.
+        """
+        ack = decode_heartbeat_ack(message)
+        peer = self.peers_by_vm.get(ack.vm)
+        sent_at = peer.take_ack(ack.seq) if peer else None
+        if sent_at is None:
+            return
+        age_s = ack.service_age_ms
+        self._currency.note_peer(
+            sent_at,
+            ack.revision,
+            None if age_s is None else age_s / _MS_PER_S,
+            {**self._read_ages(ack), ack.vm: 0},
+        )
+        self._hear(ack)
+
+    def _create_ack(self, seq: int) -> dict[str, Any]:
+        service_age_s = self._currency.service_age_s
+        ack = HeartbeatAck(
+            **self._read_state().model_dump(),
+            seq=seq,
+            service_age_ms=(
+                None if service_age_s is None else service_age_s * _MS_PER_S
+            ),
+            roster=self._roster_digest,
+            age_step_ms=self._age_step_ms,
+            ages=pack_ages(
+                self._roster_ids,
+                self._currency.list_ages(),
+                self._age_step_ms,
+            ),
+        )
+        message = {'kind': 'heartbeat_ack', **ack.model_dump()}
+        if len(encode_json(message)) > MAX_DATAGRAM_BYTES:
+            message['ages'] = ''
+        return message
+
+    def _read_ages(self, ack: HeartbeatAck) -> dict[str, float]:
+        if not ack.ages or ack.roster != self._roster_digest:
+            return {}
+        return unpack_ages(self._roster_ids, ack.ages, ack.age_step_ms)
+
+    def _hear(self, state: MemberState) -> None:
+        member = Member(state, self._clock())
+        self.members_by_vm[state.vm] = member
+        self.members_by_vm.move_to_end(state.vm)
+        if len(self.members_by_vm) > _MEMBERS_KEPT:
+            self.members_by_vm.popitem(last=False)
+        self.on_member(member)
+
+    def _replace_peers(self, endpoints: dict[str, Endpoint]) -> None:
+        for vm_id, peer in list(self.peers_by_vm.items()):
+            if endpoints.get(vm_id) != peer.endpoint:
+                self.peers_by_vm.pop(vm_id).stop()
+        for vm_id, endpoint in endpoints.items():
+            if vm_id not in self.peers_by_vm:
+                self._add_peer(vm_id, endpoint)
+
+    def _add_peer(self, vm_id: str, endpoint: Endpoint) -> None:
+        peer = PeerHeartbeats(
+            endpoint,
+            self._send_heartbeat,
+            self._clock,
+            # Random first numbers keep an acknowledgement that was meant
+            # for an earlier process of this VM from matching.
+            self._random.getrandbits(_SEQUENCE_BITS),
+            self._random.random(),
+        )
+        self.peers_by_vm[vm_id] = peer
+        if self._tasks is not None:
+            self._tasks.start_soon(peer.run)
+
+    async def _send_heartbeat(self, seq: int, peer: Endpoint) -> None:
+        state = self._read_state()
+        message = {'kind': 'heartbeat', **state.model_dump(), 'seq': seq}
+        await self._datagrams.send(message, peer)
+
+
+def _ignore_member(member: Member) -> None:
+    """Take no notice of a member."""
--- /dev/null
+++ b/jacinthcart/membership/_messages.py
@@ -0,0 +1,70 @@
+"""Heartbeat datagrams between control processes."""
+
+import dataclasses
+from typing import Any
+
+import pydantic
+
+from jacinthcart.errors import InvalidMessageError
+
+#: Datagrams stay below the usual Ethernet MTU, so that none is fragmented.
+MAX_DATAGRAM_BYTES = 1400
+
+
+class MemberState(pydantic.BaseModel):
+    """What a VM tells about itself in a heartbeat or acknowledgement."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    vm: str = pydantic.Field(max_length=64)
+    incarnation: str = pydantic.Field(max_length=64)
+    revision: int = pydantic.Field(ge=0)
+    leaving: bool
+    ready: bool
+    warm_digest: str = pydantic.Field(max_length=64)
+
+
+class Heartbeat(MemberState):
+    """Asks a peer for an acknowledgement."""
+
+    seq: int
+
+
+class HeartbeatAck(MemberState):
+    """Answers the heartbeat with the same `seq`."""
+
+    seq: int
+    #: Milliseconds since the newest service contact the VM knows of.
+    service_age_ms: float | None = pydantic.Field(default=None, ge=0)
+    #: Digest of the roster that orders `ages`.
+    roster: str = ''
+    #: Milliseconds of one step in `ages`.
+    age_step_ms: float = pydantic.Field(default=0, ge=0)
+    #: Packed ages of the VMs confirmed to the sender.
+    ages: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """A VM heard of, with its newest state."""
+
+    #: What it told last.
+    state: MemberState
+    #: Moment in seconds at which the message arrived.
+    heard_at: float
+
+
+def decode_heartbeat(message: dict[str, Any]) -> Heartbeat:
+    """Read a heartbeat; raise InvalidMessageError."""
+    try:
+        return Heartbeat.model_validate(message)
+    except pydantic.ValidationError as error:
+        raise InvalidMessageError(f'heartbeat: {error}') from error
+
+
+def decode_heartbeat_ack(message: dict[str, Any]) -> HeartbeatAck:
+    """Read an acknowledgement; raise InvalidMessageError."""
+    try:
+        return HeartbeatAck.model_validate(message)
+    except pydantic.ValidationError as error:
+        raise InvalidMessageError(f'heartbeat_ack: {error}') from error
--- a/jacinthcart/settings/_store.py
+++ b/jacinthcart/settings/_store.py
@@ -88,6 +88,10 @@
             if self._latest_by_path.get(path) != setting
         }
 
+    def export_in_force(self) -> dict[str, SettingsValue]:
+        """Return the values of every unit's last valid state."""
+        return dict(self._valid_by_path)
+
     def _select_newer(
         self,
         changes: Mapping[str, SettingsValue],
--- /dev/null
+++ b/jacinthcart/sync/_messages.py
@@ -0,0 +1,79 @@
+"""Validated responses of the configuration service and of peers."""
+
+import dataclasses
+from typing import Any
+
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.settings import SettingsValue
+
+
+@dataclasses.dataclass(frozen=True)
+class WatchChanges:
+    """Changed values of one watch response."""
+
+    #: Revision through which the values are complete.
+    revision: int
+    #: Changed values by path.
+    values_by_path: dict[str, SettingsValue]
+    #: Entries that were left out because they had another shape.
+    rejected: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerSettings:
+    """What a peer knows above a revision."""
+
+    #: Newest values and the peer's revision.
+    changes: WatchChanges
+    #: The peer's last valid values of units whose newest are invalid.
+    valid: dict[str, SettingsValue]
+
+
+def decode_watch_changes(message: Any) -> WatchChanges:
+    """Read `{revision, values}`; raise InvalidMessageError.
+
+    A value entry of another shape is left out and counted; the other
+    entries are kept.
+    """
+    revision = _read_revision(message)
+    values_by_path, rejected = _read_values(message.get('values'))
+    return WatchChanges(revision, values_by_path, rejected)
+
+
+def decode_peer_settings(message: Any) -> PeerSettings:
+    """Read `{revision, values, valid}`; raise InvalidMessageError."""
+    changes = decode_watch_changes(message)
+    valid, _ = _read_values(message.get('valid', {}))
+    return PeerSettings(changes, valid)
+
+
+def _read_revision(message: Any) -> int:
+    if not isinstance(message, dict):
+        raise InvalidMessageError('response is not an object')
+    revision = message.get('revision')
+    if isinstance(revision, int) and _is_revision(revision):
+        return revision
+    raise InvalidMessageError('revision is not a natural number')
+
+
+def _read_values(entries: Any) -> tuple[dict[str, SettingsValue], int]:
+    if not isinstance(entries, dict):
+        raise InvalidMessageError('values are not an object')
+    values_by_path = {
+        path: SettingsValue(entry['revision'], entry['value'])
+        for path, entry in entries.items()
+        if _is_value_entry(entry)
+    }
+    return values_by_path, len(entries) - len(values_by_path)
+
+
+def _is_value_entry(entry: Any) -> bool:
+    if not isinstance(entry, dict) or 'value' not in entry:
+        return False
+    return _is_revision(entry.get('revision'))
+
+
+def _is_revision(number: Any) -> bool:
+    if isinstance(number, bool) or not isinstance(number, int):
+        return False
+    return number >= 0
--- /dev/null
+++ b/jacinthcart/sync/_platform.py
@@ -0,0 +1,91 @@
+"""Client of the platform: configuration service and VM list."""
+
+import abc
+from typing import Any
+
+import httpx
+
+from jacinthcart.errors import InvalidMessageError, WireError
+from jacinthcart.settings import Endpoint
+from jacinthcart.sync._messages import WatchChanges, decode_watch_changes
+from jacinthcart.wire import decode_json
+
+_CONNECT_TIMEOUT_S = 1.0
+_ANSWER_MARGIN_S = 2.0
+_VM_STATES = frozenset(('live', 'leaving'))
+
+
+class BasePlatform(abc.ABC):
+    """Reads settings and the VM list of the platform."""
+
+    @abc.abstractmethod
+    async def watch(self, after: int, wait_s: float) -> WatchChanges:
+        """Return the values changed after a revision.
+
+        The call returns without values when nothing changed in `wait_s`.
+        Raise WireError or InvalidMessageError.
+        """
+
+    @abc.abstractmethod
+    async def list_vms(self) -> dict[str, str]:
+        """Return the state of each listed VM, `live` or `leaving`.
+
+        Raise WireError or InvalidMessageError.
+        """
+
+
+class PlatformClient(BasePlatform):
+    """Reads the platform over HTTP."""
+
+    def __init__(self, service: Endpoint) -> None:
+        """Prepare the client; connections open on demand."""
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{service.address}:{service.port}',
+            timeout=httpx.Timeout(_ANSWER_MARGIN_S, connect=_CONNECT_TIMEOUT_S),
+            trust_env=False,
+        )
+
+    async def watch(self, after: int, wait_s: float) -> WatchChanges:
+        """Return the values changed after a revision."""
+        message = await self._get(
+            f'/v1/watch?after={after}&wait_s={wait_s:g}',
+            wait_s + _ANSWER_MARGIN_S,
+        )
+        return decode_watch_changes(message)
+
+    async def list_vms(self) -> dict[str, str]:
+        """Return the state of each listed VM."""
+        message = await self._get('/v1/vms', _ANSWER_MARGIN_S)
+        return _decode_vms(message)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _get(self, target: str, timeout_s: float) -> Any:
+        try:
+            response = await self._client.get(
+                target,
+                timeout=httpx.Timeout(timeout_s, connect=_CONNECT_TIMEOUT_S),
+            )
+        except httpx.HTTPError as error:
+            raise WireError(
+                f'platform: {type(error).__name__}: {error}',
+            ) from error
+        if not response.is_success:
+            raise WireError(f'platform: status {response.status_code}')
+        return decode_json(response.content)
+
+
+def _decode_vms(message: Any) -> dict[str, str]:
+    try:
+        state_by_vm = {
+            vm_id: entry['state'] for vm_id, entry in message['vms'].items()
+        }
+    except (AttributeError, KeyError, TypeError) as error:
+        raise InvalidMessageError(f'VM list: {error!r}') from error
+    return {
+        vm_id: state
+        for vm_id, state in state_by_vm.items()
+        if state in _VM_STATES
+    }
--- /dev/null
+++ b/jacinthcart/sync/_watch.py
@@ -0,0 +1,153 @@
+"""The one watch of a VM on the configuration service."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from jacinthcart.errors import InvalidMessageError, WireError
+from jacinthcart.program import Clock
+from jacinthcart.settings import SettingsStore, SettingsView
+from jacinthcart.sync._backoff import Backoff
+from jacinthcart.sync._messages import WatchChanges
+from jacinthcart.sync._platform import BasePlatform
+from jacinthcart.telemetry import Logger, Metrics
+
+_SHORTEST_INTERVAL_S = 1.0
+_WAIT_SHARE_OF_ISOLATION = 0.4
+_MS_PER_S = 1000
+
+#: Takes a service contact: the moment of sending and the revision.
+ContactListener = Callable[[float, int], None]
+
+
+def compute_watch_interval(view: SettingsView) -> float:
+    """Return the seconds from one watch call to the next.
+
+    The calls of the whole fleet stay below `watch_calls_per_s`.
+    """
+    vm_count = len(view.roster.vms_by_id) if view.roster else 1
+    interval_s = vm_count / view.policy.watch_calls_per_s
+    return max(_SHORTEST_INTERVAL_S, interval_s)
+
+
+class WatchLoop:
+    """Applies the service's changes and reports contacts with it."""
+
+    def __init__(
+        self,
+        platform: BasePlatform,
+        store: SettingsStore,
+        clock: Clock,
+        source: random.Random,
+        metrics: Metrics,
+        logger: Logger,
+    ) -> None:
+        """Prepare the loop; set the listeners before `run`."""
+        self.on_contact: ContactListener = _ignore_contact
+        self.on_changes: Callable[[WatchChanges], None] = _ignore_changes
+        self.on_vms: Callable[[dict[str, str]], None] = _ignore_vms
+        self._platform = platform
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._logger = logger
+        self._random = source
+        self._backoff = Backoff(source)
+        self._reread_after: int | None = None
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await anyio.sleep(await self.poll(self._compute_wait()))
+
+    async def run_vm_list(self) -> None:
+        """Read the VM list, one call an interval, until cancelled."""
+        while True:
+            await self._poll_vms()
+            interval_s = compute_watch_interval(self._store.view)
+            await anyio.sleep(interval_s * self._random.uniform(1, 2))
+
+    async def poll(self, wait_s: float) -> float:
+        """Call once; return the seconds until the next call."""
+        sent_at = self._clock()
+        after = self._choose_after()
+        try:
+            changes = await self._platform.watch(after, wait_s)
+        except (WireError, InvalidMessageError) as error:
+            self._count_failure(error)
+            return self._backoff.next_delay()
+        if changes.revision < self._store.revision:
+            self._count_stale(changes)
+            return self._backoff.next_delay()
+        self._backoff.reset()
+        self._reread_after = None
+        self._metrics.count('watch', 'rejected', amount=changes.rejected)
+        self.on_changes(changes)
+        self.on_contact(sent_at, changes.revision)
+        interval_s = compute_watch_interval(self._store.view)
+        if changes.revision > after:
+            return 0
+        return max(0, sent_at + interval_s - self._clock())
+
+    def _compute_wait(self) -> float:
+        """Return the longest wait of one call in seconds.
+
+        A contact is dated at the moment of sending, so a call that waited
+        longer than isolation_ms would prove nothing. A larger fleet pauses
+        between its calls instead.
+        """
+        view = self._store.view
+        isolation_s = view.policy.isolation_ms / _MS_PER_S
+        return min(
+            compute_watch_interval(view),
+            isolation_s * _WAIT_SHARE_OF_ISOLATION,
+        )
+
+    def _choose_after(self) -> int:
+        """Return the revision that the next call asks from.
+
+        A service that restarted at an older revision may give numbers out
+        again that this VM has seen. Once it has caught up, the changes since
+        its restart are read again; the store keeps the highest revision of
+        each path.
+        """
+        if self._reread_after is None:
+            return self._store.revision
+        return min(self._reread_after, self._store.revision)
+
+    async def _poll_vms(self) -> None:
+        try:
+            self.on_vms(await self._platform.list_vms())
+        except (WireError, InvalidMessageError):
+            self._metrics.count('vm_list', 'failed')
+
+    def _count_failure(self, error: Exception) -> None:
+        self._metrics.count('watch', 'failed')
+        self._logger.warning(
+            'watch_failed',
+            limit_key='watch_failed',
+            error=str(error),
+        )
+
+    def _count_stale(self, changes: WatchChanges) -> None:
+        self._metrics.count('watch', 'stale')
+        self._reread_after = min(changes.revision, self._choose_after())
+        self._logger.warning(
+            'watch_stale',
+            limit_key='watch_stale',
+            revision=changes.revision,
+            held=self._store.revision,
+        )
+
+
+def _ignore_contact(sent_at: float, revision: int) -> None:
+    """Take no notice of a contact."""
+
+
+def _ignore_changes(changes: WatchChanges) -> None:
+    """Take no notice of changes."""
+
+
+def _ignore_vms(state_by_vm: dict[str, str]) -> None:
+    """Take no notice of a VM list."""
