--- /dev/null
+++ b/jacinthcart/control/_limits.py
@@ -0,0 +1,110 @@
+"""Connects the fleet-wide rate limits to control."""
+
+import random
+from typing import Any
+
+from jacinthcart.control._permits import BasePermitService
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.limits import (
+    BasePeerMessenger,
+    Borrower,
+    Lender,
+    PermitService,
+    TokenLedger,
+)
+from jacinthcart.membership import BaseDatagrams
+from jacinthcart.program import Clock, read_boot_clock
+from jacinthcart.settings import Endpoint, ProcessSettings, SettingsView
+from jacinthcart.telemetry import DecisionLog, Metrics
+
+
+class RosterMessenger(BasePeerMessenger):
+    """Sends datagrams to VMs by their addresses in the roster."""
+
+    def __init__(self, datagrams: BaseDatagrams) -> None:
+        """Start without a roster."""
+        self._datagrams = datagrams
+        self._peers_by_vm: dict[str, Endpoint] = {}
+
+    def apply_settings(self, view: SettingsView) -> None:
+        """Take the addresses in force."""
+        vms_by_id = view.roster.vms_by_id if view.roster else {}
+        self._peers_by_vm = {
+            vm_id: Endpoint(address=entry.address, port=entry.control_port)
+            for vm_id, entry in vms_by_id.items()
+        }
+
+    async def send(self, vm_id: str, message: dict[str, Any]) -> None:
+        """Send one message; a VM without an address gets none."""
+        peer = self._peers_by_vm.get(vm_id)
+        if peer is not None:
+            await self._datagrams.send(message, peer)
+
+
+class SharedPermitService(BasePermitService):
+    """Token shares of this VM, lent to and borrowed from other VMs."""
+
+    def __init__(
+        self,
+        vm_id: str,
+        datagrams: BaseDatagrams,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        """Start with empty buckets."""
+        self._ledger = TokenLedger(vm_id, clock, metrics, DecisionLog())
+        self._messenger = RosterMessenger(datagrams)
+        self._borrower = Borrower(
+            self._ledger,
+            self._messenger,
+            clock,
+            metrics,
+            random.Random(),
+        )
+        self._lender = Lender(self._ledger, self._messenger, clock, metrics)
+        self._service = PermitService(self._borrower, clock)
+
+    async def handle(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Grant permits to the entry; raise InvalidMessageError."""
+        return await self._service.handle(body)
+
+    async def handle_datagram(
+        self,
+        message: dict[str, Any],
+        received_at: float,
+    ) -> None:
+        """Take a `borrow` or `lend` datagram; raise InvalidMessageError."""
+        match message.get('kind'):
+            case 'borrow':
+                await self._lender.handle(message, received_at)
+            case 'lend':
+                await self._borrower.handle(message, received_at)
+            case unknown:
+                raise InvalidMessageError(f'unknown kind {unknown}')
+
+    def apply_settings(self, view: SettingsView) -> None:
+        """Take rates, policy and addresses in force."""
+        self._messenger.apply_settings(view)
+        self._ledger.apply_settings(view)
+
+    async def run(self) -> None:
+        """Borrow until cancelled."""
+        await self._borrower.run()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the shares held by workspace id."""
+        return {}
+
+
+def create_permits(
+    process: ProcessSettings,
+    datagrams: BaseDatagrams,
+    metrics: Metrics,
+) -> BasePermitService:
+    """Return the permit service of one VM."""
+    return SharedPermitService(
+        process.vm_id,
+        datagrams,
+        metrics,
+        read_boot_clock,
+    )
--- a/jacinthcart/control/_listener.py
+++ b/jacinthcart/control/_listener.py
@@ -36,7 +36,7 @@
             case 'heartbeat_ack':
                 self._heartbeats.take_ack(message)
             case 'borrow' | 'lend':
-                self._permits.handle_datagram(message, received_at)
+                await self._permits.handle_datagram(message, received_at)
             case 'warm':
                 self._warm.take_message(message)
             case unknown:
--- a/jacinthcart/control/_permits.py
+++ b/jacinthcart/control/_permits.py
@@ -17,7 +17,7 @@
         """
 
     @abc.abstractmethod
-    def handle_datagram(
+    async def handle_datagram(
         self,
         message: dict[str, Any],
         received_at: float,
@@ -44,7 +44,7 @@
         """Grant nothing."""
         return {'granted': {}, 'retry_after_ms': {}}
 
-    def handle_datagram(
+    async def handle_datagram(
         self,
         message: dict[str, Any],
         received_at: float,
--- a/jacinthcart/gather/_connect.py
+++ b/jacinthcart/gather/_connect.py
@@ -1,12 +1,11 @@
 """Connects the program to its dispatcher of searcher requests."""
 
-from typing import Any
+import dataclasses
+import random
+from collections.abc import Mapping
 
-import anyio
-
-from jacinthcart.dispatch import PartCall, PartResult
-from jacinthcart.errors import RefusalCode, RefusalError, WireError
-from jacinthcart.feed import StateFeed
+from jacinthcart.dispatch import Dispatcher, create_http_client_factory
+from jacinthcart.feed import StateFeed, WarmEntry
 from jacinthcart.gather._backend import BaseDispatcher
 from jacinthcart.settings import ProcessSettings
 from jacinthcart.telemetry import DecisionLog, Logger, Metrics
@@ -26,48 +25,37 @@
             limit=1,
         )
 
-    async def post_warm(self, entries: dict[str, dict[str, Any]]) -> bool:
-        """Send entries by searcher id; return whether control took them."""
-        try:
-            response = await self._pool.call(
-                'POST',
-                '/v1/warm',
-                encode_json({'entries': entries}),
-                _WARM_TIMEOUT_S,
-            )
-        except (WireError, TimeoutError):
-            return False
-        return response.is_success
+    async def post_warm(self, entries: Mapping[str, WarmEntry]) -> None:
+        """Send entries by searcher id; raise WireError or TimeoutError."""
+        encoded = {
+            searcher_id: dataclasses.asdict(entry)
+            for searcher_id, entry in entries.items()
+        }
+        await self._pool.call(
+            'POST',
+            '/v1/warm',
+            encode_json({'entries': encoded}),
+            _WARM_TIMEOUT_S,
+        )
 
     async def close(self) -> None:
         """Close the connection."""
         await self._pool.close()
 
 
-class UnavailableDispatcher(BaseDispatcher):
-    """Refuses every part: no dispatcher is connected."""
-
-    async def run(self) -> None:
-        """Wait until cancelled."""
-        await anyio.sleep_forever()
-
-    async def close(self) -> None:
-        """Hold nothing."""
-
-    async def run_part(self, call: PartCall) -> PartResult:
-        """Refuse the part."""
-        raise RefusalError(RefusalCode.NO_REPLICA, detail=call.part)
-
-    def describe(self) -> dict[str, Any]:
-        """Return no state."""
-        return {}
-
-
 def create_dispatcher(
-    _feed: StateFeed,
-    _metrics: Metrics,
-    _decisions: DecisionLog,
-    _logger: Logger,
+    feed: StateFeed,
+    metrics: Metrics,
+    decisions: DecisionLog,
+    logger: Logger,
 ) -> BaseDispatcher:
     """Return the dispatcher of this VM."""
-    return UnavailableDispatcher()
+    return Dispatcher(
+        feed,
+        metrics,
+        decisions,
+        logger,
+        random_source=random.Random(),
+        open_searcher_client=create_http_client_factory(feed),
+        post_warm=WarmSender(feed.process).post_warm,
+    )
--- a/jacinthcart/membership/_endpoint.py
+++ b/jacinthcart/membership/_endpoint.py
@@ -41,6 +41,8 @@
         self._metrics = metrics
         self._clock = clock
         self._socket: UDPSocket | None = None
+        # A socket takes one send at a time.
+        self._send_lock = anyio.Lock()
 
     async def start(self) -> None:
         """Bind the socket; raise OSError when the port is taken."""
@@ -61,7 +63,8 @@
             self._metrics.count('datagram', 'not_sent')
             return
         try:
-            await self._socket.sendto(body, peer.address, peer.port)
+            async with self._send_lock:
+                await self._socket.sendto(body, peer.address, peer.port)
         except OSError:
             self._metrics.count('datagram', 'not_sent')
             return
--- /dev/null
+++ b/jacinthcart_lab/_demo.py
@@ -0,0 +1,164 @@
+"""The demo: a small fleet, every kind of request, a graceful stop."""
+
+import hashlib
+import itertools
+import pathlib
+import random
+import shutil
+import sys
+from typing import Any
+
+import anyio
+import anyio.to_thread
+
+from jacinthcart.caller import Answer, Caller, CallerError
+from jacinthcart_lab._deployment import (
+    build_fjordsom,
+    build_voskovka,
+    make_key,
+)
+from jacinthcart_lab._fleet import Fleet
+from jacinthcart_lab._processes import FleetError
+
+_FOLDER = pathlib.Path('run/demo')
+_SCALE = 0.3
+_VM_COUNT = 3
+_POLICY = {'ramp_step_ms': 200, 'drain_announce_ms': 500}
+_GRANTED_KEY = 'sample-key-granted-by-the-demo'
+_KEYS_PATH = 'teams/voskovka/keys/kavarna-1'
+_WARM_TIMEOUT_S = 30
+_STOPPED_VM = 'vm-2'
+_PAUSE_S = 0.05
+
+
+def run_demo() -> int:
+    """Run the demo; return the exit code and print the reason of a failure."""
+    shutil.rmtree(_FOLDER, ignore_errors=True)
+    fleet = Fleet(
+        _FOLDER,
+        (build_voskovka(_SCALE), build_fjordsom(_SCALE)),
+        _VM_COUNT,
+        _POLICY,
+    )
+    try:
+        _run(fleet)
+    except (FleetError, CallerError) as error:
+        sys.stderr.write(f'demo failed: {error}\n')
+        return 1
+    finally:
+        fleet.close()
+    _print('demo finished')
+    return 0
+
+
+def _run(fleet: Fleet) -> None:
+    _print(
+        f'starting {_VM_COUNT} VMs and {len(fleet.searcher_specs)} searchers'
+    )
+    fleet.start()
+    fleet.wait_until_ready()
+    _grant_key(fleet)
+    anyio.run(_query_fleet, fleet)
+    for vm_id in fleet.vms_by_id:
+        if vm_id != _STOPPED_VM:
+            _check_exit_codes(vm_id, fleet.stop_vm(vm_id))
+
+
+def _grant_key(fleet: Fleet) -> None:
+    digests = [
+        hashlib.sha256(key.encode()).hexdigest()
+        for key in (_GRANTED_KEY, make_key('voskovka', 'kavarna-1'))
+    ]
+    revision = fleet.emulators.put({_KEYS_PATH: {'sha256_digests': digests}})
+    _print(f'granted a key to voskovka/kavarna-1 in revision {revision}')
+
+
+async def _query_fleet(fleet: Fleet) -> None:
+    seeds = [vm.entry_url for vm in fleet.vms_by_id.values()]
+    voskovka = Caller(seeds, _GRANTED_KEY)
+    fjordsom = Caller(seeds, make_key('fjordsom', 'shop-1'))
+    try:
+        await _wait_until_warm(voskovka, fjordsom)
+        addresses = await voskovka.fetch_addresses()
+        _print(f'addresses: {addresses}')
+        await _query_once(voskovka, fjordsom)
+        await _stop_under_traffic(fleet, voskovka)
+    finally:
+        await voskovka.close()
+        await fjordsom.close()
+
+
+async def _wait_until_warm(*callers: Caller) -> None:
+    routes = ('voskovka/katalog-search', 'fjordsom/patterns')
+    for caller, route in zip(callers, routes, strict=True):
+        await _wait_for_complete_answer(caller, route)
+
+
+async def _wait_for_complete_answer(caller: Caller, route: str) -> None:
+    with anyio.move_on_after(_WARM_TIMEOUT_S):
+        while not await _is_complete(caller, route):
+            await anyio.sleep(_PAUSE_S)
+        return
+    raise FleetError(f'no complete answer on {route}')
+
+
+async def _is_complete(caller: Caller, route: str) -> bool:
+    try:
+        answer = await caller.search(route, {'text': 'blue'})
+    except CallerError:
+        return False
+    return answer.coverage.complete
+
+
+async def _query_once(voskovka: Caller, fjordsom: Caller) -> None:
+    text = {'text': 'blue wrap'}
+    item = {'id': 'order-17'}
+    _show('search', await voskovka.search('voskovka/katalog-search', text))
+    _show('search', await voskovka.search('voskovka/volunteers', text))
+    _show('lookup', await voskovka.lookup('voskovka/order-status', item))
+    _show('submit', await voskovka.submit('voskovka/refill', item))
+    _show('search', await fjordsom.search('fjordsom/past-orders', text))
+    _show('lookup', await fjordsom.lookup('fjordsom/name-check', item))
+    _show('submit', await fjordsom.submit('fjordsom/reorder', item))
+
+
+async def _stop_under_traffic(fleet: Fleet, caller: Caller) -> None:
+    source = random.Random(1)
+    answered: list[Answer] = []
+    stopping = anyio.Event()
+
+    async def keep_asking() -> None:
+        for number in itertools.count():
+            if stopping.is_set():
+                return
+            query = {'text': f'pattern {number}'}
+            answered.append(
+                await caller.search('voskovka/katalog-search', query),
+            )
+            await anyio.sleep(source.uniform(0, _PAUSE_S))
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(2):
+            tasks.start_soon(keep_asking)
+        codes = await anyio.to_thread.run_sync(fleet.stop_vm, _STOPPED_VM)
+        _check_exit_codes(_STOPPED_VM, codes)
+        stopping.set()
+    _print(f'{len(answered)} requests answered while {_STOPPED_VM} stopped')
+
+
+def _check_exit_codes(vm_id: str, codes: list[int]) -> None:
+    if any(codes):
+        raise FleetError(f'{vm_id} stopped with exit codes {codes}')
+    _print(f'{vm_id} stopped gracefully')
+
+
+def _show(kind: str, answer: Answer) -> None:
+    _print(
+        f'{kind}: workspace={answer.workspace} snapshot={answer.snapshot} '
+        f'coverage={answer.coverage} hits={len(answer.hits)}',
+    )
+
+
+def _print(line: Any) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
