Run the HTTP server in its own task

On asyncio (Python 3.11) the server returns with a cancellation request still counted on its task. A caller that then cancels its own task group got a CancelledError out of that group and the program ended with exit status 1.

--- a/jacinthcart/gather/_program.py
+++ b/jacinthcart/gather/_program.py
@@ -25,6 +25,8 @@
 from jacinthcart.wire import serve_application
 
 _DRAIN_CHECK_S = 0.02
+#: Time to close connections once the work in flight is done or given up.
+_CLOSE_GRACE_S = 1.0
 _MS_PER_S = 1000
 
 #: Creates the dispatcher from the feed and the telemetry of the program.
@@ -65,7 +67,7 @@
             settings.address,
             settings.gather_port,
             server_stopping,
-            feed.view.policy.drain_limit_ms / _MS_PER_S,
+            _CLOSE_GRACE_S,
         )
         logger.info('gather_stopped', vm=settings.vm_id)
         tasks.cancel_scope.cancel()
--- a/jacinthcart/wire/_server.py
+++ b/jacinthcart/wire/_server.py
@@ -1,5 +1,6 @@
 """Serving an ASGI application with Hypercorn under anyio."""
 
+import functools
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -40,9 +41,14 @@
     backend: Any = asyncio_worker
     if sniffio.current_async_library() == 'trio':
         backend = trio_worker
-    await backend.serve(
+    serve = functools.partial(
+        backend.serve,
         application,
         config,
         shutdown_trigger=stopping.wait,
         mode='asgi',
     )
+    # On asyncio the server leaves a pending cancellation request on its
+    # task, which would end the caller's task group with CancelledError.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve)
