Test the gather against a fleet of stand-ins

Fleets of gathers run in virtual time with fake searchers and a fake network. A subquery reply also carries versions, run state and retry delay of its parts. The choice of owners moves to a module of its own.

--- a/jacinthcart/gather/_app.py
+++ b/jacinthcart/gather/_app.py
@@ -59,10 +59,11 @@
         logger.error('request_failed', path=request.url.path, error=repr(error))
         refusal = RefusalError(RefusalCode.INTERNAL, Ran.UNKNOWN)
     service.count_refusal(refusal)
-    return _respond(service, _encode_refusal(refusal), _REFUSAL_STATUS)
+    return _respond(service, encode_refusal(refusal), _REFUSAL_STATUS)
 
 
-def _encode_refusal(refusal: RefusalError) -> dict[str, Any]:
+def encode_refusal(refusal: RefusalError) -> dict[str, Any]:
+    """Return the JSON form of a refusal between programs."""
     return {
         'refusal': {
             'code': refusal.code,
--- /dev/null
+++ b/jacinthcart/gather/_choice.py
@@ -0,0 +1,93 @@
+"""Which owner of a part to ask, and whom next after a failure."""
+
+import collections
+from collections.abc import Sequence
+
+from jacinthcart.gather._context import GatherParts, PinnedQuery
+from jacinthcart.gather._outcomes import PartWork
+from jacinthcart.gather._plan import Plan, VmRank, plan_parts
+from jacinthcart.ownership import find_warmer
+
+#: A cold part is served only by the warmers of its searchers, usually three.
+_ATTEMPTS_PER_PART = 4
+_LIVE = 'live'
+
+
+class OwnerChoice:
+    """Chooses among the owners of parts for one query."""
+
+    def __init__(self, parts: GatherParts, query: PinnedQuery) -> None:
+        """Start with no VM asked."""
+        self._feed = parts.feed
+        self._peers = parts.peers
+        self._owner_table = parts.owner_table
+        self._view = query.view
+        self._service_id = query.message.service_id
+        self._tried_by_part: dict[str, set[str]] = collections.defaultdict(set)
+
+    def note_tried(self, part: str, vm_id: str) -> None:
+        """Never choose the VM for the part again."""
+        self._tried_by_part[part].add(vm_id)
+
+    def may_repeat(self, part: str) -> bool:
+        """Return whether the part may be given to a further VM."""
+        if len(self._tried_by_part[part]) >= _ATTEMPTS_PER_PART:
+            return False
+        return bool(self._list_candidates(part))
+
+    def plan(self, works: Sequence[PartWork]) -> Plan:
+        """Give each part to this VM or to one that was not asked yet."""
+        return plan_parts(
+            works,
+            {work.part: self._list_candidates(work.part) for work in works},
+            self._feed.process.vm_id,
+            self._rank_vm,
+        )
+
+    def _list_candidates(self, part: str) -> list[str]:
+        """Return the VMs that may run a part and were not asked yet.
+
+        No work goes to another VM in a data centre that is taken out. After
+        a first refusal the warmers of the part's searchers come first: they
+        alone send to a cold searcher.
+        """
+        owners = self._owner_table.find_owners(
+            self._view,
+            self._service_id,
+            part,
+        )
+        tried = self._tried_by_part[part]
+        candidates = [
+            vm_id
+            for vm_id in owners
+            if vm_id not in tried and self._may_receive(vm_id)
+        ]
+        if not tried:
+            return candidates
+        service = self._view.services_by_id[self._service_id]
+        warmers = {
+            find_warmer(searcher_id, owners)
+            for searcher_id in service.parts_by_name[part].searchers_by_id
+        }
+        return [vm_id for vm_id in candidates if vm_id in warmers] or candidates
+
+    def _may_receive(self, vm_id: str) -> bool:
+        roster = self._view.roster
+        if roster is None or vm_id == self._feed.process.vm_id:
+            return True
+        data_centre = roster.vms_by_id[vm_id].data_centre
+        return self._feed.view.is_data_centre_in(data_centre)
+
+    def _rank_vm(self, vm_id: str) -> VmRank:
+        roster = self._view.roster
+        is_near = (
+            roster is not None
+            and roster.vms_by_id[vm_id].data_centre
+            == self._feed.process.data_centre
+        )
+        is_live = (
+            not self._feed.live_vms or self._feed.live_vms.get(vm_id) == _LIVE
+        )
+        is_used = is_live and not self._peers.is_avoided(vm_id)
+        failures, latency_s = self._peers.observe(vm_id)
+        return (not is_used, not is_near, failures, latency_s)
--- a/jacinthcart/gather/_fanout.py
+++ b/jacinthcart/gather/_fanout.py
@@ -1,7 +1,5 @@
 """One run of a query's parts on one snapshot, here and on other VMs."""
 
-import collections
-import dataclasses
 from collections.abc import Iterable, Sequence
 from typing import Any
 
@@ -16,10 +14,9 @@
     RefusalCode,
     RefusalError,
 )
-from jacinthcart.feed import StateFeed
-from jacinthcart.gather._backend import BaseDispatcher
+from jacinthcart.gather._choice import OwnerChoice
+from jacinthcart.gather._context import GatherParts, PinnedQuery
 from jacinthcart.gather._merge import Merge
-from jacinthcart.gather._messages import QueryMessage
 from jacinthcart.gather._outcomes import (
     MissingReason,
     PartOutcome,
@@ -29,58 +26,10 @@
     outcome_from_result,
     outcomes_from_reply,
 )
-from jacinthcart.gather._peers import PeerSet
-from jacinthcart.gather._plan import OwnerTable, Plan, VmRank, plan_parts
-from jacinthcart.ownership import find_warmer
-from jacinthcart.settings import RouteKind, SettingsView
-from jacinthcart.telemetry import Metrics
 
-#: A cold part is served only by the warmers of its searchers, usually three.
-_ATTEMPTS_PER_PART = 4
-_LIVE = 'live'
 _MS_PER_S = 1000
 
 
-@dataclasses.dataclass(frozen=True)
-class GatherParts:
-    """What the queries of one gather share."""
-
-    #: Settings in force, live VMs and the serving lease.
-    feed: StateFeed
-    #: Searchers of the parts that this VM owns.
-    dispatcher: BaseDispatcher
-    #: Gathers of other VMs.
-    peers: PeerSet
-    #: Owners of parts by view.
-    owner_table: OwnerTable
-    #: Histograms and counters.
-    metrics: Metrics
-
-    def check_may_send(self, deadline: float) -> None:
-        """Raise RefusalError without lease or past the deadline (s)."""
-        if not self.feed.is_serving():
-            raise RefusalError(RefusalCode.NOT_READY, detail='no lease')
-        if self.feed.clock() >= deadline:
-            raise RefusalError(RefusalCode.DEADLINE_PASSED)
-
-
-@dataclasses.dataclass(frozen=True)
-class PinnedQuery:
-    """A query with the settings of the moment that it started."""
-
-    #: The validated request.
-    message: QueryMessage
-    #: Settings in force when the query started.
-    view: SettingsView
-    #: Time in seconds until which parts may answer.
-    merge_deadline: float
-
-    @property
-    def is_submit(self) -> bool:
-        """Return whether the request must run at most once."""
-        return self.message.route_kind is RouteKind.SUBMIT
-
-
 async def run_local_part(parts: GatherParts, call: PartCall) -> PartOutcome:
     """Run one part on this VM; a refusal becomes an outcome."""
     work = PartWork(call.part, call.shards)
@@ -109,7 +58,7 @@
         self._parts = parts
         self._query = query
         self._snapshot = snapshot
-        self._tried_by_part: dict[str, set[str]] = collections.defaultdict(set)
+        self._choice = OwnerChoice(parts, query)
         self._failed_parts: set[str] = set()
 
     async def run(self) -> None:
@@ -120,7 +69,7 @@
         self.merge.add_absent(MissingReason.LATE)
 
     def _start(self, tasks: TaskGroup, works: Sequence[PartWork]) -> None:
-        plan = self._plan(works)
+        plan = self._choice.plan(works)
         for work in plan.local:
             tasks.start_soon(self._run_local, tasks, work)
         for vm_id, asked in plan.works_by_vm.items():
@@ -129,14 +78,6 @@
         for work in plan.unowned:
             self.merge.add(self._create_missing(work, RefusalCode.NO_REPLICA))
 
-    def _plan(self, works: Sequence[PartWork]) -> Plan:
-        return plan_parts(
-            works,
-            {work.part: self._list_candidates(work.part) for work in works},
-            self._parts.feed.process.vm_id,
-            self._rank_vm,
-        )
-
     async def _run_local(self, tasks: TaskGroup, work: PartWork) -> None:
         message = self._query.message
         outcome = await run_local_part(
@@ -256,11 +197,9 @@
     ) -> list[PartWork]:
         """Merge an outcome, or return its work to be run on another VM."""
         part = outcome.work.part
-        tried = self._tried_by_part[part]
-        tried.add(vm_id)
-        may_retry = may_retry and len(tried) < _ATTEMPTS_PER_PART
+        self._choice.note_tried(part, vm_id)
         if may_retry and self._remaining_s() > 0:
-            if self._list_candidates(part):
+            if self._choice.may_repeat(part):
                 self.merge.note_attempt(outcome.ran)
                 return [outcome.work]
         self.merge.add(outcome)
@@ -274,50 +213,5 @@
     ) -> PartOutcome:
         return create_missing_outcome(work, self._snapshot, reason, ran)
 
-    def _list_candidates(self, part: str) -> list[str]:
-        """Return the VMs that may run a part and were not asked yet.
-
-        No work goes to another VM in a data centre that is taken out. After
-        a first refusal the warmers of the part's searchers come first: they
-        alone send to a cold searcher.
-        """
-        view = self._query.view
-        service_id = self._query.message.service_id
-        owners = self._parts.owner_table.find_owners(view, service_id, part)
-        tried = self._tried_by_part[part]
-        candidates = [
-            vm_id
-            for vm_id in owners
-            if vm_id not in tried and self._may_receive(vm_id)
-        ]
-        if not tried:
-            return candidates
-        searchers = view.services_by_id[service_id].parts_by_name[part]
-        warmers = {
-            find_warmer(searcher_id, owners)
-            for searcher_id in searchers.searchers_by_id
-        }
-        return [vm_id for vm_id in candidates if vm_id in warmers] or candidates
-
-    def _may_receive(self, vm_id: str) -> bool:
-        feed = self._parts.feed
-        roster = self._query.view.roster
-        if roster is None or vm_id == feed.process.vm_id:
-            return True
-        data_centre = roster.vms_by_id[vm_id].data_centre
-        return feed.view.is_data_centre_in(data_centre)
-
-    def _rank_vm(self, vm_id: str) -> VmRank:
-        feed = self._parts.feed
-        roster = self._query.view.roster
-        is_near = (
-            roster is not None
-            and roster.vms_by_id[vm_id].data_centre == feed.process.data_centre
-        )
-        is_live = not feed.live_vms or feed.live_vms.get(vm_id) == _LIVE
-        is_used = is_live and not self._parts.peers.is_avoided(vm_id)
-        failures, latency_s = self._parts.peers.observe(vm_id)
-        return (not is_used, not is_near, failures, latency_s)
-
     def _remaining_s(self) -> float:
         return self._query.merge_deadline - self._parts.feed.clock()
--- a/jacinthcart/gather/_merge.py
+++ b/jacinthcart/gather/_merge.py
@@ -12,6 +12,7 @@
     PartOutcome,
     PartWork,
     create_missing_outcome,
+    find_retry_after,
 )
 from jacinthcart.telemetry import Metrics
 
@@ -195,14 +196,7 @@
         return RefusalError(
             _select_code(reasons),
             detail='no shard answered',
-            retry_after_ms=max(
-                (
-                    outcome.retry_after_ms
-                    for outcome in self._outcome_by_part.values()
-                    if outcome.retry_after_ms is not None
-                ),
-                default=None,
-            ),
+            retry_after_ms=find_retry_after(self._outcome_by_part.values()),
         )
 
 
--- a/jacinthcart/gather/_messages.py
+++ b/jacinthcart/gather/_messages.py
@@ -79,6 +79,8 @@
     other_versions: dict[str, frozenset[int]] = {}
     #: Missing shards whose work certainly did not run.
     not_run: frozenset[int] = frozenset()
+    #: Longest delay that a refused part asked for, in milliseconds.
+    retry_after_ms: int | None = None
 
 
 class RefusalBody(_Message):
--- a/jacinthcart/gather/_outcomes.py
+++ b/jacinthcart/gather/_outcomes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from jacinthcart.dispatch import PartResult, Snapshot
 from jacinthcart.errors import Ran, RefusalCode, RefusalError
@@ -155,12 +155,25 @@
         missing,
         reply.other_versions.get(work.part, frozenset()),
         Ran.NOT_RUN if reply.not_run.issuperset(missing) else Ran.UNKNOWN,
+        reply.retry_after_ms,
+    )
+
+
+def find_retry_after(outcomes: Iterable[PartOutcome]) -> int | None:
+    """Return the longest delay (ms) that a refused part asked for."""
+    return max(
+        (
+            outcome.retry_after_ms
+            for outcome in outcomes
+            if outcome.retry_after_ms is not None
+        ),
+        default=None,
     )
 
 
 def reply_from_outcomes(
     snapshot: Snapshot,
-    outcomes: Iterable[PartOutcome],
+    outcomes: Sequence[PartOutcome],
 ) -> dict[str, object]:
     """Return the JSON form of a subquery's reply."""
     hits_by_shard: dict[str, list[Hit]] = {}
@@ -184,4 +197,5 @@
         'missing': missing,
         'other_versions': other_versions,
         'not_run': not_run,
+        'retry_after_ms': find_retry_after(outcomes),
     }
--- a/jacinthcart/gather/_program.py
+++ b/jacinthcart/gather/_program.py
@@ -8,7 +8,7 @@
 from jacinthcart.feed import StateFeed
 from jacinthcart.gather._app import create_application
 from jacinthcart.gather._backend import BaseDispatcher
-from jacinthcart.gather._fanout import GatherParts
+from jacinthcart.gather._context import GatherParts
 from jacinthcart.gather._peers import PeerSet, open_peer_pool
 from jacinthcart.gather._plan import OwnerTable
 from jacinthcart.gather._service import GatherService
--- a/jacinthcart/gather/_query.py
+++ b/jacinthcart/gather/_query.py
@@ -4,7 +4,8 @@
 
 from jacinthcart.dispatch import Snapshot
 from jacinthcart.errors import Ran, RefusalCode, RefusalError
-from jacinthcart.gather._fanout import Fanout, GatherParts, PinnedQuery
+from jacinthcart.gather._context import GatherParts, PinnedQuery
+from jacinthcart.gather._fanout import Fanout
 from jacinthcart.gather._merge import Answer
 from jacinthcart.gather._messages import QueryMessage
 from jacinthcart.gather._outcomes import PartWork
--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -15,7 +15,8 @@
     RefusalCode,
     RefusalError,
 )
-from jacinthcart.gather._fanout import GatherParts, run_local_part
+from jacinthcart.gather._context import GatherParts
+from jacinthcart.gather._fanout import run_local_part
 from jacinthcart.gather._messages import (
     QueryMessage,
     SubqueryMessage,
@@ -181,7 +182,7 @@
                     tasks.start_soon(self._run_part, PartWork(part, shards))
         return reply_from_outcomes(
             self._snapshot,
-            self._outcome_by_part.values(),
+            tuple(self._outcome_by_part.values()),
         )
 
     async def _run_part(self, work: PartWork) -> None:
--- /dev/null
+++ b/tests/gather/test_query.py
@@ -0,0 +1,269 @@
+"""Tests of queries: snapshot, coverage, time and refusals."""
+
+import unittest
+from typing import Any
+
+import anyio
+
+from jacinthcart.dispatch import PartCall, PartResult
+from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from tests.gather.fakes import (
+    SERVICE_PATH,
+    Fleet,
+    answer_all,
+    create_service,
+    run_in_virtual_time,
+)
+
+
+def _list_missing(answer: dict[str, Any]) -> dict[int, str]:
+    missing = answer['coverage']['missing']
+    return {entry['shard']: entry['reason'] for entry in missing}
+
+
+class QueryTest(unittest.TestCase):
+    """An answer has one snapshot and tells what it lacks."""
+
+    def run_with(self, fleet: Fleet, **fields: Any) -> dict[str, Any]:
+        """Run one query from a VM that does not own part `p0`."""
+
+        async def body() -> dict[str, Any]:
+            return await fleet.find_stranger('p0').query(**fields)
+
+        return run_in_virtual_time(body)
+
+    def refuse_with(self, fleet: Fleet, **fields: Any) -> RefusalError:
+        """Return the refusal of one query."""
+        with self.assertRaises(RefusalError) as caught:
+            self.run_with(fleet, **fields)
+        return caught.exception
+
+    def test_hits_of_all_shards_come_best_first(self) -> None:
+        """Guards against a lost part, a wrong order and a wrong limit."""
+        answer = self.run_with(Fleet(create_service()), query={'limit': 4})
+        self.assertEqual(
+            [hit['score'] for hit in answer['hits']],
+            [5, 4, 3, 2],
+        )
+        self.assertEqual(
+            answer['coverage'],
+            {'shards_asked': 6, 'shards_answered': 6, 'missing': []},
+        )
+
+    def test_lookup_asks_one_shard(self) -> None:
+        """Guards against a lookup that fans out or has no stable shard."""
+        fleet = Fleet(create_service())
+        fields = {'route_kind': 'lookup', 'query': {'id': 'order-1'}}
+        answer = self.run_with(fleet, **fields)
+        self.assertEqual(self.run_with(fleet, **fields), answer)
+        self.assertEqual(answer['coverage']['shards_asked'], 1)
+
+    def test_reply_of_another_version_is_not_merged(self) -> None:
+        """Guards against hits of two index versions in one answer."""
+        fleet = Fleet(create_service())
+        owner = fleet.find_owners('p0')[0]
+
+        def change(vm_id: str, reply: dict[str, Any]) -> dict[str, Any]:
+            return {**reply, 'index_version': 6} if vm_id == owner else reply
+
+        fleet.change_reply = change
+        answer = self.run_with(fleet)
+        missing = _list_missing(answer)
+        self.assertEqual(missing[0], 'wrong_snapshot')
+        merged = sorted(int(hit['id'].split('-')[1]) for hit in answer['hits'])
+        self.assertEqual(
+            merged,
+            [shard for shard in range(6) if shard not in missing],
+        )
+
+    def test_reply_with_other_shards_is_not_merged(self) -> None:
+        """Guards against coverage that counts a shard nobody answered."""
+        fleet = Fleet(create_service())
+        owner = fleet.find_owners('p0')[0]
+
+        def change(vm_id: str, reply: dict[str, Any]) -> dict[str, Any]:
+            if vm_id == owner:
+                reply['hits_by_shard'].pop('0')
+            return reply
+
+        fleet.change_reply = change
+        answer = self.run_with(fleet)
+        self.assertEqual(
+            _list_missing(answer),
+            {0: 'wrong_shards', 1: 'wrong_shards'},
+        )
+
+    def test_repartition_under_a_query_changes_nothing(self) -> None:
+        """Guards against a plan that mixes two partition maps."""
+
+        async def repartition(call: PartCall) -> PartResult:
+            if fleet.revision == before:
+                fleet.apply(SERVICE_PATH, moved)
+            await anyio.sleep(0.1)
+            return answer_all(call)
+
+        fleet = Fleet(create_service(), runner=repartition)
+        moved = create_service(2, partition_map=2, index_versions=[8])
+        before = fleet.revision
+        answer = self.run_with(fleet)
+        self.assertEqual(
+            answer['snapshot'],
+            {'index_version': 7, 'partition_map': 1},
+        )
+        self.assertEqual(answer['coverage']['shards_answered'], 6)
+
+    def test_refused_part_is_named_as_missing(self) -> None:
+        """Guards against an answer that looks complete but is not."""
+
+        async def refuse_one(call: PartCall) -> PartResult:
+            if call.part == 'p1':
+                raise RefusalError(RefusalCode.OVERLOADED)
+            return answer_all(call)
+
+        answer = self.run_with(Fleet(create_service(), runner=refuse_one))
+        self.assertEqual(
+            _list_missing(answer),
+            {2: 'overloaded', 3: 'overloaded'},
+        )
+        self.assertEqual(answer['coverage']['shards_answered'], 4)
+
+    def test_late_peer_leaves_a_partial_answer(self) -> None:
+        """Guards against waiting past the deadline for one peer."""
+        fleet = Fleet(create_service())
+        owner = fleet.find_owners('p0')[0]
+        fleet.delay_s_by_vm[owner] = 5
+
+        async def body() -> None:
+            answer = await fleet.find_stranger('p0').query()
+            self.assertEqual(_list_missing(answer)[0], 'late')
+            self.assertLess(anyio.current_time() - started, 1)
+
+        async def timed_body() -> None:
+            nonlocal started
+            started = anyio.current_time()
+            await body()
+
+        started = 0.0
+        run_in_virtual_time(timed_body)
+
+    def test_whole_query_moves_to_a_version_that_is_held(self) -> None:
+        """Guards against lost coverage while replicas change versions."""
+
+        async def hold_six(call: PartCall) -> PartResult:
+            if call.part == 'p0' and call.snapshot.index_version == 7:
+                missing = dict.fromkeys(call.shards, 'wrong_version')
+                return PartResult({}, missing, frozenset((6,)))
+            return answer_all(call)
+
+        answer = self.run_with(Fleet(create_service(), runner=hold_six))
+        self.assertEqual(answer['snapshot']['index_version'], 6)
+        self.assertEqual(answer['coverage']['shards_answered'], 6)
+        self.assertEqual(
+            {hit['id'].split('-')[0] for hit in answer['hits']},
+            {'6'},
+        )
+
+    def test_unreachable_owner_is_replaced(self) -> None:
+        """Guards against lost coverage while another owner lives."""
+        fleet = Fleet(create_service(owners=2), vm_count=4)
+        fleet.unreachable.add(min(fleet.find_owners('p0')))
+        answer = self.run_with(fleet)
+        self.assertEqual(_list_missing(answer), {})
+        self.assertIn(min(fleet.find_owners('p0')), fleet.sent)
+
+    def test_broken_subquery_is_repeated_once(self) -> None:
+        """Guards against lost coverage and against endless repeats."""
+        fleet = Fleet(create_service(1, owners=3), vm_count=4)
+        owners = fleet.find_owners('p0')
+        fleet.breaking.update(owners)
+        refusal = self.refuse_with(fleet)
+        self.assertEqual(len(fleet.list_calls()), 2)
+        self.assertEqual(
+            (refusal.code, refusal.ran),
+            (RefusalCode.BACKEND_FAILED, Ran.UNKNOWN),
+        )
+        fleet.breaking = {fleet.sent[0]}
+        self.assertEqual(_list_missing(self.run_with(fleet)), {})
+
+    def test_not_run_needs_every_part_unrun(self) -> None:
+        """Guards against `not_run` while one part may have run."""
+
+        async def refuse(call: PartCall) -> PartResult:
+            ran = Ran.UNKNOWN if call.part == unknown_part else Ran.NOT_RUN
+            raise RefusalError(RefusalCode.NO_REPLICA, ran)
+
+        for unknown_part, code, ran in (
+            ('', RefusalCode.NO_REPLICA, Ran.NOT_RUN),
+            ('p1', RefusalCode.BACKEND_FAILED, Ran.UNKNOWN),
+        ):
+            refusal = self.refuse_with(Fleet(create_service(), runner=refuse))
+            self.assertEqual((refusal.code, refusal.ran), (code, ran))
+
+    def test_failed_attempt_keeps_a_later_refusal_unknown(self) -> None:
+        """Guards against `not_run` after a first peer's broken answer."""
+        fleet = Fleet(create_service(1, owners=2), vm_count=3)
+
+        async def refuse_second(call: PartCall) -> PartResult:
+            if len(fleet.sent) == 2:
+                raise RefusalError(RefusalCode.OVERLOADED)
+            return answer_all(call)
+
+        for vm in fleet.vms_by_id.values():
+            vm.dispatcher.runner = refuse_second
+        fleet.breaking = {min(fleet.find_owners('p0'))}
+        refusal = self.refuse_with(fleet)
+        self.assertEqual((len(fleet.sent), refusal.ran), (2, Ran.UNKNOWN))
+
+    def test_no_lease_and_bad_queries_are_not_run(self) -> None:
+        """Guards against work without a lease or without valid input."""
+        fleet = Fleet(create_service())
+        for fields, code in (
+            ({'query': {'limit': 0}}, RefusalCode.INVALID_REQUEST),
+            ({'route_kind': 'lookup'}, RefusalCode.INVALID_REQUEST),
+            ({'service_id': 'team/none'}, RefusalCode.UNKNOWN_ROUTE),
+            ({'deadline_ms': 0}, RefusalCode.DEADLINE_PASSED),
+        ):
+            refusal = self.refuse_with(fleet, **fields)
+            self.assertEqual((refusal.code, refusal.ran), (code, Ran.NOT_RUN))
+        for vm in fleet.vms_by_id.values():
+            vm.feed.lease = False
+        refusal = self.refuse_with(fleet)
+        self.assertEqual(refusal.code, RefusalCode.NOT_READY)
+        self.assertEqual((fleet.sent, fleet.list_calls()), ([], []))
+
+    def test_gather_paused_past_the_deadline_sends_nothing(self) -> None:
+        """Guards against work for callers that have given up."""
+
+        async def pause(call: PartCall) -> PartResult:
+            for vm in fleet.vms_by_id.values():
+                vm.feed.paused_s += 60
+            return answer_all(call)
+
+        fleet = Fleet(create_service(), vm_count=1, runner=pause)
+
+        async def body() -> dict[str, Any]:
+            return await fleet.vms_by_id['vm0'].query()
+
+        answer = run_in_virtual_time(body)
+        self.assertEqual(len(fleet.list_calls()), 1)
+        self.assertEqual(
+            set(_list_missing(answer).values()),
+            {'deadline_passed'},
+        )
+
+    def test_leaving_gather_refuses_subqueries_after_the_notice(self) -> None:
+        """Guards against a planned stop that interrupts requests."""
+        fleet = Fleet(create_service(1), vm_count=2)
+        owner = fleet.vms_by_id[fleet.find_owners('p0')[0]]
+
+        async def body() -> None:
+            stranger = fleet.find_stranger('p0')
+            owner.service.start_leaving()
+            await stranger.query()
+            await anyio.sleep(1.1)
+            with self.assertRaises(RefusalError) as caught:
+                await stranger.query()
+            self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
+
+        run_in_virtual_time(body)
+        self.assertEqual(len(fleet.list_calls()), 1)
--- /dev/null
+++ b/tests/gather/test_submit.py
@@ -0,0 +1,162 @@
+"""Tests of non-idempotent requests: each id runs at most once."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from jacinthcart.dispatch import PartCall, PartResult
+from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from tests.gather.fakes import Fleet, Vm, create_service, run_in_virtual_time
+
+
+class SubmitTest(unittest.TestCase):
+    """Ids live at their home VM."""
+
+    def setUp(self) -> None:
+        """Start three gathers; the part is owned by two of them."""
+        self.fleet = Fleet(create_service(1, owners=2))
+        self.home = self.fleet.find_stranger('p0')
+
+    def run_body(self, body: Callable[[], Awaitable[None]]) -> None:
+        """Run a test in virtual time."""
+        run_in_virtual_time(body)
+
+    def create_id(self, vm: Vm) -> str:
+        """Return a request id of this home."""
+        return f'{vm.service.create_prefix()["prefix"]}.abc'
+
+    async def refuse(
+        self,
+        vm: Vm,
+        request_id: str,
+        code: RefusalCode,
+        ran: Ran,
+    ) -> None:
+        """Check how a submit is refused."""
+        with self.assertRaises(RefusalError) as caught:
+            await vm.submit(request_id)
+        refusal = caught.exception
+        self.assertEqual((refusal.code, refusal.ran), (code, ran))
+
+    def test_second_arrival_does_not_run(self) -> None:
+        """Guards against a doubled order, also while the first one runs."""
+
+        async def body() -> None:
+            request_id = self.create_id(self.home)
+            owners = self.fleet.find_owners('p0')
+            self.fleet.delay_s_by_vm = dict.fromkeys(owners, 0.2)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.home.submit, request_id)
+                await anyio.sleep(0.1)
+                for _ in range(2):
+                    await self.refuse(
+                        self.home,
+                        request_id,
+                        RefusalCode.DUPLICATE,
+                        Ran.UNKNOWN,
+                    )
+                    await anyio.sleep(0.2)
+
+        self.run_body(body)
+        self.assertEqual(len(self.fleet.list_calls()), 1)
+
+    def test_other_vm_is_not_the_home(self) -> None:
+        """Guards against a second run through another VM."""
+
+        async def body() -> None:
+            request_id = self.create_id(self.home)
+            for vm in self.fleet.vms_by_id.values():
+                if vm is not self.home:
+                    await self.refuse(
+                        vm,
+                        request_id,
+                        RefusalCode.INVALID_REQUEST,
+                        Ran.NOT_RUN,
+                    )
+
+        self.run_body(body)
+        self.assertEqual(self.fleet.list_calls(), [])
+
+    def test_restarted_home_refuses_ids_of_its_predecessor(self) -> None:
+        """Guards against a second run after the memory was lost."""
+
+        async def body() -> None:
+            request_id = self.create_id(self.home)
+            await self.home.submit(request_id)
+            self.home.restart()
+            await self.refuse(
+                self.home,
+                request_id,
+                RefusalCode.EXPIRED_REQUEST_ID,
+                Ran.UNKNOWN,
+            )
+
+        self.run_body(body)
+        self.assertEqual(len(self.fleet.list_calls()), 1)
+
+    def test_forgotten_id_is_refused_when_the_time_to_live_grows(self) -> None:
+        """Guards against a second run of an id that left the memory."""
+
+        async def body() -> None:
+            request_id = self.create_id(self.home)
+            await self.home.submit(request_id)
+            await anyio.sleep(601)
+            await self.home.submit(self.create_id(self.home))
+            self.assertEqual(
+                self.home.service.create_report()['request_ids'],
+                1,
+            )
+            self.fleet.apply('fleet/policy', {'request_id_ttl_s': 6000})
+            await self.refuse(
+                self.home,
+                request_id,
+                RefusalCode.EXPIRED_REQUEST_ID,
+                Ran.UNKNOWN,
+            )
+
+        self.run_body(body)
+
+    def test_broken_submit_is_not_repeated(self) -> None:
+        """Guards against a second owner that runs the request again."""
+
+        async def body() -> None:
+            self.fleet.breaking.update(self.fleet.find_owners('p0'))
+            request_id = self.create_id(self.home)
+            for code in (RefusalCode.BACKEND_FAILED, RefusalCode.DUPLICATE):
+                await self.refuse(self.home, request_id, code, Ran.UNKNOWN)
+
+        self.run_body(body)
+        self.assertEqual(len(self.fleet.list_calls()), 1)
+
+    def test_request_that_did_not_run_may_come_again(self) -> None:
+        """Guards against an id burnt by a refusal that says `not_run`."""
+
+        async def refuse_first(call: PartCall) -> PartResult:
+            for vm in self.fleet.vms_by_id.values():
+                vm.dispatcher.runner = None
+            raise RefusalError(RefusalCode.OVERLOADED, retry_after_ms=40)
+
+        for vm in self.fleet.vms_by_id.values():
+            vm.dispatcher.runner = refuse_first
+
+        async def body() -> None:
+            request_id = self.create_id(self.home)
+            with self.assertRaises(RefusalError) as caught:
+                await self.home.submit(request_id)
+            self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
+            self.assertEqual(caught.exception.retry_after_ms, 40)
+            answer = await self.home.submit(request_id)
+            self.assertEqual(answer['coverage']['shards_answered'], 2)
+
+        self.run_body(body)
+
+    def test_unreachable_owner_is_replaced_before_sending(self) -> None:
+        """Guards against a refusal while another owner can run it."""
+
+        async def body() -> None:
+            self.fleet.unreachable.add(min(self.fleet.find_owners('p0')))
+            await self.home.submit(self.create_id(self.home))
+
+        self.run_body(body)
+        self.assertEqual(len(self.fleet.list_calls()), 1)
