Add the rate limit experiment in virtual time

Measures wrongful refusals with all callers on one VM, calm and after a VM is lost, against static shares, and checks admissions from outside.

--- /dev/null
+++ b/jacinthcart_lab/limits_experiment.py
@@ -0,0 +1,157 @@
+"""Wrongful refusals of the rate limiter, calm and after losing a VM."""
+
+import dataclasses
+import random
+from typing import Any
+
+import anyio
+from trio.testing import MockClock
+
+from jacinthcart.settings import SettingsView, build_view
+from jacinthcart_lab.limits_fleet import SimulatedFleet
+from jacinthcart_lab.limits_oracle import LimitInForce, find_excess
+
+WORKSPACE_ID = 'voskovka/praha'
+VM_COUNT = 8
+_FIRST_PORT = 7000
+#: Seconds that the buckets fill before the first request.
+_FILL_S = 2.0
+#: Seconds of traffic before anything is counted.
+_WARM_UP_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitsExperiment:
+    """What one run of the experiment does."""
+
+    #: Seed of every random choice.
+    seed: int
+    #: Demand as a part of the workspace's rate.
+    load: float = 0.8
+    #: Requests a second.
+    rate: float = 400
+    #: Requests at once.
+    burst: float = 400
+    #: False measures static shares, the baseline.
+    lending_enabled: bool = True
+    #: Counted seconds before the loss of a VM.
+    calm_s: float = 10
+    #: Counted seconds after it.
+    loss_s: float = 10
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitsFigures:
+    """What one run of the experiment measured."""
+
+    #: Requests before the loss that got a response.
+    calm_requests: int
+    #: Part of them that was refused.
+    calm_refused: float
+    #: Requests in the seconds after the loss that got a response.
+    loss_requests: int
+    #: Part of them that was refused.
+    loss_refused: float
+    #: Requests admitted beyond rate and burst, 0 if none.
+    excess: float
+    #: Datagrams a second sent by all VMs.
+    datagrams_per_s: float
+
+
+def create_view(
+    rate: float,
+    burst: float,
+    revision: int = 1,
+    **policy: Any,
+) -> SettingsView:
+    """Return settings of eight VMs and one workspace."""
+    vms_by_id = {
+        f'vm-{number}': {
+            'address': '127.0.0.1',
+            'data_centre': 'one',
+            'entry_port': _FIRST_PORT,
+            'gather_port': _FIRST_PORT + 1,
+            'control_port': _FIRST_PORT + 2,
+            'admin_port': _FIRST_PORT + 3,
+        }
+        for number in range(VM_COUNT)
+    }
+    team, name = WORKSPACE_ID.split('/')
+    return build_view(
+        {
+            'fleet/roster': {'vms_by_id': vms_by_id},
+            'fleet/policy': policy,
+            f'teams/{team}/workspaces/{name}': {'rate': rate, 'burst': burst},
+        },
+        revision,
+    )
+
+
+def run_limits_experiment(experiment: LimitsExperiment) -> LimitsFigures:
+    """Run in virtual time: all callers on one VM, then lose another VM."""
+    return anyio.run(
+        _run,
+        experiment,
+        backend='trio',
+        backend_options={
+            'clock': MockClock(autojump_threshold=0),
+        },
+    )
+
+
+async def _run(experiment: LimitsExperiment) -> LimitsFigures:
+    rng = random.Random(experiment.seed)
+    view = create_view(
+        experiment.rate,
+        experiment.burst,
+        lending_enabled=experiment.lending_enabled,
+    )
+    async with anyio.create_task_group() as tasks:
+        vm_ids = list(view.roster.vms_by_id) if view.roster else []
+        fleet = SimulatedFleet(vm_ids, tasks, rng)
+        started_at = anyio.current_time()
+        fleet.start(view)
+        caller_vm, lost_vm = fleet.vms[0], fleet.vms[1]
+        await anyio.sleep(_FILL_S)
+        tasks.start_soon(
+            fleet.send_requests,
+            WORKSPACE_ID,
+            experiment.rate * experiment.load,
+            lambda: caller_vm,
+        )
+        await anyio.sleep(_WARM_UP_S)
+        calm_at = anyio.current_time()
+        await anyio.sleep(experiment.calm_s)
+        lost_at = anyio.current_time()
+        lost_vm.kill()
+        await anyio.sleep(experiment.loss_s)
+        ended_at = anyio.current_time()
+        tasks.cancel_scope.cancel()
+    calm_requests, calm_refused = _count(fleet, calm_at, lost_at)
+    loss_requests, loss_refused = _count(fleet, lost_at, ended_at)
+    limit = LimitInForce(
+        started_at,
+        ended_at,
+        experiment.rate,
+        experiment.burst,
+    )
+    sent = sum(fleet.network.sent_by_kind.values())
+    return LimitsFigures(
+        calm_requests,
+        calm_refused,
+        loss_requests,
+        loss_refused,
+        find_excess(fleet.admitted_at, [limit], 0),
+        sent / (ended_at - started_at - _FILL_S),
+    )
+
+
+def _count(
+    fleet: SimulatedFleet,
+    start: float,
+    end: float,
+) -> tuple[int, float]:
+    admitted = sum(start <= at < end for at in fleet.admitted_at)
+    refused = sum(start <= at < end for at in fleet.refused_at)
+    requests = admitted + refused
+    return requests, refused / max(1, requests)
--- /dev/null
+++ b/jacinthcart_lab/limits_fleet.py
@@ -0,0 +1,260 @@
+"""A fleet of rate limiters over a simulated network, in virtual time."""
+
+import collections
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from jacinthcart.errors import (
+    NotSentError,
+    OutcomeUnknownError,
+    RefusalError,
+)
+from jacinthcart.limits import (
+    BasePeerMessenger,
+    Borrower,
+    Lender,
+    PermitClient,
+    PermitService,
+    TokenLedger,
+)
+from jacinthcart.settings import SettingsView
+from jacinthcart.telemetry import DecisionLog, Metrics
+
+#: Seconds one way between entry and control of one VM.
+_LOCAL_DELAY_S = 0.0005
+
+
+class SimulatedNetwork:
+    """Delivers datagrams late, twice or not at all."""
+
+    def __init__(self, tasks: TaskGroup, rng: random.Random) -> None:
+        """Start without loss and with delays of one data centre pair."""
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay_range_s = (0.0003, 0.0015)
+        self.side_by_vm: dict[str, int] = {}
+        self.vms_by_id: dict[str, 'SimulatedVm'] = {}
+        self.sent_by_kind: collections.Counter[str] = collections.Counter()
+        self._tasks = tasks
+        self._rng = rng
+
+    def transmit(self, sender: str, to: str, message: dict[str, Any]) -> None:
+        """Send one datagram unless it is lost or a split is in between."""
+        self.sent_by_kind[message['kind']] += 1
+        if self.side_by_vm.get(sender, 0) != self.side_by_vm.get(to, 0):
+            return
+        copies = 1 + (self._rng.random() < self.duplication)
+        for _ in range(copies):
+            if self._rng.random() >= self.loss:
+                delay_s = self._rng.uniform(*self.delay_range_s)
+                self._tasks.start_soon(self._deliver, to, message, delay_s)
+
+    async def _deliver(
+        self,
+        to: str,
+        message: dict[str, Any],
+        delay_s: float,
+    ) -> None:
+        await anyio.sleep(delay_s)
+        await self.vms_by_id[to].receive(message)
+
+
+class _VmMessenger(BasePeerMessenger):
+    """Sends through the network unless its VM is paused."""
+
+    def __init__(self, vm: 'SimulatedVm') -> None:
+        self._vm = vm
+
+    async def send(self, vm_id: str, message: dict[str, Any]) -> None:
+        await self._vm.wait_awake()
+        self._vm.network.transmit(self._vm.vm_id, vm_id, message)
+
+
+class SimulatedControl:
+    """The parts of one run of a control process."""
+
+    def __init__(self, vm: 'SimulatedVm', seed: int) -> None:
+        """Start with empty memory."""
+        clock = anyio.current_time
+        rng = random.Random(seed)
+        messenger = _VmMessenger(vm)
+        metrics = vm.metrics
+        self.scope = anyio.CancelScope()
+        self.ledger = TokenLedger(
+            vm.vm_id,
+            clock,
+            metrics,
+            DecisionLog(),
+            rng,
+        )
+        self.lender = Lender(self.ledger, messenger, clock, metrics)
+        self.borrower = Borrower(self.ledger, messenger, clock, metrics, rng)
+        self.service = PermitService(self.borrower, clock)
+
+    async def run(self) -> None:
+        """Borrow in the background until killed."""
+        with self.scope:
+            await self.borrower.run()
+
+
+class SimulatedVm:
+    """One VM with an entry and a control process."""
+
+    def __init__(
+        self,
+        vm_id: str,
+        network: SimulatedNetwork,
+        tasks: TaskGroup,
+        rng: random.Random,
+    ) -> None:
+        """Prepare the VM; its programs start with `start`."""
+        self.vm_id = vm_id
+        self.network = network
+        self.metrics = Metrics()
+        self.control: SimulatedControl | None = None
+        self._tasks = tasks
+        self._rng = rng
+        self._awake = anyio.Event()
+        self._awake.set()
+        self._entry_scope = anyio.CancelScope()
+        self._client: PermitClient | None = None
+
+    def start(self, view: SettingsView) -> None:
+        """Start both programs with empty memory."""
+        self.start_control(view)
+        self._client = PermitClient(
+            self._post,
+            lambda: view.policy.permit_batch_ms,
+            anyio.current_time,
+            self.metrics,
+        )
+        self._entry_scope = anyio.CancelScope()
+        self._tasks.start_soon(self._run_entry, self._client)
+
+    def start_control(self, view: SettingsView) -> None:
+        """Start control with empty memory."""
+        self.control = SimulatedControl(self, self._rng.getrandbits(64))
+        self.control.ledger.apply_settings(view)
+        self._tasks.start_soon(self.control.run)
+
+    def kill_control(self) -> None:
+        """End control; its memory is lost."""
+        if self.control is not None:
+            self.control.scope.cancel()
+        self.control = None
+
+    def kill(self) -> None:
+        """End both programs; their memory is lost."""
+        self.kill_control()
+        self._entry_scope.cancel()
+        self._client = None
+
+    def pause(self) -> None:
+        """Stop both programs; datagrams wait until they resume."""
+        if self._awake.is_set():
+            self._awake = anyio.Event()
+
+    def resume(self) -> None:
+        """Let both programs go on."""
+        self._awake.set()
+
+    async def wait_awake(self) -> None:
+        """Wait while the VM is paused."""
+        await self._awake.wait()
+
+    async def receive(self, message: dict[str, Any]) -> None:
+        """Hand a datagram to control."""
+        await self.wait_awake()
+        control = self.control
+        if control is None:
+            return
+        receiver = {
+            'borrow': control.lender.handle,
+            'lend': control.borrower.handle,
+        }[message['kind']]
+        await receiver(message, anyio.current_time())
+
+    async def request(self, workspace_id: str) -> bool | None:
+        """Return whether the limiter admits one request; None when down."""
+        await self.wait_awake()
+        client = self._client
+        if client is None:
+            return None
+        try:
+            with anyio.fail_after(5):
+                await client.acquire(workspace_id)
+        except RefusalError:
+            return False
+        except TimeoutError:
+            return None
+        return True
+
+    async def _run_entry(self, client: PermitClient) -> None:
+        with self._entry_scope:
+            await client.run()
+
+    async def _post(self, body: dict[str, Any]) -> dict[str, Any]:
+        control = self.control
+        if control is None:
+            raise NotSentError('control is down')
+        await anyio.sleep(_LOCAL_DELAY_S)
+        await self.wait_awake()
+        reply = await control.service.handle(body)
+        await anyio.sleep(_LOCAL_DELAY_S)
+        await self.wait_awake()
+        if self.control is not control:
+            raise OutcomeUnknownError('control was killed')
+        return reply
+
+
+class SimulatedFleet:
+    """VMs with one settings view, and the record of what was admitted."""
+
+    def __init__(
+        self,
+        vm_ids: list[str],
+        tasks: TaskGroup,
+        rng: random.Random,
+    ) -> None:
+        """Prepare all VMs; `start` starts them."""
+        self.network = SimulatedNetwork(tasks, rng)
+        self.admitted_at: list[float] = []
+        self.refused_at: list[float] = []
+        self._tasks = tasks
+        self._rng = rng
+        for vm_id in vm_ids:
+            vm = SimulatedVm(vm_id, self.network, tasks, rng)
+            self.network.vms_by_id[vm_id] = vm
+
+    @property
+    def vms(self) -> list[SimulatedVm]:
+        """All VMs."""
+        return list(self.network.vms_by_id.values())
+
+    def start(self, view: SettingsView) -> None:
+        """Start every VM."""
+        for vm in self.vms:
+            vm.start(view)
+
+    async def call(self, vm: SimulatedVm, workspace_id: str) -> None:
+        """Send one request and record what became of it."""
+        admitted = await vm.request(workspace_id)
+        if admitted is None:
+            return
+        record = self.admitted_at if admitted else self.refused_at
+        record.append(anyio.current_time())
+
+    async def send_requests(
+        self,
+        workspace_id: str,
+        rate: float,
+        choose_vm: Callable[[], SimulatedVm],
+    ) -> None:
+        """Send requests with exponential gaps until cancelled."""
+        while True:
+            await anyio.sleep(self._rng.expovariate(rate))
+            self._tasks.start_soon(self.call, choose_vm(), workspace_id)
--- /dev/null
+++ b/jacinthcart_lab/limits_oracle.py
@@ -0,0 +1,65 @@
+"""Checks from outside the limiter that admissions keep rate and burst."""
+
+import dataclasses
+from collections.abc import Sequence
+
+#: Rounding error of the floating point sums, in requests.
+_TOLERANCE = 1e-6
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitInForce:
+    """A rate and burst that at least one VM used during a time span."""
+
+    #: Time in seconds at which the first VM used it.
+    start: float
+    #: Time in seconds at which the last VM stopped using it.
+    end: float
+    #: Requests a second.
+    rate: float
+    #: Requests at once.
+    burst: float
+
+
+def find_excess(
+    admitted_at: Sequence[float],
+    limits: Sequence[LimitInForce],
+    lifetime_s: float,
+) -> float:
+    """Return the largest excess over every window, 0 if there is none.
+
+    A window may admit `rate * length + burst` requests, with the highest
+    rate and burst in force in the window or within `lifetime_s` before it.
+    """
+    times = sorted(admitted_at)
+    bounds = sorted({limit.start for limit in limits} | {times[-1]})
+    bounds.extend(limit.end for limit in limits if limit.end < bounds[-1])
+    bounds = sorted(set(bounds))
+    worst = 0.0
+    for index, start in enumerate(bounds):
+        for end in bounds[index + 1 :]:
+            inside = [at for at in times if start <= at <= end]
+            known = [
+                limit
+                for limit in limits
+                if limit.start < end and limit.end > start - lifetime_s
+            ]
+            excess = _find_excess(
+                inside,
+                max(limit.rate for limit in known),
+                max(limit.burst for limit in known),
+            )
+            worst = max(worst, excess)
+    return worst
+
+
+def _find_excess(times: Sequence[float], rate: float, burst: float) -> float:
+    """Return the largest excess over every window at one rate and burst."""
+    worst = 0.0
+    level = 0.0
+    previous = times[0] if times else 0.0
+    for at in times:
+        level = max(0.0, level - (at - previous) * rate) + 1
+        previous = at
+        worst = max(worst, level - burst)
+    return worst if worst > _TOLERANCE else 0.0
