Add the administration API, own costs and the graceful stop of control

Each server runs in a task of its own: with Hypercorn's asyncio worker in the program's task the stop ended in a traceback; a trial with and without the child task group showed the difference.

--- a/jacinthcart/control/_program.py
+++ b/jacinthcart/control/_program.py
@@ -5,16 +5,21 @@
 
 import anyio
 
+from jacinthcart.control._admin_api import create_admin_application
+from jacinthcart.control._costs import Costs
+from jacinthcart.control._http_bytes import HttpByteCounter
 from jacinthcart.control._internal_api import create_internal_application
 from jacinthcart.control._node import ControlNode, Surroundings
 from jacinthcart.control._permits import BasePermitService, NoPermitService
+from jacinthcart.control._reports import Reports
+from jacinthcart.control._serving import ServingWatch
 from jacinthcart.control._warm import MergeEntries, keep_higher_incident
 from jacinthcart.membership import BaseDatagrams, DatagramEndpoint
 from jacinthcart.program import StopSignal, read_boot_clock
 from jacinthcart.settings import Endpoint, ProcessSettings
 from jacinthcart.sync import PeerSettingsClient, PlatformClient
-from jacinthcart.telemetry import Metrics, create_logger
-from jacinthcart.wire import serve_application
+from jacinthcart.telemetry import DecisionLog, Metrics, create_logger
+from jacinthcart.wire import AsgiApplication, serve_application
 
 _GRACE_S = 1.0
 _MS_PER_S = 1000
@@ -46,8 +51,8 @@
     metrics = Metrics()
     local = Endpoint(address=process.address, port=process.control_port)
     datagrams = DatagramEndpoint(local, metrics)
-    platform = PlatformClient(process.config_service)
-    peer_client = PeerSettingsClient()
+    platform = PlatformClient(process.config_service, metrics)
+    peer_client = PeerSettingsClient(metrics)
     node = ControlNode(
         process,
         Surroundings(
@@ -78,19 +83,53 @@
     stop: StopSignal,
 ) -> None:
     closing = anyio.Event()
-    process = node.process
+    outside = node.outside
+    decisions = DecisionLog()
+    reports = Reports(node.process, outside.metrics, decisions)
+    costs = Costs(outside.metrics, outside.clock)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(datagrams.run, node.listener.take)
         tasks.start_soon(node.run)
+        tasks.start_soon(costs.run)
+        tasks.start_soon(ServingWatch(node, decisions).run)
         tasks.start_soon(_watch_stop, node, stop, closing)
-        await serve_application(
+        await _serve_both(
             create_internal_application(node),
-            process.address,
-            process.control_port,
+            create_admin_application(node, costs, reports),
+            node,
             closing,
-            _GRACE_S,
         )
         tasks.cancel_scope.cancel()
+    await reports.close()
+
+
+async def _serve_both(
+    internal: AsgiApplication,
+    admin: AsgiApplication,
+    node: ControlNode,
+    closing: anyio.Event,
+) -> None:
+    """Serve both ports until `closing` is set.
+
+    Each server has a task of its own: Hypercorn's asyncio worker cancels
+    the task that it was called in, which an outer task group would see as a
+    cancellation of the program.
+    """
+    process = node.process
+    application_by_port = {
+        process.control_port: internal,
+        process.admin_port: admin,
+    }
+    async with anyio.create_task_group() as servers:
+        for port, application in application_by_port.items():
+            servers.start_soon(
+                serve_application,
+                HttpByteCounter(application, node.outside.metrics),
+                process.address,
+                port,
+                closing,
+                _GRACE_S,
+            )
 
 
 async def _watch_stop(
--- /dev/null
+++ b/jacinthcart/control/_status.py
@@ -0,0 +1,59 @@
+"""The status of one VM for operators."""
+
+from typing import Any
+
+from jacinthcart.control._costs import Costs
+from jacinthcart.control._node import ControlNode
+
+
+def describe_status(
+    node: ControlNode,
+    costs: Costs,
+    reports: dict[str, dict[str, Any]],
+) -> dict[str, Any]:
+    """Return what the VM knows, holds and costs; ages in seconds."""
+    store = node.state.store
+    return {
+        'vm': node.process.vm_id,
+        'incarnation': node.state.incarnation,
+        'revision': store.revision,
+        'errors': [
+            {'path': error.path, 'rule': error.rule} for error in store.errors
+        ],
+        'ignored_stale_changes': store.ignored_stale_changes,
+        'leaving': node.state.is_leaving,
+        'ready': node.is_ready,
+        'serving': describe_serving(node),
+        'members': describe_members(node),
+        'neighbour_age_s': node.neighbours.list_ages(),
+        'limits': node.outside.permits.describe(),
+        'set_aside': reports.get('gather', {}).get('set_aside', {}),
+        'cost': costs.describe(),
+    }
+
+
+def describe_serving(node: ControlNode) -> dict[str, Any]:
+    """Return whether leases are granted and why."""
+    return {
+        'lease_ms': node.lease_ms,
+        'start_waits_for': node.gate.blocker,
+        'current': node.currency.is_current,
+        'reason': str(node.currency.reason),
+        'service_age_s': node.currency.service_age_s,
+        'confirmed_age_s': node.currency.list_ages(),
+    }
+
+
+def describe_members(node: ControlNode) -> dict[str, dict[str, Any]]:
+    """Return the VMs heard of, with seconds since the last message."""
+    now = node.outside.clock()
+    return {
+        vm_id: {
+            'age_s': now - member.heard_at,
+            'incarnation': member.state.incarnation,
+            'revision': member.state.revision,
+            'leaving': member.state.leaving,
+            'ready': member.state.ready,
+        }
+        for vm_id, member in node.heartbeats.members_by_vm.items()
+    }
--- a/jacinthcart/sync/_peers.py
+++ b/jacinthcart/sync/_peers.py
@@ -8,6 +8,7 @@
 from jacinthcart.errors import InvalidMessageError, WireError
 from jacinthcart.settings import Endpoint
 from jacinthcart.sync._messages import PeerSettings, decode_peer_settings
+from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import decode_json
 
 _TIMEOUT_S = 1.0
@@ -31,8 +32,9 @@
 class PeerSettingsClient(BasePeerClient):
     """Reads from peers over HTTP."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
         """Prepare the client; connections open on demand."""
+        self._metrics = metrics
         self._client = httpx.AsyncClient(timeout=_TIMEOUT_S, trust_env=False)
 
     async def pull_settings(self, peer: Endpoint, after: int) -> PeerSettings:
@@ -60,4 +62,6 @@
             raise WireError(f'peer: {type(error).__name__}') from error
         if not response.is_success:
             raise WireError(f'peer: status {response.status_code}')
-        return decode_json(response.content)
+        received = response.content
+        self._metrics.count('bytes', 'http_received', amount=len(received))
+        return decode_json(received)
--- a/jacinthcart/sync/_platform.py
+++ b/jacinthcart/sync/_platform.py
@@ -8,6 +8,7 @@
 from jacinthcart.errors import InvalidMessageError, WireError
 from jacinthcart.settings import Endpoint
 from jacinthcart.sync._messages import WatchChanges, decode_watch_changes
+from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import decode_json
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -37,8 +38,9 @@
 class PlatformClient(BasePlatform):
     """Reads the platform over HTTP."""
 
-    def __init__(self, service: Endpoint) -> None:
+    def __init__(self, service: Endpoint, metrics: Metrics) -> None:
         """Prepare the client; connections open on demand."""
+        self._metrics = metrics
         self._client = httpx.AsyncClient(
             base_url=f'http://{service.address}:{service.port}',
             timeout=httpx.Timeout(_ANSWER_MARGIN_S, connect=_CONNECT_TIMEOUT_S),
@@ -74,7 +76,9 @@
             ) from error
         if not response.is_success:
             raise WireError(f'platform: status {response.status_code}')
-        return decode_json(response.content)
+        received = response.content
+        self._metrics.count('bytes', 'http_received', amount=len(received))
+        return decode_json(received)
 
 
 def _decode_vms(message: Any) -> dict[str, str]:
--- a/jacinthcart/telemetry/__init__.py
+++ b/jacinthcart/telemetry/__init__.py
@@ -7,7 +7,11 @@
     set_log_level,
     start_logging,
 )
-from jacinthcart.telemetry._metrics import HistogramKey, Metrics
+from jacinthcart.telemetry._metrics import (
+    HistogramKey,
+    Metrics,
+    create_histogram,
+)
 
 __all__ = [
     'Decision',
@@ -15,6 +19,7 @@
     'HistogramKey',
     'Logger',
     'Metrics',
+    'create_histogram',
     'create_logger',
     'set_log_level',
     'start_logging',
