--- a/jacinthcart/control/_internal_api.py
+++ b/jacinthcart/control/_internal_api.py
@@ -8,14 +8,12 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from jacinthcart.control._neighbours import NEIGHBOURS
 from jacinthcart.control._node import ControlNode
+from jacinthcart.control._state_service import StateService
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.settings import encode_values
 from jacinthcart.wire import decode_json, encode_json
 
-_MS_PER_S = 1000
-_WAIT_SHARE_OF_LEASE = 3
 _STATUS_INVALID = 400
 
 _JsonEndpoint = Callable[[Request], Awaitable[Any]]
@@ -27,25 +25,17 @@
     def __init__(self, node: ControlNode) -> None:
         """Serve the state of `node`."""
         self._node = node
+        self._states = StateService(node)
 
     async def poll_state(self, request: Request) -> dict[str, Any]:
-        """Answer a neighbour's poll at the next change or after its wait.
-
-        Whether a lease is granted is decided when the answer is made.
-        """
+        """Answer a neighbour's poll."""
         query = request.query_params
-        program = query.get('program', '')
-        if program not in NEIGHBOURS:
-            raise InvalidMessageError('unknown program')
-        neighbours = self._node.neighbours
-        neighbours.start_poll(program, query.get('ready') == '1')
-        try:
-            await self._wait(query.get('after', ''), query.get('wait_ms', ''))
-        finally:
-            neighbours.end_poll(program)
-        state = self._node.state.export_after(query.get('after', ''))
-        state['lease_ms'] = self._node.lease_ms
-        return state
+        return await self._states.poll(
+            query.get('program', ''),
+            query.get('after', ''),
+            _read_number(query.get('wait_ms', '0')),
+            query.get('ready') == '1',
+        )
 
     async def handle_permits(self, request: Request) -> dict[str, Any]:
         """Answer the entry's demand for permits."""
@@ -72,16 +62,6 @@
             'valid': encode_values(store.export_valid()),
         }
 
-    async def _wait(self, after: str, wait_text: str) -> None:
-        state = self._node.state
-        lease_ms = state.view.policy.serving_lease_ms
-        wait_ms = min(
-            _read_number(wait_text or '0'),
-            lease_ms // _WAIT_SHARE_OF_LEASE,
-        )
-        if after == state.version:
-            await state.changed.wait(wait_ms / _MS_PER_S)
-
 
 def create_internal_application(node: ControlNode) -> Starlette:
     """Return the application of the control port."""
