Answer with the request id and let gather outlast its entry

Gather refused new work at the same moment as its entry, so a request accepted last was refused; it now waits twice the announce time.

--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -71,10 +71,14 @@
         return self._feed.clock() >= self._refuse_from
 
     def start_leaving(self) -> None:
-        """Refuse new work once `drain_announce_ms` has passed."""
+        """Refuse new work once twice `drain_announce_ms` has passed.
+
+        The entry of this VM accepts requests for `drain_announce_ms` after
+        the same signal, and what it accepted last must still run here.
+        """
         announce_ms = self._feed.view.policy.drain_announce_ms
         now = self._feed.clock()
-        self._refuse_from = now + announce_ms / _MS_PER_S
+        self._refuse_from = now + 2 * announce_ms / _MS_PER_S
 
     async def run_query(self, body: bytes) -> Message:
         """Answer `POST /v1/queries`; raise RefusalError."""
@@ -98,7 +102,7 @@
         )
         for reason in answer.missing.values():
             metrics.count('shard_missing', service_id, reason)
-        return answer.to_message()
+        return {'request_id': message.request_id, **answer.to_message()}
 
     async def run_subquery(self, body: bytes) -> Message:
         """Answer `POST /v1/subqueries`; raise RefusalError."""
