Add the reference caller and the entry's tests

A test over a loopback connection showed that a refusal sent before the body had arrived was lost: the server closed with unread bytes, the connection was reset and httpx raised ReadError.

--- /dev/null
+++ b/jacinthcart/caller/__init__.py
@@ -0,0 +1,33 @@
+"""The reference caller of the query tier."""
+
+from jacinthcart.caller._answers import (
+    Address,
+    Answer,
+    Coverage,
+    MissingShard,
+    Snapshot,
+)
+from jacinthcart.caller._caller import Caller
+from jacinthcart.caller._errors import (
+    CallerError,
+    DeadlineError,
+    InvalidAnswerError,
+    OutcomeLostError,
+    RefusedError,
+    UnreachableError,
+)
+
+__all__ = [
+    'Address',
+    'Answer',
+    'Caller',
+    'CallerError',
+    'Coverage',
+    'DeadlineError',
+    'InvalidAnswerError',
+    'MissingShard',
+    'OutcomeLostError',
+    'RefusedError',
+    'Snapshot',
+    'UnreachableError',
+]
--- /dev/null
+++ b/jacinthcart/caller/_client.py
@@ -0,0 +1,191 @@
+"""Single attempts over HTTP; nothing here sends a request twice."""
+
+import dataclasses
+from typing import Any
+from urllib.parse import quote
+
+import anyio
+import httpx
+import pydantic
+
+from jacinthcart.caller._answers import (
+    ADDRESS_LIST_ADAPTER,
+    ADDRESSES_ADAPTER,
+    ANSWER_ADAPTER,
+    Address,
+    AddressList,
+    Answer,
+)
+from jacinthcart.caller._errors import (
+    CallerError,
+    InvalidAnswerError,
+    OutcomeLostError,
+    RefusedError,
+    UnreachableError,
+)
+from jacinthcart.errors import InvalidMessageError, Ran, RefusalCode
+from jacinthcart.program import Clock
+from jacinthcart.wire import decode_json, encode_json
+
+_STATUS_OK = 200
+_MS_PER_S = 1000
+_CONNECT_TIMEOUT_S = 1
+_ADDRESSES_TIMEOUT_S = 1
+#: An answer sent at the deadline still has to travel.
+_ANSWER_MARGIN_S = 0.1
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerRequest:
+    """One request, the same in each attempt."""
+
+    #: Route id, `<team>/<name>`.
+    route: str
+    #: Id of the request.
+    request_id: str
+    #: The query.
+    query: dict[str, Any]
+    #: Workspace that the key must belong to, None to accept any.
+    workspace: str | None
+    #: Deadline of all attempts, in seconds on the caller's clock.
+    deadline: float
+
+
+class EntryClient:
+    """Sends one request or question to one VM."""
+
+    def __init__(
+        self,
+        key: str | None,
+        clock: Clock,
+        transport: httpx.AsyncBaseTransport | None,
+    ) -> None:
+        """Open no connection yet; `transport` replaces the network."""
+        self._clock = clock
+        headers = {'authorization': f'Bearer {key}'} if key else {}
+        self._client = httpx.AsyncClient(
+            headers=headers,
+            trust_env=False,
+            follow_redirects=False,
+            transport=transport
+            or httpx.AsyncHTTPTransport(
+                retries=0,
+                trust_env=False,
+                limits=httpx.Limits(max_connections=None),
+            ),
+        )
+
+    async def send(self, address: Address, request: CallerRequest) -> Answer:
+        """Send the request once; raise CallerError."""
+        remaining_s = request.deadline - self._clock()
+        body = encode_json(
+            {
+                'request_id': request.request_id,
+                'deadline_ms': max(1, int(remaining_s * _MS_PER_S)),
+                'workspace': request.workspace,
+                'query': request.query,
+            },
+        )
+        team, _, route = request.route.partition('/')
+        path = f'/v1/teams/{_quote(team)}/routes/{_quote(route)}'
+        response = await self._post(
+            address.base_url + path,
+            body,
+            remaining_s,
+        )
+        message = _decode_object(response)
+        _check_request_id(message, request.request_id)
+        if response.status_code != _STATUS_OK:
+            raise _decode_refusal(message)
+        try:
+            return ANSWER_ADAPTER.validate_python(message)
+        except pydantic.ValidationError as error:
+            raise InvalidAnswerError('the answer is malformed') from error
+
+    async def ask_addresses(
+        self,
+        address: Address,
+        workspace: str | None,
+    ) -> AddressList:
+        """Return usable VMs; raise UnreachableError."""
+        query = {'workspace': workspace} if workspace else {}
+        try:
+            with anyio.fail_after(_ADDRESSES_TIMEOUT_S):
+                response = await self._client.get(
+                    f'{address.base_url}/v1/addresses',
+                    params=query,
+                    timeout=None,
+                )
+        except (httpx.TransportError, TimeoutError) as error:
+            raise UnreachableError(f'{address}: no addresses') from error
+        try:
+            return ADDRESS_LIST_ADAPTER.validate_json(response.content)
+        except pydantic.ValidationError as error:
+            raise UnreachableError(f'{address}: no addresses') from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._client.aclose()
+
+    async def _post(
+        self,
+        url: str,
+        body: bytes,
+        remaining_s: float,
+    ) -> httpx.Response:
+        connect_s = min(remaining_s, _CONNECT_TIMEOUT_S)
+        try:
+            # A connect that takes too long fails before this timeout and
+            # counts as not sent.
+            with anyio.fail_after(remaining_s + _ANSWER_MARGIN_S):
+                return await self._client.post(
+                    url,
+                    content=body,
+                    headers={'content-type': 'application/json'},
+                    timeout=httpx.Timeout(
+                        None,
+                        connect=connect_s,
+                        pool=connect_s,
+                    ),
+                )
+        except _NOT_SENT as error:
+            raise UnreachableError(f'not sent: {error!r}') from error
+        except (httpx.TransportError, TimeoutError) as error:
+            raise OutcomeLostError(f'sent: {error!r}') from error
+
+
+def _quote(step: str) -> str:
+    return quote(step, safe='')
+
+
+def _decode_object(response: httpx.Response) -> dict[str, Any]:
+    try:
+        message = decode_json(response.content)
+    except InvalidMessageError as error:
+        raise InvalidAnswerError(str(error)) from error
+    if not isinstance(message, dict):
+        raise InvalidAnswerError('the answer is malformed')
+    return message
+
+
+def _check_request_id(message: dict[str, Any], request_id: str) -> None:
+    # A request refused before its body was read is answered without id.
+    answered = message.get('request_id')
+    is_early_refusal = 'refusal' in message and answered is None
+    if answered != request_id and not is_early_refusal:
+        raise InvalidAnswerError('the answer belongs to another request')
+
+
+def _decode_refusal(message: dict[str, Any]) -> CallerError:
+    try:
+        refusal = message['refusal']
+        return RefusedError(
+            RefusalCode(refusal['code']),
+            Ran(refusal['ran']),
+            str(refusal['detail']),
+            refusal['retry_after_ms'],
+            ADDRESSES_ADAPTER.validate_python(refusal['try_addresses']),
+        )
+    except (LookupError, TypeError, ValueError):
+        return InvalidAnswerError('the refusal is malformed')
--- a/jacinthcart/entry/_app.py
+++ b/jacinthcart/entry/_app.py
@@ -13,6 +13,7 @@
 from starlette.routing import Route as HttpRoute
 
 from jacinthcart.entry._addresses import AddressBook
+from jacinthcart.entry._body import RequestBody
 from jacinthcart.entry._drain import Drain
 from jacinthcart.entry._forward import GatherClient
 from jacinthcart.entry._handler import QueryHandler
@@ -41,8 +42,6 @@
         RefusalCode.BACKEND_FAILED,
     ),
 )
-#: The rest of the body is not read, so the connection cannot be kept.
-_CODES_THAT_CLOSE = frozenset((RefusalCode.BODY_TOO_LARGE,))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,10 +99,17 @@
             route_id=f'{steps["team"]}/{steps["route"]}',
             arrived_at=self._parts.feed.clock(),
         )
+        request.state.exchange = exchange
+        body = RequestBody(request.receive)
         try:
-            answer = await self._parts.handler.handle(request, exchange)
+            answer = await self._parts.handler.handle(
+                request.headers.raw,
+                body,
+                exchange,
+            )
         except RefusalError as refusal:
-            return self._refuse(refusal, exchange)
+            await body.discard()
+            return self._refuse(refusal, exchange, closes=not body.is_ended)
         self._log_answer(exchange)
         return self._respond(encode_answer(answer, exchange))
 
@@ -185,6 +191,8 @@
         self,
         refusal: RefusalError,
         exchange: Exchange | None,
+        *,
+        closes: bool = False,
     ) -> Response:
         self._record_refusal(refusal, exchange)
         workspace_id = exchange.workspace_id if exchange else None
@@ -195,7 +203,7 @@
         if refusal.retry_after_ms is not None:
             seconds = math.ceil(refusal.retry_after_ms / _MS_PER_S)
             headers['retry-after'] = str(seconds)
-        if refusal.code in _CODES_THAT_CLOSE:
+        if closes:
             headers['connection'] = 'close'
         return self._respond(
             encode_refusal(refusal, exchange, try_addresses),
@@ -261,5 +269,5 @@
         )
         return self._refuse(
             RefusalError(RefusalCode.INTERNAL, Ran.UNKNOWN),
-            None,
+            getattr(request.state, 'exchange', None),
         )
--- a/jacinthcart/entry/_forward.py
+++ b/jacinthcart/entry/_forward.py
@@ -1,6 +1,7 @@
 """Calls from the entry to gather."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -30,6 +31,9 @@
     encode_json,
 )
 
+#: Creates a pool from address, port and largest number of connections.
+PoolFactory = Callable[[str, int, int], ConnectionPool]
+
 _LOCAL_CONNECTIONS = 256
 _REMOTE_CONNECTIONS = 32
 _PREFIX_KEPT_S = 1
@@ -70,12 +74,18 @@
     left or gather itself said so.
     """
 
-    def __init__(self, feed: StateFeed, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        feed: StateFeed,
+        metrics: Metrics,
+        create_pool: PoolFactory = ConnectionPool,
+    ) -> None:
         """Prepare the pool of the local gather."""
         self._feed = feed
         self._metrics = metrics
+        self._create_pool = create_pool
         process = feed.process
-        self._local_pool = ConnectionPool(
+        self._local_pool = create_pool(
             process.address,
             process.gather_port,
             _LOCAL_CONNECTIONS,
@@ -171,7 +181,7 @@
         port: int,
     ) -> ConnectionPool:
         replaced = self._remote_pool_by_vm.get(vm_id)
-        pool = ConnectionPool(address, port, _REMOTE_CONNECTIONS)
+        pool = self._create_pool(address, port, _REMOTE_CONNECTIONS)
         self._remote_pool_by_vm[vm_id] = pool
         if replaced is not None:
             await replaced.close()
--- a/jacinthcart/entry/_handler.py
+++ b/jacinthcart/entry/_handler.py
@@ -1,11 +1,10 @@
 """Handles one caller's request from its arrival to its answer."""
 
 import random
-
-import anyio
-from starlette.requests import ClientDisconnect, Request
+from collections.abc import Iterable
 
 from jacinthcart.entry._admission import Admission
+from jacinthcart.entry._body import RequestBody
 from jacinthcart.entry._forward import GatherCall, GatherClient
 from jacinthcart.entry._gather_messages import GatherAnswerMessage
 from jacinthcart.entry._keys import Grant, read_key_digest
@@ -44,7 +43,8 @@
 
     async def handle(
         self,
-        request: Request,
+        headers: Iterable[tuple[bytes, bytes]],
+        body: RequestBody,
         exchange: Exchange,
     ) -> GatherAnswerMessage:
         """Return the answer; raise RefusalError.
@@ -52,11 +52,11 @@
         `exchange` is filled as soon as its fields are known.
         """
         self._admission.check_accepting()
-        digest = read_key_digest(request.headers.raw)
+        digest = read_key_digest(headers)
         grant = self._admission.authorize(exchange.route_id, digest)
         exchange.workspace_id = grant.workspace_id
         exchange.request_class = grant.route.request_class
-        message = parse_query_message(await _read_body(request, grant.route))
+        message = await _read_message(body, grant.route)
         _check_workspace(message, grant)
         deadline = _find_deadline(message, grant.route, exchange.arrived_at)
         home_vm = await self._choose_id(message, grant.route, exchange)
@@ -113,39 +113,9 @@
         return prefix
 
 
-async def _read_body(request: Request, route: Route) -> bytes:
-    """Read at most the route's bytes within the route's deadline."""
-    try:
-        with anyio.fail_after(route.deadline_ms / _MS_PER_S):
-            return await _read_bounded(request, route.max_body_bytes)
-    except TimeoutError as error:
-        raise RefusalError(
-            RefusalCode.DEADLINE_PASSED,
-            detail='the body did not arrive before the deadline',
-        ) from error
-    except ClientDisconnect as error:
-        raise RefusalError(
-            RefusalCode.INVALID_REQUEST,
-            detail='the caller disconnected',
-        ) from error
-
-
-async def _read_bounded(request: Request, max_bytes: int) -> bytes:
-    announced = request.headers.get('content-length', '0')
-    if announced.isdecimal() and int(announced) > max_bytes:
-        raise _refuse_body(max_bytes)
-    body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > max_bytes:
-            raise _refuse_body(max_bytes)
-    return bytes(body)
-
-
-def _refuse_body(max_bytes: int) -> RefusalError:
-    return RefusalError(
-        RefusalCode.BODY_TOO_LARGE,
-        detail=f'the route accepts {max_bytes} bytes',
+async def _read_message(body: RequestBody, route: Route) -> QueryMessage:
+    return parse_query_message(
+        await body.read(route.max_body_bytes, route.deadline_ms / _MS_PER_S),
     )
 
 
--- a/jacinthcart/entry/_program.py
+++ b/jacinthcart/entry/_program.py
@@ -8,7 +8,7 @@
 from jacinthcart.entry._admission import Admission
 from jacinthcart.entry._app import EntryApp, EntryParts
 from jacinthcart.entry._drain import Drain
-from jacinthcart.entry._forward import GatherClient
+from jacinthcart.entry._forward import GatherClient, PoolFactory
 from jacinthcart.entry._handler import QueryHandler
 from jacinthcart.entry._permits import BasePermitSource, ControlPermitSource
 from jacinthcart.feed import StateFeed
@@ -34,11 +34,12 @@
     permits: BasePermitSource,
     logger: Logger,
     random_source: random.Random,
+    create_pool: PoolFactory = ConnectionPool,
 ) -> EntryParts:
     """Wire the parts of one entry."""
     metrics = Metrics()
     drain = Drain(feed)
-    gather = GatherClient(feed, metrics)
+    gather = GatherClient(feed, metrics, create_pool)
     admission = Admission(feed, permits, drain, metrics)
     return EntryParts(
         feed=feed,
--- /dev/null
+++ b/tests/entry/test_admission.py
@@ -0,0 +1,219 @@
+"""Tests of the checks around the wait for a permit."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import logbook
+
+from jacinthcart.errors import Ran, RefusalCode
+from tests.entry._harness import (
+    AUTHORIZED,
+    KEY,
+    KEYS_PATH,
+    OPEN,
+    SEARCH,
+    SUBMIT,
+    WORKSPACE,
+    Harness,
+    digest,
+    run_virtual,
+)
+
+WAIT_S = 0.2
+ROUTE_PATH = 'teams/voskovka/routes/hledat'
+
+
+def after_wait(step: Callable[[], Any]) -> Any:
+    """Return an action for the permit wait that ends with `step`."""
+
+    async def act() -> None:
+        await anyio.sleep(WAIT_S)
+        step()
+
+    return act
+
+
+class WaitTest(unittest.TestCase):
+    """What changes during the wait stops the request."""
+
+    def check(
+        self,
+        code: RefusalCode,
+        change: Callable[[Harness], Any],
+        path: str = SEARCH,
+    ) -> None:
+        """Change something while a request waits; expect its refusal."""
+
+        async def test(harness: Harness) -> None:
+            harness.permits.before_grant = after_wait(lambda: change(harness))
+            refused = await harness.refuse(path)
+            self.assertEqual(refused, (code, Ran.NOT_RUN))
+            self.assertEqual(harness.gather.queries, [])
+
+        run_virtual(test)
+
+    def test_key_withdrawn_while_waiting(self) -> None:
+        """Guards against a withdrawn key running a queued request."""
+        self.check(
+            RefusalCode.KEY_INVALID,
+            lambda harness: harness.feed.put(
+                {KEYS_PATH: {'sha256_digests': []}},
+            ),
+        )
+
+    def test_key_moved_to_another_workspace_while_waiting(self) -> None:
+        """Guards against a permit of one workspace serving another."""
+        self.check(
+            RefusalCode.KEY_INVALID,
+            lambda harness: harness.feed.put(
+                {
+                    KEYS_PATH: {'sha256_digests': []},
+                    'teams/voskovka/keys/web': {
+                        'sha256_digests': [digest(KEY)],
+                    },
+                },
+            ),
+        )
+
+    def test_route_withdrawn_while_waiting(self) -> None:
+        """Guards against an old route running a queued request."""
+        self.check(
+            RefusalCode.UNKNOWN_ROUTE,
+            lambda harness: harness.feed.put({ROUTE_PATH: None}),
+        )
+
+    def test_lease_run_out_while_waiting(self) -> None:
+        """Guards against an isolated VM serving queued requests."""
+
+        def lose_lease(harness: Harness) -> None:
+            harness.feed.lease_until = harness.feed.clock()
+
+        self.check(RefusalCode.NOT_READY, lose_lease)
+
+    def test_data_centre_out_while_waiting(self) -> None:
+        """Guards against work in a data centre that was taken out."""
+        self.check(
+            RefusalCode.LEAVING,
+            lambda harness: harness.feed.put(
+                {'fleet/data_centres': {'state_by_name': {'dc1': 'out'}}},
+            ),
+        )
+
+
+class PermitTest(unittest.TestCase):
+    """A request uses one valid permit of the workspace it is charged to."""
+
+    def test_expired_permit_is_replaced_once(self) -> None:
+        """Guards against the use of a permit after its lifetime."""
+
+        async def test(harness: Harness) -> None:
+            harness.permits.before_grant = after_wait(lambda: None)
+            harness.permits.lifetimes_s = [WAIT_S, 1]
+            response = await harness.ask()
+            self.assertEqual(response.status_code, 200)
+            self.assertEqual(harness.permits.asked, [WORKSPACE, WORKSPACE])
+
+        run_virtual(test)
+
+    def test_second_expired_permit_refuses(self) -> None:
+        """Guards against using a permit that expired in the second wait."""
+
+        async def test(harness: Harness) -> None:
+            harness.permits.before_grant = after_wait(lambda: None)
+            harness.permits.lifetimes_s = [WAIT_S]
+            self.assertEqual(
+                await harness.refuse(),
+                (RefusalCode.NOT_READY, Ran.NOT_RUN),
+            )
+            self.assertEqual(len(harness.permits.asked), 2)
+            self.assertEqual(harness.gather.queries, [])
+
+        run_virtual(test)
+
+    def test_wait_ends_at_the_deadline(self) -> None:
+        """Guards against a request held longer than its caller waits."""
+
+        async def test(harness: Harness) -> None:
+            harness.permits.before_grant = anyio.sleep_forever
+            refused = await harness.refuse(deadline_ms=40)
+            self.assertEqual(
+                refused,
+                (RefusalCode.DEADLINE_PASSED, Ran.NOT_RUN),
+            )
+            self.assertAlmostEqual(harness.feed.clock(), 0.04, delta=0.001)
+
+        run_virtual(test)
+
+    def test_forwarded_deadline_is_what_remains(self) -> None:
+        """Guards against gather working past the caller's deadline."""
+
+        async def test(harness: Harness) -> None:
+            harness.permits.before_grant = after_wait(lambda: None)
+            await harness.ask(deadline_ms=600)
+            await harness.ask(deadline_ms=10**9)
+            asked = [query['deadline_ms'] for query in harness.gather.queries]
+            self.assertAlmostEqual(asked[0], 400, delta=1)
+            self.assertAlmostEqual(asked[1], 800, delta=1)
+
+        run_virtual(test)
+
+    def test_open_route_is_charged_to_its_workspace(self) -> None:
+        """Guards against an open route that nobody's rate bounds."""
+
+        async def test(harness: Harness) -> None:
+            for headers in ({}, AUTHORIZED):
+                response = await harness.ask(OPEN, headers)
+                self.assertEqual(response.json()['workspace'], 'voskovka/web')
+            self.assertEqual(
+                harness.permits.asked,
+                ['voskovka/web', 'voskovka/web'],
+            )
+
+        run_virtual(test)
+
+    def test_no_lease_refuses_at_once(self) -> None:
+        """Guards against a VM without control taking permits."""
+
+        async def test(harness: Harness) -> None:
+            harness.feed.lease_until = 0
+            response = await harness.ask()
+            refusal = response.json()['refusal']
+            self.assertEqual(refusal['code'], RefusalCode.NOT_READY)
+            others = {entry['vm'] for entry in refusal['try_addresses']}
+            self.assertEqual(others, {'vm2', 'vm3', 'vm4'})
+            self.assertEqual(harness.permits.asked, [])
+
+        run_virtual(test)
+
+
+class SecrecyTest(unittest.TestCase):
+    """The key and the query stay in the entry."""
+
+    def test_key_is_in_no_message_and_no_log_line(self) -> None:
+        """Guards against the key reaching gather, logs or metrics."""
+
+        async def test(harness: Harness) -> None:
+            for path in (SEARCH, SUBMIT, OPEN):
+                await harness.ask(path)
+            harness.gather.answer = fail
+            await harness.ask()
+            await harness.ask(surprise=KEY)
+            await harness.ask(workspace=KEY)
+            report = await harness.client.get('/v1/report')
+            self.assertIn('voskovka/praha', report.text)
+            sent = repr(harness.gather.calls) + report.text
+            self.assertNotIn(KEY, sent)
+            self.assertNotIn(digest(KEY), sent)
+
+        async def fail(query: Any) -> Any:
+            raise RuntimeError(KEY)
+
+        with logbook.TestHandler(level=logbook.DEBUG) as handler:
+            run_virtual(test)
+        lines = [record.to_dict() for record in handler.records]
+        self.assertGreater(len(lines), 4)
+        self.assertNotIn(KEY, repr(lines))
+        self.assertNotIn(digest(KEY), repr(lines))
+        self.assertNotIn('vosk"', repr(lines))
--- /dev/null
+++ b/tests/entry/test_bad_input.py
@@ -0,0 +1,183 @@
+"""Tests of requests that the entry must refuse before anything runs."""
+
+import unittest
+from typing import Any
+
+import httpx
+
+from jacinthcart.errors import Ran, RefusalCode
+from tests.entry._harness import (
+    AUTHORIZED,
+    KEYS_PATH,
+    OPEN,
+    OTHER_TEAM_KEY,
+    SEARCH,
+    SUBMIT,
+    Harness,
+    read_refusal,
+    run_virtual,
+)
+
+
+class BadInputTest(unittest.TestCase):
+    """Every bad input has its typed refusal and reaches no gather."""
+
+    def check(
+        self,
+        code: RefusalCode,
+        status: int,
+        *,
+        path: str = SEARCH,
+        headers: Any = AUTHORIZED,
+        body: bytes = b'{"query": {}}',
+    ) -> None:
+        """Send one request and compare its refusal."""
+
+        async def test(harness: Harness) -> None:
+            response = await harness.client.post(
+                path,
+                headers=headers,
+                content=body,
+            )
+            self.assertEqual(read_refusal(response), (code, Ran.NOT_RUN))
+            self.assertEqual(response.status_code, status)
+            self.assertEqual(harness.gather.queries, [])
+            self.assertEqual(harness.permits.asked, [])
+
+        run_virtual(test)
+
+    def test_bodies_that_break_the_model(self) -> None:
+        """Guards against a malformed body being guessed at or failing."""
+        bodies = (
+            b'',
+            b'{',
+            b'[]',
+            b'{"query": {"a": NaN}}',
+            b'{"query": {"a": "\xff"}}',
+            b'{"query": []}',
+            b'{"query": {}, "surprise": 1}',
+            b'{"query": {}, "deadline_ms": 0}',
+            b'{"query": {}, "deadline_ms": "5"}',
+            b'{"query": {}, "deadline_ms": true}',
+            b'{"query": {}, "request_id": ""}',
+            b'{"query": {}, "request_id": "a b"}',
+            rb'{"query": {}, "request_id": "a\n"}',
+            b'{"query": {}, "request_id": "%s"}' % (b'a' * 201),
+            b'{"query": {"a": %s1%s}}' % (b'[' * 64, b']' * 64),
+        )
+        for body in bodies:
+            with self.subTest(body=body[:40]):
+                self.check(RefusalCode.INVALID_REQUEST, 400, body=body)
+
+    def test_malformed_authorization_headers(self) -> None:
+        """Guards against a header that is half understood."""
+        fields: tuple[Any, ...] = (
+            [(b'authorization', b'Bearer')],
+            [(b'authorization', b'Basic abc')],
+            [(b'authorization', b'Bearer a b')],
+            [(b'authorization', b'Bearer \xff')],
+            [(b'authorization', b'Bearer a'), (b'authorization', b'Bearer b')],
+            [(b'authorization', b'Bearer a'), (b'x-note', b'\xff')],
+        )
+        for headers in fields:
+            with self.subTest(headers=headers):
+                self.check(RefusalCode.INVALID_REQUEST, 400, headers=headers)
+
+    def test_missing_key(self) -> None:
+        """Guards against a keyed route serving a request without a key."""
+        self.check(RefusalCode.KEY_MISSING, 401, headers={})
+
+    def test_unknown_key(self) -> None:
+        """Guards against any well-formed key being accepted."""
+        headers = {'authorization': 'Bearer guess'}
+        self.check(RefusalCode.KEY_INVALID, 401, headers=headers)
+
+    def test_key_of_another_team(self) -> None:
+        """Guards against a key opening another team's routes."""
+        headers = {'authorization': f'Bearer {OTHER_TEAM_KEY}'}
+        self.check(RefusalCode.WORKSPACE_MISMATCH, 403, headers=headers)
+
+    def test_workspace_other_than_the_keys(self) -> None:
+        """Guards against a request for a workspace its key is not of."""
+        body = b'{"query": {}, "workspace": "voskovka/web"}'
+        self.check(RefusalCode.WORKSPACE_MISMATCH, 403, body=body)
+        body = b'{"query": {}, "workspace": "voskovka/praha"}'
+        self.check(RefusalCode.WORKSPACE_MISMATCH, 403, path=OPEN, body=body)
+
+    def test_unknown_route(self) -> None:
+        """Guards against a failure when a route is not in the settings."""
+        path = '/v1/teams/voskovka/routes/neznama'
+        self.check(RefusalCode.UNKNOWN_ROUTE, 404, path=path)
+        self.check(RefusalCode.UNKNOWN_ROUTE, 404, path='/v2')
+
+    def test_body_above_the_limit(self) -> None:
+        """Guards against bodies larger than the route accepts."""
+        body = b'{"query": {"a": "%s"}}' % (b'a' * 1000)
+        self.check(RefusalCode.BODY_TOO_LARGE, 413, body=body)
+
+    def test_submit_id_of_another_form(self) -> None:
+        """Guards against a submit whose id names no home VM."""
+        for request_id in (b'abc', b'vm1.inc.x.1', b'.inc.1.1', b'vm1.i.1'):
+            body = b'{"query": {}, "request_id": "%s"}' % request_id
+            self.check(
+                RefusalCode.INVALID_REQUEST,
+                400,
+                path=SUBMIT,
+                body=body,
+            )
+
+
+class CountedBody(httpx.AsyncByteStream):
+    """A body without length that counts how much of it is read."""
+
+    def __init__(self) -> None:
+        """Start unread."""
+        self.taken = 0
+
+    def __aiter__(self) -> 'CountedBody':
+        """Read from here."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next 1 MiB of 100."""
+        if self.taken == 100:
+            raise StopAsyncIteration
+        self.taken += 1
+        return b'a' * 1024 * 1024
+
+
+class BodyReadingTest(unittest.TestCase):
+    """The entry reads no more of a body than the route accepts."""
+
+    def test_large_body_is_not_read_to_its_end(self) -> None:
+        """Guards against a caller filling memory without a length."""
+        body = CountedBody()
+
+        async def test(harness: Harness) -> None:
+            response = await harness.client.send(
+                httpx.Request(
+                    'POST',
+                    f'http://entry{SEARCH}',
+                    headers=AUTHORIZED,
+                    stream=body,
+                ),
+            )
+            self.assertEqual(response.status_code, 413)
+            self.assertEqual(response.headers['connection'], 'close')
+
+        run_virtual(test)
+        self.assertLess(body.taken, 12)
+
+    def test_key_withdrawn_between_two_requests(self) -> None:
+        """Guards against a kept connection keeping a withdrawn key."""
+
+        async def test(harness: Harness) -> None:
+            response = await harness.ask()
+            self.assertEqual(response.status_code, 200)
+            harness.feed.put({KEYS_PATH: {'sha256_digests': []}})
+            self.assertEqual(
+                await harness.refuse(),
+                (RefusalCode.KEY_INVALID, Ran.NOT_RUN),
+            )
+
+        run_virtual(test)
