--- /dev/null
+++ b/tests/caller/test_caller.py
@@ -0,0 +1,274 @@
+"""Tests of where the caller sends a request again, and when it stops."""
+
+import unittest
+from typing import Any
+
+import anyio
+import httpx
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthcart.caller import (
+    Caller,
+    CallerError,
+    DeadlineError,
+    InvalidAnswerError,
+    OutcomeLostError,
+    RefusedError,
+    UnreachableError,
+)
+from jacinthcart.errors import Ran, RefusalCode
+from tests.caller._fakes import (
+    KEEP_S,
+    OTHER,
+    ROUTE,
+    SEED,
+    THIRD,
+    FakeFleet,
+    answer,
+    failing,
+    refusing,
+    run_virtual,
+)
+
+LOST = failing(httpx.ReadError('reset'))
+NOT_CONNECTED = failing(httpx.ConnectError('refused'))
+NOT_RUN_REPLIES = (
+    NOT_CONNECTED,
+    failing(httpx.ConnectTimeout('connect')),
+    refusing(RefusalCode.LEAVING),
+    refusing(RefusalCode.NOT_READY),
+    refusing(RefusalCode.OVERLOADED),
+)
+UNKNOWN_REPLIES = (
+    LOST,
+    failing(httpx.RemoteProtocolError('closed')),
+    refusing(RefusalCode.BACKEND_FAILED, Ran.UNKNOWN),
+    refusing(RefusalCode.INTERNAL, Ran.UNKNOWN),
+)
+
+
+async def never(request: dict[str, Any]) -> httpx.Response:
+    """Give no answer."""
+    await anyio.sleep_forever()
+
+
+class MoveTest(unittest.TestCase):
+    """A request moves to another VM only where that is safe."""
+
+    def test_not_run_moves_every_kind(self) -> None:
+        """Guards against a request lost with one VM."""
+        for reply in NOT_RUN_REPLIES:
+
+            async def test(fleet: FakeFleet, caller: Caller) -> None:
+                fleet.reply_by_host = {SEED.address: reply}
+                await caller.search(ROUTE, {}, 500)
+                fleet.listed = [SEED, OTHER]
+                await anyio.sleep(KEEP_S)
+                await caller.submit(ROUTE, {}, 500)
+                ids = [request['request_id'] for request in fleet.requests]
+                self.assertEqual(
+                    fleet.hosts,
+                    [SEED.address, OTHER.address, SEED.address, OTHER.address],
+                )
+                self.assertEqual(ids[0], ids[1])
+                self.assertEqual(ids[2], ids[3])
+
+            run_virtual(test)
+
+    def test_unknown_moves_idempotent_requests_only(self) -> None:
+        """Guards against a submit that runs on two VMs."""
+        for reply in UNKNOWN_REPLIES:
+
+            async def test(fleet: FakeFleet, caller: Caller) -> None:
+                fleet.reply_by_host = {SEED.address: reply}
+                await caller.lookup(ROUTE, {}, 500)
+                self.assertEqual(len(fleet.hosts), 2)
+                await anyio.sleep(KEEP_S)
+                with self.assertRaises(CallerError) as caught:
+                    await caller.submit(ROUTE, {}, 500)
+                self.assertEqual(len(fleet.hosts), 3)
+                self.assertIs(caught.exception.ran, Ran.UNKNOWN)
+                self.assertEqual(
+                    caught.exception.request_id,
+                    fleet.requests[-1]['request_id'],
+                )
+
+            run_virtual(test)
+
+    def test_final_refusals_are_not_sent_again(self) -> None:
+        """Guards against load from requests that cannot succeed."""
+        for code in (RefusalCode.KEY_INVALID, RefusalCode.DUPLICATE):
+
+            async def test(fleet: FakeFleet, caller: Caller) -> None:
+                fleet.reply_by_host = {SEED.address: refusing(code)}
+                with self.assertRaises(RefusedError) as caught:
+                    await caller.search(ROUTE, {}, 500)
+                self.assertIs(caught.exception.code, code)
+                self.assertEqual(len(fleet.hosts), 1)
+
+            run_virtual(test)
+
+    def test_submit_without_prefix_is_not_sent(self) -> None:
+        """Guards against a submit whose id no gather remembers."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            fleet.prefix = None
+            with self.assertRaises(UnreachableError) as caught:
+                await caller.submit(ROUTE, {}, 500)
+            self.assertIs(caught.exception.ran, Ran.NOT_RUN)
+            self.assertEqual(fleet.hosts, [])
+
+        run_virtual(test)
+
+    def test_second_try_of_a_submit_keeps_its_id(self) -> None:
+        """Guards against `not_run` hiding an earlier unknown attempt."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            fleet.reply_by_host = {SEED.address: LOST}
+            with self.assertRaises(OutcomeLostError) as caught:
+                await caller.submit(ROUTE, {}, 500)
+            first_id = caught.exception.request_id
+            fleet.reply_by_host = {
+                SEED.address: NOT_CONNECTED,
+                OTHER.address: NOT_CONNECTED,
+            }
+            with self.assertRaises(UnreachableError) as again:
+                await caller.submit(ROUTE, {}, 500, first_id)
+            self.assertIs(again.exception.ran, Ran.UNKNOWN)
+            ids = {request['request_id'] for request in fleet.requests}
+            self.assertEqual(ids, {first_id})
+
+        run_virtual(test)
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        st.lists(
+            st.sampled_from((*NOT_RUN_REPLIES, *UNKNOWN_REPLIES, answer)),
+            min_size=2,
+            max_size=2,
+        ),
+    )
+    def test_submit_has_one_id_and_at_most_one_unknown(
+        self,
+        replies: list[Any],
+    ) -> None:
+        """Guards against any order of failures running a submit twice."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            fleet.reply_by_host = {
+                SEED.address: replies[0],
+                OTHER.address: replies[1],
+            }
+            try:
+                await caller.submit(ROUTE, {}, 500)
+            except CallerError as error:
+                may_have_run = replies[len(fleet.hosts) - 1] in UNKNOWN_REPLIES
+                self.assertEqual(error.ran is Ran.UNKNOWN, may_have_run)
+            ids = {request['request_id'] for request in fleet.requests}
+            self.assertEqual(len(ids), 1)
+            used = replies[: len(fleet.hosts)]
+            for reply in used[:-1]:
+                self.assertIn(reply, NOT_RUN_REPLIES)
+
+        run_virtual(test)
+
+
+class DeadlineTest(unittest.TestCase):
+    """All attempts together keep the deadline and the told waits."""
+
+    def test_request_without_answer_ends_at_the_deadline(self) -> None:
+        """Guards against attempts that each take the whole deadline."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            fleet.reply_by_host = {SEED.address: never, OTHER.address: never}
+            with self.assertRaises(OutcomeLostError):
+                await caller.search(ROUTE, {}, 500)
+            self.assertLess(anyio.current_time(), 0.7)
+            self.assertEqual(fleet.hosts, [SEED.address])
+
+        run_virtual(test)
+
+    def test_told_wait_is_kept(self) -> None:
+        """Guards against retries into a workspace that is over its rate."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            over_rate = refusing(RefusalCode.OVER_RATE, retry_after_ms=200)
+            fleet.reply_by_host = {
+                SEED.address: over_rate,
+                OTHER.address: over_rate,
+            }
+            with self.assertRaises(RefusedError):
+                await caller.search(ROUTE, {}, 500)
+            self.assertEqual(len(fleet.hosts), 3)
+            self.assertAlmostEqual(anyio.current_time(), 0.4, delta=0.01)
+            deadlines = [request['deadline_ms'] for request in fleet.requests]
+            for seen, wanted in zip(deadlines, (500, 300, 100), strict=True):
+                self.assertAlmostEqual(seen, wanted, delta=1)
+
+        run_virtual(test)
+
+    def test_no_address_ends_at_the_deadline(self) -> None:
+        """Guards against a hang when no VM lists addresses."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            async def hang(request: httpx.Request) -> httpx.Response:
+                await anyio.sleep_forever()
+
+            fleet.handle_async_request = hang
+            with self.assertRaises(DeadlineError) as caught:
+                await caller.search(ROUTE, {}, 500)
+            self.assertIs(caught.exception.ran, Ran.NOT_RUN)
+            self.assertAlmostEqual(anyio.current_time(), 0.5, delta=0.01)
+
+        run_virtual(test)
+
+    def test_crossed_answer_is_not_returned(self) -> None:
+        """Guards against another request's answer."""
+
+        async def cross(request: dict[str, Any]) -> httpx.Response:
+            return await answer({**request, 'request_id': 'another'})
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            fleet.reply_by_host = {SEED.address: cross, OTHER.address: cross}
+            with self.assertRaises(InvalidAnswerError) as caught:
+                await caller.search(ROUTE, {}, 500)
+            self.assertIs(caught.exception.ran, Ran.UNKNOWN)
+
+        run_virtual(test)
+
+
+class AddressKeepingTest(unittest.TestCase):
+    """Addresses are kept no longer than told."""
+
+    def test_addresses_are_dropped_after_their_lifetime(self) -> None:
+        """Guards against a caller that stays on VMs that went away."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            fleet.listed = [OTHER]
+            await caller.search(ROUTE, {}, 500)
+            fleet.is_listing = False
+            await anyio.sleep(KEEP_S * 0.9)
+            await caller.search(ROUTE, {}, 500)
+            await anyio.sleep(KEEP_S * 0.1)
+            with self.assertRaises(UnreachableError):
+                await caller.search(ROUTE, {}, 500)
+            with self.assertRaises(UnreachableError):
+                await caller.submit(ROUTE, {}, 500)
+            self.assertEqual(fleet.hosts, [OTHER.address, OTHER.address])
+            fleet.is_listing = True
+            fleet.listed = [THIRD]
+            await caller.search(ROUTE, {}, 500)
+            self.assertEqual(fleet.hosts[-1], THIRD.address)
+
+        run_virtual(test)
+
+    def test_list_is_not_asked_for_each_request(self) -> None:
+        """Guards against two calls for each request."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            for _ in range(5):
+                await caller.search(ROUTE, {}, 500)
+            self.assertEqual(fleet.lists_asked, 1)
+
+        run_virtual(test)
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+import httpx
 import logbook
 
 from jacinthcart.errors import Ran, RefusalCode
@@ -187,6 +188,69 @@
 
         run_virtual(test)
 
+    def test_data_centre_out_refuses_with_other_addresses(self) -> None:
+        """Guards against new work in a data centre that was taken out."""
+
+        async def test(harness: Harness) -> None:
+            harness.feed.put(
+                {'fleet/data_centres': {'state_by_name': {'dc1': 'out'}}},
+            )
+            response = await harness.ask()
+            refusal = response.json()['refusal']
+            self.assertEqual(
+                (refusal['code'], refusal['ran']),
+                (RefusalCode.LEAVING, Ran.NOT_RUN),
+            )
+            others = {entry['vm'] for entry in refusal['try_addresses']}
+            self.assertEqual(others, {'vm3', 'vm4'})
+            self.assertEqual(harness.permits.asked, [])
+
+        run_virtual(test)
+
+
+class ReportTest(unittest.TestCase):
+    """Control reads what happened to requests."""
+
+    def test_report_counts_answers_waits_and_refusals(self) -> None:
+        """Guards against a workspace's bad service staying unseen."""
+
+        async def test(harness: Harness) -> None:
+            await harness.ask()
+            await harness.ask(workspace='voskovka/web')
+            report = (await harness.client.get('/v1/report')).json()
+            self.assertEqual(
+                set(report['metrics']['histograms']),
+                {
+                    f'request|{WORKSPACE}|priority',
+                    f'permit_wait|{WORKSPACE}|priority',
+                },
+            )
+            self.assertEqual(
+                report['metrics']['counters'],
+                {
+                    'refusal|workspace_mismatch|not_run': 1,
+                    f'refusal_by_workspace|{WORKSPACE}|workspace_mismatch|'
+                    'not_run': 1,
+                },
+            )
+            self.assertEqual(report['in_flight'], 1)
+
+        run_virtual(test)
+
+    def test_report_is_closed_to_other_machines(self) -> None:
+        """Guards against callers reading other workspaces' figures."""
+
+        async def test(harness: Harness) -> None:
+            transport = httpx.ASGITransport(
+                harness.app,
+                client=('10.0.0.9', 5000),
+            )
+            async with httpx.AsyncClient(transport=transport) as client:
+                response = await client.get('http://entry/v1/report')
+            self.assertEqual(response.status_code, 404)
+
+        run_virtual(test)
+
 
 class SecrecyTest(unittest.TestCase):
     """The key and the query stay in the entry."""
--- /dev/null
+++ b/tests/wire/test_server.py
@@ -0,0 +1,41 @@
+"""Tests of serving under anyio."""
+
+import unittest
+from typing import Any
+
+import anyio
+
+from jacinthcart.wire import serve_application
+
+
+async def application(scope: Any, receive: Any, send: Any) -> None:
+    """Serve nothing."""
+    if scope['type'] == 'lifespan':
+        await receive()
+        await send({'type': 'lifespan.startup.complete'})
+        await receive()
+        await send({'type': 'lifespan.shutdown.complete'})
+
+
+class ServeApplicationTest(unittest.TestCase):
+    """A server that stopped leaves its task as it found it."""
+
+    def test_scope_cancelled_after_serving_ends_quietly(self) -> None:
+        """Guards against a clean stop that ends with CancelledError."""
+
+        async def run() -> None:
+            stopping = anyio.Event()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(anyio.sleep_forever)
+                stopping.set()
+                await serve_application(
+                    application,
+                    '127.0.0.1',
+                    0,
+                    stopping,
+                    1,
+                )
+                tasks.cancel_scope.cancel()
+
+        for backend in ('asyncio', 'trio'):
+            anyio.run(run, backend=backend)
