--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -36,6 +36,11 @@
 Message = dict[str, Any]
 
 _MS_PER_S = 1000
+#: Times `drain_announce_ms` after which new work is refused. The entry of
+#: this VM accepts requests for one such time after the same signal, and
+#: what it accepted last must still run here.
+_PEER_NOTICES = 1
+_LOCAL_NOTICES = 2
 
 _Model = TypeVar('_Model', QueryMessage, SubqueryMessage)
 
@@ -56,35 +61,27 @@
         self._memory = memory
         self._decisions = decisions
         self._runner = QueryRunner(parts, memory)
-        self._refuse_from: float | None = None
+        self._leaving_since: float | None = None
 
     @property
     def is_leaving(self) -> bool:
         """Return whether a planned stop has begun."""
-        return self._refuse_from is not None
+        return self._leaving_since is not None
 
     @property
     def refuses_work(self) -> bool:
-        """Return whether new work is refused because of a planned stop."""
-        if self._refuse_from is None:
-            return False
-        return self._feed.clock() >= self._refuse_from
+        """Return whether all new work is refused because of a stop."""
+        return self._has_announced(_LOCAL_NOTICES)
 
     def start_leaving(self) -> None:
-        """Refuse new work once twice `drain_announce_ms` has passed.
-
-        The entry of this VM accepts requests for `drain_announce_ms` after
-        the same signal, and what it accepted last must still run here.
-        """
-        announce_ms = self._feed.view.policy.drain_announce_ms
-        now = self._feed.clock()
-        self._refuse_from = now + 2 * announce_ms / _MS_PER_S
+        """Refuse other gathers after `drain_announce_ms`, then everyone."""
+        self._leaving_since = self._feed.clock()
 
     async def run_query(self, body: bytes) -> Message:
         """Answer `POST /v1/queries`; raise RefusalError."""
         message = _parse(QueryMessage, body)
         started = self._feed.clock()
-        with self._admitted():
+        with self._admitted(_LOCAL_NOTICES):
             answer = await self._runner.run(message)
         metrics = self._parts.metrics
         seconds = self._feed.clock() - started
@@ -107,7 +104,7 @@
     async def run_subquery(self, body: bytes) -> Message:
         """Answer `POST /v1/subqueries`; raise RefusalError."""
         message = _parse(SubqueryMessage, body)
-        with self._admitted():
+        with self._admitted(_PEER_NOTICES):
             return await _Subquery(self._parts, message).run()
 
     def create_prefix(self) -> Message:
@@ -132,10 +129,16 @@
         """Count a refusal by code and run state."""
         self._parts.metrics.count('refusal', refusal.code, refusal.ran)
 
+    def _has_announced(self, notices: int) -> bool:
+        if self._leaving_since is None:
+            return False
+        notice_s = self._feed.view.policy.drain_announce_ms / _MS_PER_S
+        return self._feed.clock() >= self._leaving_since + notices * notice_s
+
     @contextlib.contextmanager
-    def _admitted(self) -> Iterator[None]:
+    def _admitted(self, notices: int) -> Iterator[None]:
         """Count a request in flight; raise RefusalError while leaving."""
-        if self.refuses_work:
+        if self._has_announced(notices):
             raise RefusalError(RefusalCode.LEAVING)
         if not self._feed.is_serving():
             raise RefusalError(RefusalCode.NOT_READY, detail='no lease')
--- a/jacinthcart_lab/_demo.py
+++ b/jacinthcart_lab/_demo.py
@@ -9,9 +9,11 @@
 from typing import Any
 
 import anyio
-import anyio.to_thread
+import httpx
+from anyio.to_thread import run_sync
 
 from jacinthcart.caller import Answer, Caller, CallerError
+from jacinthcart_lab._callers import create_caller
 from jacinthcart_lab._deployment import (
     build_fjordsom,
     build_voskovka,
@@ -23,12 +25,12 @@
 _FOLDER = pathlib.Path('run/demo')
 _SCALE = 0.3
 _VM_COUNT = 3
-_POLICY = {'ramp_step_ms': 200, 'drain_announce_ms': 500}
 _GRANTED_KEY = 'sample-key-granted-by-the-demo'
 _KEYS_PATH = 'teams/voskovka/keys/kavarna-1'
 _WARM_TIMEOUT_S = 30
 _STOPPED_VM = 'vm-2'
 _PAUSE_S = 0.05
+_DEADLINE_MS = 2000
 
 
 def run_demo() -> int:
@@ -38,7 +40,7 @@
         _FOLDER,
         (build_voskovka(_SCALE), build_fjordsom(_SCALE)),
         _VM_COUNT,
-        _POLICY,
+        {'ramp_step_ms': 200, 'drain_announce_ms': 500},
     )
     try:
         _run(fleet)
@@ -74,13 +76,11 @@
 
 
 async def _query_fleet(fleet: Fleet) -> None:
-    seeds = [vm.entry_url for vm in fleet.vms_by_id.values()]
-    voskovka = Caller(seeds, _GRANTED_KEY)
-    fjordsom = Caller(seeds, make_key('fjordsom', 'shop-1'))
+    _show_addresses(fleet)
+    voskovka = create_caller(fleet, 'voskovka/kavarna-1', 1, _GRANTED_KEY)
+    fjordsom = create_caller(fleet, 'fjordsom/shop-1', 2)
     try:
         await _wait_until_warm(voskovka, fjordsom)
-        addresses = await voskovka.fetch_addresses()
-        _print(f'addresses: {addresses}')
         await _query_once(voskovka, fjordsom)
         await _stop_under_traffic(fleet, voskovka)
     finally:
@@ -88,6 +88,14 @@
         await fjordsom.close()
 
 
+def _show_addresses(fleet: Fleet) -> None:
+    vm = next(iter(fleet.vms_by_id.values()))
+    url = f'{vm.entry_url}/v1/addresses?workspace=voskovka/kavarna-1'
+    reply = httpx.get(url).raise_for_status().json()
+    addresses = [entry['address'] for entry in reply['addresses']]
+    _print(f'addresses for {reply["keep_for_ms"]} ms: {addresses}')
+
+
 async def _wait_until_warm(*callers: Caller) -> None:
     routes = ('voskovka/katalog-search', 'fjordsom/patterns')
     for caller, route in zip(callers, routes, strict=True):
@@ -104,7 +112,7 @@
 
 async def _is_complete(caller: Caller, route: str) -> bool:
     try:
-        answer = await caller.search(route, {'text': 'blue'})
+        answer = await caller.search(route, {'text': 'blue'}, _DEADLINE_MS)
     except CallerError:
         return False
     return answer.coverage.complete
@@ -113,13 +121,22 @@
 async def _query_once(voskovka: Caller, fjordsom: Caller) -> None:
     text = {'text': 'blue wrap'}
     item = {'id': 'order-17'}
-    _show('search', await voskovka.search('voskovka/katalog-search', text))
-    _show('search', await voskovka.search('voskovka/volunteers', text))
-    _show('lookup', await voskovka.lookup('voskovka/order-status', item))
-    _show('submit', await voskovka.submit('voskovka/refill', item))
-    _show('search', await fjordsom.search('fjordsom/past-orders', text))
-    _show('lookup', await fjordsom.lookup('fjordsom/name-check', item))
-    _show('submit', await fjordsom.submit('fjordsom/reorder', item))
+    deadline = _DEADLINE_MS
+    answers = [
+        await voskovka.search('voskovka/katalog-search', text, deadline),
+        await voskovka.search('voskovka/volunteers', text, deadline),
+        await voskovka.lookup('voskovka/order-status', item, deadline),
+        await voskovka.submit('voskovka/refill', item, deadline),
+        await fjordsom.search('fjordsom/past-orders', text, deadline),
+        await fjordsom.lookup('fjordsom/name-check', item, deadline),
+        await fjordsom.submit('fjordsom/reorder', item, deadline),
+    ]
+    for answer in answers:
+        _print(
+            f'answer: workspace={answer.workspace} '
+            f'snapshot={answer.snapshot} coverage={answer.coverage} '
+            f'hits={len(answer.hits)}',
+        )
 
 
 async def _stop_under_traffic(fleet: Fleet, caller: Caller) -> None:
@@ -133,14 +150,18 @@
                 return
             query = {'text': f'pattern {number}'}
             answered.append(
-                await caller.search('voskovka/katalog-search', query),
+                await caller.search(
+                    'voskovka/katalog-search',
+                    query,
+                    _DEADLINE_MS,
+                ),
             )
             await anyio.sleep(source.uniform(0, _PAUSE_S))
 
     async with anyio.create_task_group() as tasks:
         for _ in range(2):
             tasks.start_soon(keep_asking)
-        codes = await anyio.to_thread.run_sync(fleet.stop_vm, _STOPPED_VM)
+        codes = await run_sync(fleet.stop_vm, _STOPPED_VM)
         _check_exit_codes(_STOPPED_VM, codes)
         stopping.set()
     _print(f'{len(answered)} requests answered while {_STOPPED_VM} stopped')
@@ -152,13 +173,6 @@
     _print(f'{vm_id} stopped gracefully')
 
 
-def _show(kind: str, answer: Answer) -> None:
-    _print(
-        f'{kind}: workspace={answer.workspace} snapshot={answer.snapshot} '
-        f'coverage={answer.coverage} hits={len(answer.hits)}',
-    )
-
-
 def _print(line: Any) -> None:
     sys.stdout.write(f'{line}\n')
     sys.stdout.flush()
