--- /dev/null
+++ b/jacinthcart_lab/_path_cost.py
@@ -0,0 +1,142 @@
+"""Latency and CPU time of each program for one query to 30 searchers."""
+
+import dataclasses
+import os
+import pathlib
+import random
+import time
+
+import anyio
+
+from jacinthcart.caller import Caller, CallerError
+from jacinthcart.telemetry import Metrics
+from jacinthcart_lab._callers import create_caller
+from jacinthcart_lab._deployment import RouteShape, ServiceShape, TeamShape
+from jacinthcart_lab._fleet import Fleet
+from jacinthcart_lab._processes import FleetError
+
+_ROUTE = 'bench/search'
+_DEADLINE_MS = 2000
+_WARM_TIMEOUT_S = 30
+_KEY = ('caller', 'search')
+_MS_PER_S = 1000
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_USER_TICKS_FIELD = 11
+_SYSTEM_TICKS_FIELD = 12
+
+
+@dataclasses.dataclass(frozen=True)
+class PathCost:
+    """Cost of one query, all times in milliseconds."""
+
+    #: Searchers that each query asks.
+    searchers: int
+    #: Queries measured.
+    queries: int
+    #: Median latency seen by the caller.
+    p50_ms: float
+    #: 99th percentile of the latency seen by the caller.
+    p99_ms: float
+    #: CPU time of a query by program, over all VMs.
+    cpu_ms_by_program: dict[str, float]
+
+
+def build_bench_team(searchers: int) -> TeamShape:
+    """Return a team whose one route asks `searchers` searchers."""
+    return TeamShape(
+        name='bench',
+        data_centres=('dc-1', 'dc-2'),
+        services=(ServiceShape('index', searchers, 1, 6, 60, 1, 2),),
+        routes=(RouteShape('search', 'search', 'index', 'priority'),),
+        limits_by_workspace={'one': (5000.0, 5000.0)},
+    )
+
+
+def measure_path_cost(
+    folder: pathlib.Path,
+    searchers: int,
+    queries: int,
+    rate: float,
+    vm_count: int = 2,
+) -> PathCost:
+    """Send `queries` at `rate` a second (open loop) and measure."""
+    team = build_bench_team(searchers)
+    fleet = Fleet(folder, (team,), vm_count, {'ramp_step_ms': 50})
+    try:
+        fleet.start()
+        fleet.wait_until_ready()
+        return anyio.run(_measure, fleet, searchers, queries, rate)
+    finally:
+        fleet.close()
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the CPU time in seconds that a process has used."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[_USER_TICKS_FIELD]) + int(fields[_SYSTEM_TICKS_FIELD])
+    return ticks / _TICKS_PER_S
+
+
+def read_cpu_by_program(fleet: Fleet) -> dict[str, float]:
+    """Return the CPU time in seconds by program, summed over VMs."""
+    used: dict[str, float] = {}
+    for vm in fleet.vms_by_id.values():
+        for program, process in vm.processes_by_program.items():
+            seconds = read_cpu_s(process.pid)
+            used[program] = used.get(program, 0) + seconds
+    return used
+
+
+async def wait_until_complete(caller: Caller, route: str) -> None:
+    """Search until an answer is complete; raise FleetError."""
+    with anyio.move_on_after(_WARM_TIMEOUT_S):
+        while True:
+            try:
+                answer = await caller.search(route, {'text': 'x'}, _DEADLINE_MS)
+            except CallerError:
+                await anyio.sleep(0.05)
+                continue
+            if answer.coverage.complete:
+                return
+    raise FleetError(f'no complete answer on {route}')
+
+
+async def _measure(
+    fleet: Fleet,
+    searchers: int,
+    queries: int,
+    rate: float,
+) -> PathCost:
+    caller = create_caller(fleet, 'bench/one', 1)
+    metrics = Metrics()
+    await wait_until_complete(caller, _ROUTE)
+
+    async def ask(number: int) -> None:
+        started = time.perf_counter()
+        query = {'text': f'query {number}'}
+        await caller.search(_ROUTE, query, _DEADLINE_MS)
+        metrics.record_seconds(_KEY, time.perf_counter() - started)
+
+    before = read_cpu_by_program(fleet)
+    source = random.Random(1)
+    async with anyio.create_task_group() as tasks:
+        for number in range(queries):
+            tasks.start_soon(ask, number)
+            await anyio.sleep(source.expovariate(rate))
+    after = read_cpu_by_program(fleet)
+    await caller.close()
+    return PathCost(
+        searchers,
+        queries,
+        _quantile_ms(metrics, 0.5),
+        _quantile_ms(metrics, 0.99),
+        {
+            program: (after[program] - before[program]) / queries * _MS_PER_S
+            for program in after
+        },
+    )
+
+
+def _quantile_ms(metrics: Metrics, quantile: float) -> float:
+    return (metrics.quantile_seconds(_KEY, quantile) or 0) * _MS_PER_S
