--- a/jacinthcart/gather/_choice.py
+++ b/jacinthcart/gather/_choice.py
@@ -89,5 +89,4 @@
             not self._feed.live_vms or self._feed.live_vms.get(vm_id) == _LIVE
         )
         is_used = is_live and not self._peers.is_avoided(vm_id)
-        failures, latency_s = self._peers.observe(vm_id)
-        return (not is_used, not is_near, failures, latency_s)
+        return (not is_used, not is_near, self._peers.find_latency(vm_id))
--- a/jacinthcart/gather/_peers.py
+++ b/jacinthcart/gather/_peers.py
@@ -24,7 +24,7 @@
 _LATENCY_WEIGHT = 0.2
 #: First time without calls after a failure; doubles with each further one.
 _AVOID_SECONDS = 0.1
-_AVOID_LIMIT_SECONDS = 2.0
+_AVOID_LIMIT_SECONDS = 5.0
 
 
 class BasePeerPool(Protocol):
@@ -89,10 +89,10 @@
             return False
         return peer.in_flight > 0 or self._clock() < peer.avoid_until
 
-    def observe(self, vm_id: str) -> tuple[int, float]:
-        """Return the failures since the last answer and its latency (s)."""
+    def find_latency(self, vm_id: str) -> float:
+        """Return the smoothed seconds of a peer's answers, 0 if unknown."""
         peer = self._peers_by_vm.get(vm_id)
-        return (0, 0.0) if peer is None else (peer.failures, peer.latency_s)
+        return 0.0 if peer is None else peer.latency_s
 
     async def ask(
         self,
--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -133,8 +133,6 @@
         """Count a request in flight; raise RefusalError while leaving."""
         if self.refuses_work:
             raise RefusalError(RefusalCode.LEAVING)
-        if not self._feed.is_serving():
-            raise RefusalError(RefusalCode.NOT_READY, detail='no lease')
         self.in_flight += 1
         try:
             yield
--- a/tests/gather/test_plan.py
+++ b/tests/gather/test_plan.py
@@ -5,12 +5,13 @@
 from jacinthcart.gather._outcomes import PartWork
 from jacinthcart.gather._plan import VmRank, plan_parts
 
-_WORKS = tuple(PartWork(f'p{part}', (part,)) for part in range(4))
+_WORKS = tuple(PartWork(f'p{part}', (part,)) for part in range(5))
 _OWNERS = {
-    'p0': ('own', 'a'),
-    'p1': ('a', 'b'),
-    'p2': ('a', 'c'),
+    'p0': ('own', 'z'),
+    'p1': ('b', 'z'),
+    'p2': ('c', 'z'),
     'p3': ('c',),
+    'p4': ('z',),
 }
 
 
@@ -35,13 +36,12 @@
         """Guards against hops that own connections would save."""
         self.assertEqual(
             self.plan(),
-            {'own': {'p0'}, 'a': {'p1', 'p2'}, 'c': {'p3'}},
+            {'own': {'p0'}, 'z': {'p1', 'p2', 'p4'}, 'c': {'p3'}},
         )
 
     def test_avoided_vm_gets_only_what_no_other_owns(self) -> None:
         """Guards against one dead VM that attracts parts by its cover."""
         self.assertEqual(
-            self.plan('a'),
-            {'own': {'p0'}, 'c': {'p2', 'p3'}, 'b': {'p1'}},
+            self.plan('z'),
+            {'own': {'p0'}, 'b': {'p1'}, 'c': {'p2', 'p3'}, 'z': {'p4'}},
         )
-        self.assertEqual(self.plan('c')['c'], {'p3'})
--- a/tests/gather/test_query.py
+++ b/tests/gather/test_query.py
@@ -7,6 +7,7 @@
 
 from jacinthcart.dispatch import PartCall, PartResult
 from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from jacinthcart.ownership import find_warmer
 from tests.gather.fakes import (
     SERVICE_PATH,
     Fleet,
@@ -93,13 +94,30 @@
             {0: 'wrong_shards', 1: 'wrong_shards'},
         )
 
+    def test_answer_with_more_shards_is_kept(self) -> None:
+        """Guards against a second run that costs coverage."""
+
+        async def hold_one_each(call: PartCall) -> PartResult:
+            held = 6 if call.part == 'p0' else 7
+            if call.snapshot.index_version == held:
+                return answer_all(call)
+            missing = dict.fromkeys(call.shards, 'wrong_version')
+            return PartResult({}, missing, frozenset((held,)))
+
+        answer = self.run_with(Fleet(create_service(), runner=hold_one_each))
+        self.assertEqual(answer['snapshot']['index_version'], 7)
+        self.assertEqual(answer['coverage']['shards_answered'], 4)
+
     def test_repartition_under_a_query_changes_nothing(self) -> None:
-        """Guards against a plan that mixes two partition maps."""
+        """Guards against a second run that mixes two partition maps."""
 
         async def repartition(call: PartCall) -> PartResult:
             if fleet.revision == before:
                 fleet.apply(SERVICE_PATH, moved)
             await anyio.sleep(0.1)
+            if call.snapshot.index_version == 7:
+                missing = dict.fromkeys(call.shards, 'wrong_version')
+                return PartResult({}, missing, frozenset((6, 8)))
             return answer_all(call)
 
         fleet = Fleet(create_service(), runner=repartition)
@@ -108,10 +126,20 @@
         answer = self.run_with(fleet)
         self.assertEqual(
             answer['snapshot'],
-            {'index_version': 7, 'partition_map': 1},
+            {'index_version': 6, 'partition_map': 1},
         )
         self.assertEqual(answer['coverage']['shards_answered'], 6)
 
+    def test_data_centre_that_is_out_gets_no_subqueries(self) -> None:
+        """Guards against new work for a data centre that is taken out."""
+        fleet = Fleet(create_service(1, owners=2), vm_count=3)
+        first = min(fleet.find_owners('p0'))
+        centre = first.replace('vm', 'dc')
+        fleet.apply('fleet/data_centres', {'state_by_name': {centre: 'out'}})
+        answer = self.run_with(fleet)
+        self.assertEqual(_list_missing(answer), {})
+        self.assertNotIn(first, fleet.sent)
+
     def test_refused_part_is_named_as_missing(self) -> None:
         """Guards against an answer that looks complete but is not."""
 
@@ -170,6 +198,45 @@
         answer = self.run_with(fleet)
         self.assertEqual(_list_missing(answer), {})
         self.assertIn(min(fleet.find_owners('p0')), fleet.sent)
+        fleet.sent.clear()
+        self.run_with(fleet)
+        self.assertNotIn(min(fleet.find_owners('p0')), fleet.sent)
+
+    def test_recovered_peer_is_asked_again(self) -> None:
+        """Guards against a peer that is left out for ever after a fault."""
+        fleet = Fleet(create_service(1, owners=2))
+        first = min(fleet.find_owners('p0'))
+
+        async def body() -> None:
+            stranger = fleet.find_stranger('p0')
+            fleet.unreachable.add(first)
+            await stranger.query()
+            fleet.unreachable.clear()
+            await anyio.sleep(6)
+            await stranger.query()
+
+        run_in_virtual_time(body)
+        self.assertEqual(fleet.sent[-1], first)
+
+    def test_cold_part_goes_to_its_warmer(self) -> None:
+        """Guards against refusals while the warmer can run the part."""
+
+        async def refuse(call: PartCall) -> PartResult:
+            raise RefusalError(RefusalCode.NO_REPLICA)
+
+        fleet = Fleet(create_service(1, owners=4), 5, refuse)
+        owners = fleet.find_owners('p0')
+        warmer = max(owners)
+        names = (f's{number}' for number in range(100))
+        name = next(one for one in names if find_warmer(one, owners) == warmer)
+        service = create_service(1, owners=4)
+        part = service['parts_by_name']['p0']
+        part['searchers_by_id'] = {name: part['searchers_by_id']['s0']}
+        fleet.apply(SERVICE_PATH, service)
+        fleet.vms_by_id[warmer].dispatcher.runner = None
+        answer = self.run_with(fleet)
+        self.assertEqual(_list_missing(answer), {})
+        self.assertEqual(fleet.sent, [min(owners), warmer])
 
     def test_broken_subquery_is_repeated_once(self) -> None:
         """Guards against lost coverage and against endless repeats."""
@@ -233,23 +300,32 @@
 
     def test_gather_paused_past_the_deadline_sends_nothing(self) -> None:
         """Guards against work for callers that have given up."""
-
-        async def pause(call: PartCall) -> PartResult:
-            for vm in fleet.vms_by_id.values():
-                vm.feed.paused_s += 60
+        self.check_sending_stops('paused_s', 60, 'deadline_passed')
+
+    def test_gather_without_lease_sends_nothing_more(self) -> None:
+        """Guards against sending on after control fell silent."""
+        self.check_sending_stops('lease', False, 'not_ready')
+
+    def check_sending_stops(
+        self,
+        field: str,
+        changed: float,
+        reason: str,
+    ) -> None:
+        """Check that only the part before a change of the feed was sent."""
+
+        async def change(call: PartCall) -> PartResult:
+            setattr(fleet.vms_by_id['vm0'].feed, field, changed)
             return answer_all(call)
 
-        fleet = Fleet(create_service(), vm_count=1, runner=pause)
+        fleet = Fleet(create_service(), vm_count=1, runner=change)
 
         async def body() -> dict[str, Any]:
             return await fleet.vms_by_id['vm0'].query()
 
         answer = run_in_virtual_time(body)
         self.assertEqual(len(fleet.list_calls()), 1)
-        self.assertEqual(
-            set(_list_missing(answer).values()),
-            {'deadline_passed'},
-        )
+        self.assertEqual(set(_list_missing(answer).values()), {reason})
 
     def test_leaving_gather_refuses_subqueries_after_the_notice(self) -> None:
         """Guards against a planned stop that interrupts requests."""
