Look up the raw socket of a connection once

Cause: a profile of gather (30 searchers a query) showed the check for a closed idle connection building the stream's whole attribute table for each request. Ruled out: the right and allowance look-ups, a tenth of the time. The rest is h11, sockets and task start.

--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -53,6 +53,7 @@
         self._host = host.encode()
         self._codec = h11.Connection(h11.CLIENT)
         self._usable = True
+        self._raw_socket = stream.extra(SocketAttribute.raw_socket)
 
     @classmethod
     async def open(
@@ -167,7 +168,7 @@
     def _is_closed_by_peer(self) -> bool:
         # Nothing is expected between two requests: an idle socket that is
         # readable has an end of stream or bytes outside a response.
-        descriptor = self._stream.extra(SocketAttribute.raw_socket).fileno()
+        descriptor = self._raw_socket.fileno()
         if descriptor < 0:
             return True
         poller = select.poll()
