--- a/jacinthcart/limits/_account.py
+++ b/jacinthcart/limits/_account.py
@@ -62,6 +62,7 @@
         self.stock = PermitStock(clock, metrics)
         self._meter = DemandMeter(_METER_INTERVAL_S, clock)
         self._lifetime_s = 0.0
+        self._is_short = False
 
     def count_request(self) -> None:
         """Count one request as demand."""
@@ -73,6 +74,14 @@
             return None
         return self._take_from_stock()
 
+    def note_shortage(self, is_short: bool) -> None:
+        """Keep whether control had fewer permits than asked for.
+
+        Asking ahead in a shortage would let permits expire here that other
+        requests lack.
+        """
+        self._is_short = is_short
+
     def add(self, count: int, expires_at: float, lifetime_s: float) -> None:
         """Keep granted permits and serve waiting requests in order."""
         self._lifetime_s = lifetime_s
@@ -84,8 +93,8 @@
             self.waiters.popleft().grant(permit)
 
     def count_ahead(self, batch_s: float) -> int:
-        """Return permits to ask for in advance; 0 without steady demand."""
-        if not self._meter.is_steady():
+        """Return permits to ask for in advance; 0 if demand is not steady."""
+        if self._is_short or not self._meter.is_steady():
             return 0
         span_s = min(batch_s, self._lifetime_s * _LIFETIME_SHARE)
         wanted = self._meter.predict() * span_s / _METER_INTERVAL_S
--- a/jacinthcart/limits/_borrower.py
+++ b/jacinthcart/limits/_borrower.py
@@ -26,7 +26,10 @@
 
 _MS_PER_S = 1000
 #: Rounds on demand in one borrowing interval, at most.
-_ROUNDS_PER_INTERVAL = 5
+_ROUNDS_PER_INTERVAL = 10
+#: Part of `borrow_timeout_ms` that one round waits for replies. Replies that
+#: come later are still used; a lost VM must not hold up the next round.
+_ROUND_TIMEOUT_SHARE = 0.25
 #: Datagrams hold at most 1,400 bytes, of which 200 are for other fields.
 _COUNTS_BYTES = 1200
 #: Bytes of one workspace in a reply beside its id.
@@ -100,7 +103,7 @@
             await self._send(self._ledger.plan_borrowing())
 
     async def _borrow(self, counts: Mapping[str, int]) -> None:
-        timeout_s = self._ledger.policy.borrow_timeout_ms / _MS_PER_S
+        timeout_s = self._ledger.find_patience_s(counts)
         waiter_id = next(self._waiter_ids)
         self._counts_by_waiter[waiter_id] = counts
         try:
@@ -135,6 +138,15 @@
         self._note_overdue()
         self._round_ended_at = self._clock()
         seqs = await self._send(self._find_plan(wanted))
+        timeout_s = self._ledger.policy.borrow_timeout_ms / _MS_PER_S
+        with anyio.move_on_after(timeout_s * _ROUND_TIMEOUT_SHARE):
+            await self._wait_for_replies(seqs, wanted)
+
+    async def _wait_for_replies(
+        self,
+        seqs: list[int],
+        wanted: Mapping[str, int],
+    ) -> None:
         while self._pending.is_waiting(seqs):
             if not self._ledger.find_shortage(wanted):
                 return
--- a/jacinthcart/limits/_client.py
+++ b/jacinthcart/limits/_client.py
@@ -124,6 +124,9 @@
             self._metrics.count('permit_calls_failed')
             self._refuse_unreachable(waiting, error)
             return
+        for workspace_id in counts:
+            is_short = workspace_id in reply.retry_after_ms
+            self._accounts[workspace_id].note_shortage(is_short)
         self._take_reply(reply, sent_at)
         self._refuse_over_rate(reply, waiting)
 
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from jacinthcart.limits._lenders import LenderBook
 from jacinthcart.limits._ownership import OwnershipHistory
@@ -21,6 +21,8 @@
 _BUFFER_SHARE = 0.5
 #: Part of a permit's lifetime that demand is borrowed for in advance.
 _HORIZON_LIFETIME_SHARE = 0.5
+#: Part of a permit's lifetime that a request waits for loans at most.
+_PATIENCE_LIFETIME_SHARE = 0.3
 
 CountsByOwner = dict[str, dict[str, int]]
 
@@ -121,6 +123,19 @@
                 shortage[workspace_id] = missing
         return shortage
 
+    def find_patience_s(self, workspace_ids: Iterable[str]) -> float:
+        """Return how long a request for these workspaces waits for loans.
+
+        The permits that are already held age while the others are awaited.
+        """
+        waits_s = [self.policy.borrow_timeout_ms / _MS_PER_S]
+        for workspace_id in workspace_ids:
+            share = self._shares.get(workspace_id)
+            if share is not None:
+                lifetime_s = share.terms.lifetime_s
+                waits_s.append(lifetime_s * _PATIENCE_LIFETIME_SHARE)
+        return min(waits_s)
+
     def lend(self, counts: Mapping[str, int]) -> dict[str, Loan]:
         """Debit and return what another VM may use of the own buckets.
 
--- /dev/null
+++ b/jacinthcart_lab/limits_chaos.py
@@ -0,0 +1,257 @@
+"""Random faults against a simulated fleet of rate limiters."""
+
+import dataclasses
+import enum
+import itertools
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from trio.testing import MockClock
+
+from jacinthcart.settings import SettingsView
+from jacinthcart_lab.limits_experiment import (
+    VM_COUNT,
+    WORKSPACE_ID,
+    create_view,
+)
+from jacinthcart_lab.limits_fleet import SimulatedFleet, SimulatedVm
+from jacinthcart_lab.limits_oracle import LimitInForce, find_excess
+
+#: Rates and bursts that settings change between.
+LIMITS = (
+    (200, 200),
+    (800, 400),
+    (50, 100),
+    (400, 40),
+    (1000, 10),
+)
+#: The longest permit lifetime of the settings in use, in seconds.
+_LIFETIME_S = 0.25
+_FILL_S = 1.0
+_LONGEST_PAUSE_S = 3.0
+_LONGEST_OUTAGE_S = 1.0
+_LONGEST_SPREAD_S = 0.3
+_LONGEST_DELAY_S = 0.5
+_USUAL_DELAYS_S = (0.0003, 0.0015)
+_HOT_DEMAND = 500
+_OTHER_DEMAND = 600
+
+
+_Injector = Callable[['FaultStep'], Coroutine[Any, Any, None]]
+
+
+class Fault(enum.StrEnum):
+    """What happens to the fleet."""
+
+    KILL_VM = 'kill_vm'
+    KILL_CONTROL = 'kill_control'
+    PAUSE = 'pause'
+    SPLIT = 'split'
+    HEAL = 'heal'
+    LOSE_DATAGRAMS = 'lose_datagrams'
+    DELAY_DATAGRAMS = 'delay_datagrams'
+    CHANGE_LIMITS_TWICE = 'change_limits_twice'
+
+
+@dataclasses.dataclass(frozen=True)
+class FaultStep:
+    """One fault after a time without faults."""
+
+    #: Seconds since the previous fault.
+    gap_s: float
+    #: What happens.
+    fault: Fault
+    #: Number of the VM that it happens to.
+    vm_number: int
+    #: Severity from 0 to 1: length, probability or part of the fleet.
+    amount: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ChaosFigures:
+    """What one run under faults measured."""
+
+    #: Requests and datagrams.
+    steps: int
+    #: Requests that were admitted.
+    admitted: int
+    #: Requests admitted beyond rate and burst in the worst window.
+    excess: float
+
+
+def run_chaos(seed: int, faults: Sequence[FaultStep]) -> ChaosFigures:
+    """Run the faults in virtual time and check every window."""
+    return anyio.run(
+        _run,
+        seed,
+        faults,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
+
+
+def draw_faults(rng: random.Random, count: int) -> list[FaultStep]:
+    """Return random faults."""
+    return [
+        FaultStep(
+            rng.uniform(0, 1),
+            rng.choice(list(Fault)),
+            rng.randrange(VM_COUNT),
+            rng.random(),
+        )
+        for _ in range(count)
+    ]
+
+
+async def _run(seed: int, faults: Sequence[FaultStep]) -> ChaosFigures:
+    async with anyio.create_task_group() as tasks:
+        chaos = _Chaos(tasks, random.Random(seed))
+        await chaos.run(faults)
+        tasks.cancel_scope.cancel()
+    fleet = chaos.fleet
+    responses = len(fleet.admitted_at) + len(fleet.refused_at)
+    return ChaosFigures(
+        responses + sum(fleet.network.sent_by_kind.values()),
+        len(fleet.admitted_at),
+        chaos.find_excess(),
+    )
+
+
+class _Chaos:
+    """Injects faults and records which limits are in force."""
+
+    def __init__(self, tasks: TaskGroup, rng: random.Random) -> None:
+        self._tasks = tasks
+        self._rng = rng
+        self._revisions = itertools.count(1)
+        self._view = self._create_view(LIMITS[0])
+        roster = self._view.roster
+        vm_ids = list(roster.vms_by_id) if roster else []
+        self.fleet = SimulatedFleet(vm_ids, tasks, rng)
+        self.fleet.network.duplication = 0.05
+        self._in_force_by_vm: dict[str, tuple[float, SettingsView]] = {}
+        self._limits: list[LimitInForce] = []
+
+    async def run(self, faults: Sequence[FaultStep]) -> None:
+        """Send requests to all VMs, most to one, and inject the faults."""
+        for vm in self.fleet.vms:
+            vm.start(self._view)
+            self._enter(vm, self._view)
+        await anyio.sleep(_FILL_S)
+        hot_vm = self.fleet.vms[0]
+        self._send_requests(_HOT_DEMAND, [hot_vm])
+        self._send_requests(_OTHER_DEMAND, self.fleet.vms)
+        for step in faults:
+            await anyio.sleep(step.gap_s)
+            await self._inject(step)
+        await anyio.sleep(_LONGEST_PAUSE_S)
+
+    def find_excess(self) -> float:
+        """Return the excess of the worst window."""
+        for vm in self.fleet.vms:
+            self._leave(vm, float('inf'))
+        return find_excess(self.fleet.admitted_at, self._limits, _LIFETIME_S)
+
+    def _send_requests(self, rate: float, vms: list[SimulatedVm]) -> None:
+        self._tasks.start_soon(
+            self.fleet.send_requests,
+            WORKSPACE_ID,
+            rate,
+            lambda: self._rng.choice(vms),
+        )
+
+    async def _inject(self, step: FaultStep) -> None:
+        injectors: dict[Fault, _Injector] = {
+            Fault.KILL_VM: self._restart_vm,
+            Fault.KILL_CONTROL: self._restart_control,
+            Fault.PAUSE: self._pause,
+            Fault.CHANGE_LIMITS_TWICE: self._change_limits_twice,
+        }
+        inject = injectors.get(step.fault)
+        if inject is None:
+            self._disturb_network(step)
+        else:
+            self._tasks.start_soon(inject, step)
+
+    def _disturb_network(self, step: FaultStep) -> None:
+        network = self.fleet.network
+        if step.fault is Fault.SPLIT:
+            count = int(step.amount * VM_COUNT)
+            isolated = self._rng.sample(self.fleet.vms, count)
+            network.side_by_vm = {vm.vm_id: 1 for vm in isolated}
+        elif step.fault is Fault.HEAL:
+            network.side_by_vm = {}
+            network.loss = 0
+            network.delay_range_s = _USUAL_DELAYS_S
+        elif step.fault is Fault.LOSE_DATAGRAMS:
+            network.loss = step.amount / 2
+        else:
+            network.delay_range_s = (0, step.amount * _LONGEST_DELAY_S)
+
+    async def _restart_vm(self, step: FaultStep) -> None:
+        vm = self.fleet.vms[step.vm_number]
+        vm.kill()
+        self._leave(vm, anyio.current_time())
+        await anyio.sleep(step.amount * _LONGEST_OUTAGE_S)
+        if vm.control is None:
+            vm.start(self._view)
+            self._enter(vm, self._view)
+
+    async def _restart_control(self, step: FaultStep) -> None:
+        vm = self.fleet.vms[step.vm_number]
+        if vm.control is not None:
+            vm.kill_control()
+            self._leave(vm, anyio.current_time())
+            vm.start_control(self._view)
+            self._enter(vm, self._view)
+
+    async def _pause(self, step: FaultStep) -> None:
+        vm = self.fleet.vms[step.vm_number]
+        vm.pause()
+        await anyio.sleep(step.amount * _LONGEST_PAUSE_S)
+        vm.resume()
+
+    async def _change_limits_twice(self, step: FaultStep) -> None:
+        self._change_limits()
+        await anyio.sleep(step.amount)
+        self._change_limits()
+
+    def _change_limits(self) -> None:
+        self._view = self._create_view(self._rng.choice(LIMITS))
+        for vm in self.fleet.vms:
+            self._tasks.start_soon(self._spread, vm, self._view)
+
+    async def _spread(self, vm: SimulatedVm, view: SettingsView) -> None:
+        await anyio.sleep(self._rng.uniform(0, _LONGEST_SPREAD_S))
+        await vm.wait_awake()
+        if vm.control is None:
+            return
+        _, current = self._in_force_by_vm[vm.vm_id]
+        if current.revision < view.revision:
+            vm.control.ledger.apply_settings(view)
+            self._leave(vm, anyio.current_time())
+            self._enter(vm, view)
+
+    def _enter(self, vm: SimulatedVm, view: SettingsView) -> None:
+        self._in_force_by_vm[vm.vm_id] = (anyio.current_time(), view)
+
+    def _leave(self, vm: SimulatedVm, now: float) -> None:
+        entered = self._in_force_by_vm.pop(vm.vm_id, None)
+        if entered is not None:
+            start, view = entered
+            workspace = view.workspaces_by_id[WORKSPACE_ID]
+            self._limits.append(
+                LimitInForce(start, now, workspace.rate, workspace.burst),
+            )
+
+    def _create_view(self, limit: tuple[int, int]) -> SettingsView:
+        rate, burst = limit
+        return create_view(
+            rate,
+            burst,
+            next(self._revisions),
+            handover_seconds=_LONGEST_PAUSE_S * 2,
+        )
--- /dev/null
+++ b/jacinthcart_lab/limits_long_run.py
@@ -0,0 +1,38 @@
+"""Long randomised run of the rate limiter: `--seed N --steps N`."""
+
+import argparse
+import random
+import sys
+
+from jacinthcart_lab.limits_chaos import draw_faults, run_chaos
+
+_FAULTS_PER_FLEET = 15
+
+
+def main() -> int:
+    """Run fleets until enough steps are done; return 1 on an excess."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--steps', type=int, default=300_000)
+    arguments = parser.parse_args()
+    rng = random.Random(arguments.seed)
+    steps = 0
+    admitted = 0
+    while steps < arguments.steps:
+        seed = rng.getrandbits(32)
+        faults = draw_faults(random.Random(seed), _FAULTS_PER_FLEET)
+        figures = run_chaos(seed, faults)
+        steps += figures.steps
+        admitted += figures.admitted
+        if figures.excess:
+            print(f'fleet seed {seed}: excess {figures.excess}')
+            return 1
+    print(
+        f'seed {arguments.seed}: {steps} steps, {admitted} admitted, '
+        f'no window over rate and burst',
+    )
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
