--- a/tests/control/_fleet.py
+++ b/tests/control/_fleet.py
@@ -141,6 +141,21 @@
         """End the VM at once."""
         self._scope.cancel()
 
+    @property
+    def view(self):
+        """Return the settings in force."""
+        return self.node.state.view
+
+    @property
+    def warm_entries(self):
+        """Return the warm table."""
+        return self.node.state.warm.export()
+
+    @property
+    def peers_by_vm(self):
+        """Return the VMs that heartbeats are sent to."""
+        return self.node.heartbeats.peers_by_vm
+
     @property
     def revision(self):
         """Return the revision in force."""
--- a/tests/control/test_spread.py
+++ b/tests/control/test_spread.py
@@ -151,7 +151,7 @@
             await fleet.start()
             fleet.service.put({'fleet/roster': create_roster(3)})
             await anyio.sleep(2)
-            peers = fleet.vms[0].node.heartbeats.peers_by_vm
+            peers = fleet.vms[0].peers_by_vm
             self.assertEqual(set(peers), {'vm001', 'vm002'})
 
         run_fleet(8, scenario)
