Hedge slow requests and test queues, submits and budgets

Purpose: a straggling searcher must not determine the latency of every query, and the extra load must stay within named budgets.

A second copy goes out after the part's observed quantile, only to a replica with a free slot. The losing copy's task is cancelled, which closes its connection. A request that found no right because the serving lease ran out is refused NOT_READY instead of reported as missing.

--- a/jacinthcart/dispatch/_dispatcher.py
+++ b/jacinthcart/dispatch/_dispatcher.py
@@ -9,17 +9,18 @@
 from jacinthcart.dispatch._budget import ShareBudget
 from jacinthcart.dispatch._choice import choose_link
 from jacinthcart.dispatch._client import OpenSearcherClient
+from jacinthcart.dispatch._hedging import Hedger
 from jacinthcart.dispatch._link import SearcherLink
 from jacinthcart.dispatch._links import LinkTable
-from jacinthcart.dispatch._messages import PartCall, PartResult, Snapshot
+from jacinthcart.dispatch._messages import PartCall, PartResult
 from jacinthcart.dispatch._outcome import Outcome
 from jacinthcart.dispatch._part_run import PartRun
-from jacinthcart.dispatch._replicas import Replica, build_replica_index
+from jacinthcart.dispatch._probe import Prober
+from jacinthcart.dispatch._replicas import build_replica_index
 from jacinthcart.dispatch._rights import Rights
 from jacinthcart.dispatch._sender import Sender
 from jacinthcart.errors import RefusalCode, RefusalError, WireError
 from jacinthcart.feed import StateFeed, WarmEntry
-from jacinthcart.settings import RequestClass
 from jacinthcart.telemetry import DecisionLog, Logger, Metrics
 
 _MS_PER_S = 1000
@@ -27,7 +28,7 @@
 _TICK_S = 0.05
 #: Time until entries that control does not show yet are posted again.
 _POST_AGAIN_S = 0.5
-_PROBE_TIMEOUT_S = 1.0
+_RECORD_HEDGES_S = 1.0
 #: First retries of a quiet service, before requests have earned budget.
 _INITIAL_RETRIES = 10.0
 
@@ -67,6 +68,8 @@
             self._rights.find_allowance,
             feed.clock,
         )
+        self._prober = Prober(feed, self._rights, self._sender)
+        self._hedger = Hedger(feed, metrics, decisions)
         self._retries_by_service: dict[str, ShareBudget] = {}
         self._view = feed.view
         self._index = build_replica_index(feed.view, feed.process.vm_id)
@@ -77,11 +80,12 @@
         """Step ramps, send probes and post warm entries until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._post_entries)
+            tasks.start_soon(self._record_hedges)
             while True:
                 self._take_state()
                 self._rights.step_ramps(self._index)
                 for link in self._list_links_to_probe():
-                    tasks.start_soon(self._probe, link)
+                    tasks.start_soon(self._prober.probe, link)
                 await self._links.close_retired()
                 await anyio.sleep(_TICK_S)
 
@@ -109,17 +113,26 @@
 
         async def attempt(
             link: SearcherLink,
-            _excluded: set[str],
-        ) -> Iterable[Outcome]:
-            sending = anyio.Event()
-            outcome = await self._sender.attempt(link, call, deadline, sending)
-            return (outcome,)
+            excluded: set[str],
+        ) -> list[Outcome]:
+            return await self._hedger.run(
+                call,
+                link,
+                lambda copy_link, sending: self._sender.attempt(
+                    copy_link,
+                    call,
+                    deadline,
+                    sending,
+                ),
+                lambda: self._choose_hedge(links, excluded, deadline),
+            )
 
         return await PartRun(
             call,
             lambda excluded: self._choose(links, excluded, deadline),
             attempt,
             retries.take,
+            self._check_serving,
         ).run()
 
     def describe(self) -> dict[str, Any]:
@@ -169,6 +182,23 @@
             self._random,
         )
 
+    def _choose_hedge(
+        self,
+        links: Iterable[SearcherLink],
+        excluded: set[str],
+        deadline: float,
+    ) -> SearcherLink | None:
+        now = self._feed.clock()
+        free = [
+            link
+            for link in links
+            if link.has_free_slot and link.failing_until <= now
+        ]
+        hedge_link = self._choose(free, excluded, deadline)
+        if hedge_link is not None:
+            excluded.add(hedge_link.replica.searcher_id)
+        return hedge_link
+
     def _find_retries(self, service_id: str) -> ShareBudget:
         budget = self._retries_by_service.get(service_id)
         if budget is None:
@@ -190,6 +220,15 @@
         self._rights.take_index(self._index)
         self._links.update(self._index)
 
+    def _list_links_to_probe(self) -> list[SearcherLink]:
+        links = self._links.list_links(self._index.owned)
+        return [link for link in links if self._prober.needs_probe(link)]
+
+    async def _record_hedges(self) -> None:
+        while True:
+            await anyio.sleep(_RECORD_HEDGES_S)
+            self._hedger.record_decisions()
+
     async def _post_entries(self) -> None:
         while True:
             changed = anyio.Event()
@@ -206,50 +245,3 @@
                 )
             with anyio.move_on_after(_POST_AGAIN_S):
                 await changed.wait()
-
-    def _list_links_to_probe(self) -> list[SearcherLink]:
-        return [
-            link
-            for link in self._links.list_links(self._index.owned)
-            if self._needs_probe(link)
-        ]
-
-    def _needs_probe(self, link: SearcherLink) -> bool:
-        if link.in_flight or link.queue:
-            return False
-        if not self._rights.needs_probe(link.replica):
-            return False
-        step_s = self._feed.view.policy.ramp_step_ms / _MS_PER_S
-        now = self._feed.clock()
-        if link.probed_at is not None and now - link.probed_at < step_s:
-            return False
-        return self._feed.is_serving()
-
-    async def _probe(self, link: SearcherLink) -> None:
-        now = self._feed.clock()
-        link.probed_at = now
-        call = _create_probe(link.replica, link.versions, now)
-        sending = anyio.Event()
-        await self._sender.attempt(link, call, call.deadline, sending)
-
-
-def _create_probe(
-    replica: Replica,
-    held_versions: frozenset[int],
-    now: float,
-) -> PartCall:
-    service = replica.service
-    listed = service.index_versions
-    held = [version for version in listed if version in held_versions]
-    version = held[0] if held else listed[0]
-    return PartCall(
-        request_id='probe',
-        service_id=replica.service_id,
-        part=replica.part,
-        shards=service.parts_by_name[replica.part].shards[:1],
-        snapshot=Snapshot(version, service.partition_map),
-        query={'probe': True},
-        workspace_id='',
-        request_class=RequestClass.BACKGROUND,
-        deadline=now + _PROBE_TIMEOUT_S,
-    )
--- /dev/null
+++ b/jacinthcart/dispatch/_hedging.py
@@ -0,0 +1,187 @@
+"""Second copies of slow idempotent requests."""
+
+import collections
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from jacinthcart.dispatch._budget import ShareBudget
+from jacinthcart.dispatch._link import SearcherLink
+from jacinthcart.dispatch._messages import PartCall
+from jacinthcart.dispatch._outcome import Outcome
+from jacinthcart.dispatch._replicas import PartKey
+from jacinthcart.errors import InvariantViolationError
+from jacinthcart.feed import StateFeed
+from jacinthcart.telemetry import DecisionLog, Metrics
+
+#: A quantile of fewer latencies is too uncertain to act on.
+_MIN_LATENCIES = 20
+#: Reading a quantile scans the whole histogram, so it is kept for a while.
+_KEEP_DELAY_S = 0.2
+
+#: Runs a request on a link; sets the event when it is about to be sent.
+Attempt = Callable[[SearcherLink, anyio.Event], Awaitable[Outcome]]
+#: Returns a link with a free slot for a hedge, None when there is none.
+ChooseHedge = Callable[[], SearcherLink | None]
+
+
+class _Race:
+    """Copies of one request; the first reply decides."""
+
+    def __init__(self, attempt: Attempt) -> None:
+        """Start without a copy."""
+        self.decided = anyio.Event()
+        self.outcomes: list[Outcome] = []
+        self.error: InvariantViolationError | None = None
+        self._attempt = attempt
+        self._running = 0
+
+    @property
+    def is_winner_alone(self) -> bool:
+        """Return whether a copy has won while another still runs."""
+        return self._running > 0 and self.decided.is_set()
+
+    async def run(self, link: SearcherLink, sending: anyio.Event) -> None:
+        """Run one copy."""
+        self._running += 1
+        try:
+            outcome = await self._attempt(link, sending)
+        except InvariantViolationError as error:
+            # A task group would wrap the error; the caller raises it.
+            self.error = error
+            self.decided.set()
+            return
+        self._running -= 1
+        self.outcomes.append(outcome)
+        if outcome.reply is not None or not self._running:
+            self.decided.set()
+
+
+class Hedger:
+    """Sends a second copy after the part's usual latency.
+
+    The extra requests are a bounded share of the ordinary ones. The copy
+    that loses is cancelled.
+    """
+
+    def __init__(
+        self,
+        feed: StateFeed,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        """Start without latencies and without budget."""
+        self._feed = feed
+        self._metrics = metrics
+        self._decisions = decisions
+        self._budgets: dict[str, ShareBudget] = {}
+        self._delays: dict[PartKey, tuple[float, float | None]] = {}
+        self._hedges_by_service: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    async def run(
+        self,
+        call: PartCall,
+        link: SearcherLink,
+        attempt: Attempt,
+        choose_hedge: ChooseHedge,
+    ) -> list[Outcome]:
+        """Run a request on `link`, with a hedge if it is slow."""
+        self._earn(call.service_id)
+        delay_s = self._find_delay_s(call)
+        if delay_s is None:
+            outcomes = [await attempt(link, anyio.Event())]
+        else:
+            outcomes = await self._run_race(
+                link,
+                _Race(attempt),
+                delay_s,
+                lambda: self._start_hedge(call, choose_hedge),
+            )
+        for outcome in outcomes:
+            if outcome.latency_s is not None:
+                self._metrics.record_seconds(
+                    ('part', call.service_id, call.part),
+                    outcome.latency_s,
+                )
+        return outcomes
+
+    def record_decisions(self) -> None:
+        """Record the hedges since the last call, one record a service."""
+        for service_id, hedges in self._hedges_by_service.items():
+            self._decisions.record(
+                'hedge',
+                service_id,
+                reason='slower than the quantile of the part',
+                observation=f'{hedges} hedges since the last record',
+                setting='hedge_budget',
+            )
+        self._hedges_by_service.clear()
+
+    async def _run_race(
+        self,
+        link: SearcherLink,
+        race: _Race,
+        delay_s: float,
+        start_hedge: ChooseHedge,
+    ) -> list[Outcome]:
+        sending = anyio.Event()
+
+        async def hedge_later() -> None:
+            await sending.wait()
+            await anyio.sleep(delay_s)
+            hedge_link = start_hedge()
+            if hedge_link is None:
+                return
+            started_at = self._feed.clock()
+            await race.run(hedge_link, anyio.Event())
+            if race.is_winner_alone:
+                # The cancelled copy's latency is at least this long.
+                elapsed_s = self._feed.clock() - started_at
+                link.note_latency(delay_s + elapsed_s)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(race.run, link, sending)
+            tasks.start_soon(hedge_later)
+            await race.decided.wait()
+            tasks.cancel_scope.cancel()
+        if race.error is not None:
+            raise race.error
+        return race.outcomes
+
+    def _start_hedge(
+        self,
+        call: PartCall,
+        choose_hedge: ChooseHedge,
+    ) -> SearcherLink | None:
+        hedge_link = choose_hedge()
+        if hedge_link is None or not self._find_budget(call.service_id).take():
+            return None
+        self._hedges_by_service[call.service_id] += 1
+        self._metrics.count('hedge', call.service_id)
+        return hedge_link
+
+    def _earn(self, service_id: str) -> None:
+        share = self._feed.view.policy.hedge_budget
+        self._find_budget(service_id).earn(share)
+
+    def _find_budget(self, service_id: str) -> ShareBudget:
+        return self._budgets.setdefault(service_id, ShareBudget())
+
+    def _find_delay_s(self, call: PartCall) -> float | None:
+        policy = self._feed.view.policy
+        is_allowed = policy.hedging_enabled and policy.hedge_budget > 0
+        if call.is_submit or policy.automatic_changes_frozen or not is_allowed:
+            return None
+        now = self._feed.clock()
+        part_key = (call.service_id, call.part)
+        read_at, delay_s = self._delays.get(part_key, (None, None))
+        if read_at is None or now - read_at >= _KEEP_DELAY_S:
+            delay_s = self._metrics.quantile_seconds(
+                ('part', *part_key),
+                policy.hedge_quantile,
+                _MIN_LATENCIES,
+            )
+            self._delays[part_key] = (now, delay_s)
+        return delay_s
--- a/jacinthcart/dispatch/_part_run.py
+++ b/jacinthcart/dispatch/_part_run.py
@@ -1,7 +1,7 @@
 """One part's call: attempts on replicas until one answers."""
 
 import types
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 from jacinthcart.dispatch._link import SearcherLink
 from jacinthcart.dispatch._messages import PartCall, PartResult
@@ -21,9 +21,11 @@
 #: Returns the next link that is not excluded, None when none is left.
 ChooseLink = Callable[[set[str]], SearcherLink | None]
 #: Runs a request, possibly with a hedge, and returns every outcome.
-RunAttempt = Callable[[SearcherLink, set[str]], Awaitable[Iterable[Outcome]]]
+RunAttempt = Callable[[SearcherLink, set[str]], Awaitable[list[Outcome]]]
 #: Returns whether one more request may be sent; counts it.
 TakeRetry = Callable[[], bool]
+#: Raises RefusalError when this VM does not serve.
+CheckServing = Callable[[], None]
 
 
 class PartRun:
@@ -40,12 +42,14 @@
         choose: ChooseLink,
         attempt: RunAttempt,
         take_retry: TakeRetry,
+        check_serving: CheckServing,
     ) -> None:
         """Start without an attempt."""
         self._call = call
         self._choose = choose
         self._attempt = attempt
         self._take_retry = take_retry
+        self._check_serving = check_serving
         self._excluded: set[str] = set()
         self._progress = Progress.NOT_SENT
         self._reason = MissingReason.NO_REPLICA
@@ -79,6 +83,8 @@
         return link if self._take_retry() else None
 
     def _finish(self) -> PartResult:
+        if self._progress is Progress.NOT_SENT:
+            self._check_serving()
         is_refused = self._call.is_submit or (
             self._progress is Progress.NOT_SENT
             and self._reason is MissingReason.OVERLOADED
--- a/jacinthcart/dispatch/_sender.py
+++ b/jacinthcart/dispatch/_sender.py
@@ -101,6 +101,7 @@
             0 < link.in_flight <= allowance,
             f'{link.replica.searcher_id}: {link.in_flight} of {allowance}',
         )
+        self._metrics.count('searcher_request', link.replica.service_id)
         sending.set()
         message = self._create_message(call)
         try:
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -19,6 +20,7 @@
     SearchMessage,
     Snapshot,
 )
+from jacinthcart.errors import NotSentError
 from jacinthcart.feed import StateFeed, WarmEntry
 from jacinthcart.ownership import find_part_owners, find_warmer
 from jacinthcart.settings import (
@@ -69,22 +71,29 @@
     versions: frozenset[int] = frozenset((SNAPSHOT.index_version,))
     in_flight: int = 0
     most_in_flight: int = 0
+    in_flight_by_vm: Counter[int] = dataclasses.field(default_factory=Counter)
     messages: list[SearchMessage] = dataclasses.field(default_factory=list)
     cancelled: int = 0
     change_reply: Callable[[SearcherReply], SearcherReply] | None = None
     failure: Exception | None = None
     find_latency_s: Callable[[], float] | None = None
-    on_search: Callable[[], None] | None = None
+    #: Called with the sending VM's number when a request arrives.
+    on_search: Callable[[int], None] | None = None
+    #: Called with the VM's number and the state that a response reports.
+    on_response: Callable[[int, str], None] | None = None
+    #: Requests that were run, refused ones not included.
+    runs: int = 0
 
-    async def answer(self, message: SearchMessage) -> SearcherReply:
+    async def answer(self, message: SearchMessage, vm: int) -> SearcherReply:
         """Take a request and answer after the latency."""
         self.messages.append(message)
         self.in_flight += 1
+        self.in_flight_by_vm[vm] += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
         generation, state = self.generation, self.state
         try:
             if self.on_search:
-                self.on_search()
+                self.on_search(vm)
             await anyio.sleep(
                 self.find_latency_s() if self.find_latency_s else self.latency_s
             )
@@ -93,7 +102,11 @@
             raise
         finally:
             self.in_flight -= 1
+            self.in_flight_by_vm[vm] -= 1
+        if self.on_response:
+            self.on_response(vm, state)
         self._refuse(message, generation, state)
+        self.runs += 1
         reply = SearcherReply(
             message.sub_id,
             generation,
@@ -108,6 +121,7 @@
         self, message: SearchMessage, generation: str, state: str
     ) -> None:
         if self.failure:
+            self.runs += not isinstance(self.failure, NotSentError)
             raise self.failure
         code = self.refusal
         if message.snapshot.index_version not in self.versions:
@@ -119,15 +133,16 @@
 class StandInClient(BaseSearcherClient):
     """Reaches a stand-in searcher without a network."""
 
-    def __init__(self, searcher: StandInSearcher) -> None:
-        """Keep the searcher."""
+    def __init__(self, searcher: StandInSearcher, vm: int) -> None:
+        """Keep the searcher and the number of the sending VM."""
         self.searcher = searcher
+        self.vm = vm
 
     async def search(
         self, message: SearchMessage, deadline: float
     ) -> SearcherReply:
         """Return the searcher's answer."""
-        return await self.searcher.answer(message)
+        return await self.searcher.answer(message, self.vm)
 
     async def cancel(self, sub_id: str) -> None:
         """Do nothing: the cancelled task has left the searcher."""
@@ -186,6 +201,7 @@
             for number, searcher_id in enumerate(self.searchers)
         }
         self.centres: dict[str, str] = {}
+        self.failed_posts = 0
         self.gossip_delay_s = gossip_delay_s
         self.table: dict[str, WarmEntry] = {}
         if is_warm:
@@ -209,12 +225,15 @@
         ]
 
     @property
-    def warmer(self) -> Dispatcher:
-        """Return the dispatcher that warms `s0`."""
+    def owners(self) -> list[str]:
+        """Return the VMs that own the part's connections."""
         view = self.feeds[0].view
         service = view.services_by_id[SERVICE_ID]
-        owners = find_part_owners(SERVICE_ID, 'p0', service, self.vm_ids)
-        return self.dispatchers[self.vm_ids.index(find_warmer('s0', owners))]
+        return find_part_owners(SERVICE_ID, 'p0', service, self.vm_ids)
+
+    def find_warmer(self, searcher_id: str) -> int:
+        """Return the number of the VM that warms a searcher."""
+        return self.vm_ids.index(find_warmer(searcher_id, self.owners))
 
     def apply(self) -> None:
         """Put the settings in force on every VM."""
@@ -246,6 +265,9 @@
     async def post_warm(self, entries: Mapping[str, WarmEntry]) -> None:
         """Stand in for control: merge and spread after a delay."""
         await anyio.sleep(self.gossip_delay_s)
+        if self.failed_posts:
+            self.failed_posts -= 1
+            raise NotSentError('control does not respond')
         self.table = merge_warm_entries(self.table, entries)
         for feed in self.feeds:
             feed.warm_by_searcher_id = dict(self.table)
@@ -254,7 +276,7 @@
 
     def _create_dispatcher(self, number: int) -> Dispatcher:
         def open_client(target: SearcherTarget) -> BaseSearcherClient:
-            return StandInClient(self.searchers[target.searcher_id])
+            return StandInClient(self.searchers[target.searcher_id], number)
 
         return Dispatcher(
             self.feeds[number],
@@ -273,10 +295,11 @@
     request_class: RequestClass = RequestClass.ORDINARY,
     *,
     is_submit: bool = False,
+    request_id: str = 'request',
 ) -> PartCall:
     """Return a call to the part with a deadline from now."""
     return PartCall(
-        'request',
+        request_id,
         SERVICE_ID,
         'p0',
         (0, 1),
--- /dev/null
+++ b/tests/dispatch/test_hedging.py
@@ -0,0 +1,123 @@
+"""Tests of hedges, their budget and retries."""
+
+import random
+import unittest
+
+import anyio
+
+from jacinthcart.errors import OutcomeUnknownError
+from tests.dispatch.support import Fleet, make_call, run_virtual
+
+REQUESTS = 1000
+
+
+async def _run_straggling(fleet: Fleet, share: float) -> None:
+    """Run requests one after the other while some straggle."""
+    source = random.Random(2)
+
+    def find_latency_s() -> float:
+        return 0.1 if source.random() < share else 0.01
+
+    for searcher in fleet.searchers.values():
+        searcher.find_latency_s = find_latency_s
+    for _ in range(REQUESTS):
+        part = await fleet.dispatchers[0].run_part(make_call())
+        assert not part.missing
+
+
+def _count(fleet: Fleet, name: str) -> int:
+    return fleet.metrics[0].counts_by_key[name, 'team/katalog']
+
+
+class HedgingTest(unittest.TestCase):
+    """Hedges shorten the tail within their budget."""
+
+    def test_straggler_is_hedged_and_cancelled(self) -> None:
+        """Guards against waiting for a straggler and against its leftovers."""
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            await _run_straggling(fleet, 0.02)
+            cancelled = sum(item.cancelled for item in fleet.searchers.values())
+            self.assertGreater(cancelled, 5)
+            running = sum(item.in_flight for item in fleet.searchers.values())
+            self.assertEqual(running, 0)
+
+        run_virtual(scenario)
+
+    def test_hedges_stay_within_their_budget(self) -> None:
+        """Guards against hedges that double the load when all is slow."""
+
+        async def scenario() -> None:
+            fleet = Fleet(
+                policy={'hedge_quantile': 0.5, 'hedge_budget': 0.03},
+            )
+            await _run_straggling(fleet, 0.4)
+            hedges = _count(fleet, 'hedge')
+            self.assertGreater(hedges, 0)
+            self.assertLessEqual(hedges, 0.03 * REQUESTS)
+            sent = _count(fleet, 'searcher_request')
+            self.assertEqual(sent, REQUESTS + hedges)
+
+        run_virtual(scenario)
+
+    def test_frozen_policy_sends_no_hedge(self) -> None:
+        """Guards against automatic changes that operators have frozen."""
+
+        async def scenario() -> None:
+            fleet = Fleet(policy={'automatic_changes_frozen': True})
+            await _run_straggling(fleet, 0.05)
+            self.assertEqual(_count(fleet, 'hedge'), 0)
+
+        run_virtual(scenario)
+
+    def test_hedges_are_recorded_in_aggregate(self) -> None:
+        """Guards against a decision log that hedges push everything out of."""
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.dispatchers[0].run)
+                await _run_straggling(fleet, 0.05)
+                await anyio.sleep(2)
+                tasks.cancel_scope.cancel()
+            actions = [
+                decision.action
+                for decision in fleet.decisions[0].list_newest()
+                if decision.action == 'hedge'
+            ]
+            self.assertGreater(len(actions), 0)
+            self.assertLess(len(actions), _count(fleet, 'hedge'))
+
+        run_virtual(scenario)
+
+
+class RetryTest(unittest.TestCase):
+    """Failures are retried elsewhere within the budget."""
+
+    def test_failed_searcher_costs_no_coverage(self) -> None:
+        """Guards against a lost replica that costs a shard."""
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            fleet.searchers['s0'].failure = OutcomeUnknownError('reset')
+            for _ in range(200):
+                part = await fleet.dispatchers[0].run_part(make_call())
+                self.assertEqual(part.missing, {})
+
+        run_virtual(scenario)
+
+    def test_retries_stay_within_their_budget(self) -> None:
+        """Guards against a retry storm when every searcher fails."""
+
+        async def scenario() -> None:
+            fleet = Fleet(policy={'retry_budget': 0.1})
+            for searcher in fleet.searchers.values():
+                searcher.failure = OutcomeUnknownError('reset')
+            for _ in range(REQUESTS):
+                await fleet.dispatchers[0].run_part(make_call())
+            retries = _count(fleet, 'searcher_request') - REQUESTS
+            # Ten retries are granted before requests have earned budget.
+            self.assertLessEqual(retries, 0.1 * REQUESTS + 10)
+
+        run_virtual(scenario)
--- /dev/null
+++ b/tests/dispatch/test_queue.py
@@ -0,0 +1,196 @@
+"""Tests of fair queues, early refusals and checks after the wait."""
+
+import unittest
+from collections.abc import Callable
+
+import anyio
+
+from jacinthcart.dispatch import Dispatcher, PartCall
+from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from jacinthcart.settings import RequestClass
+from tests.dispatch.support import Fleet, make_call, run_virtual
+
+ONE_SLOT = {'slots': 1, 'connections_per_owner': 1}
+FLOOD = 60
+
+
+async def _run(dispatcher: Dispatcher, call: PartCall) -> str:
+    try:
+        part = await dispatcher.run_part(call)
+    except RefusalError as refusal:
+        return f'{refusal.code}:{refusal.ran}'
+    return ','.join(sorted(set(part.missing.values())))
+
+
+async def _find_position(flood: RequestClass, late: RequestClass) -> int:
+    """Return how many requests run before one that follows a flood."""
+    fleet = Fleet(searcher_count=1, service=ONE_SLOT)
+    dispatcher = fleet.dispatchers[0]
+    async with anyio.create_task_group() as tasks:
+        for _ in range(FLOOD):
+            call = make_call(30, 'team/large', flood)
+            tasks.start_soon(_run, dispatcher, call)
+        await anyio.sleep(0.001)
+        call = make_call(30, 'team/small', late, request_id='late')
+        tasks.start_soon(_run, dispatcher, call)
+    ids = [item.request_id for item in fleet.searchers['s0'].messages]
+    return ids.index('late')
+
+
+class FairQueueTest(unittest.TestCase):
+    """A flood delays its own workspace."""
+
+    def test_flood_of_one_workspace_does_not_delay_another(self) -> None:
+        """Guards against first-come order under a flood."""
+
+        async def scenario() -> None:
+            ordinary = RequestClass.ORDINARY
+            position = await _find_position(ordinary, ordinary)
+            self.assertLessEqual(position, 2)
+
+        run_virtual(scenario)
+
+    def test_background_is_not_starved(self) -> None:
+        """Guards against strict priorities; the weights are 8 to 1."""
+
+        async def scenario() -> None:
+            position = await _find_position(
+                RequestClass.PRIORITY, RequestClass.BACKGROUND
+            )
+            self.assertLessEqual(position, 9)
+
+        run_virtual(scenario)
+
+    def test_background_waits_for_its_share_only(self) -> None:
+        """Guards against background work that delays priority work."""
+
+        async def scenario() -> None:
+            position = await _find_position(
+                RequestClass.BACKGROUND, RequestClass.PRIORITY
+            )
+            self.assertLessEqual(position, 2)
+
+        run_virtual(scenario)
+
+    def test_request_that_would_wait_too_long_is_refused_early(self) -> None:
+        """Guards against queueing work that its deadline makes useless."""
+
+        async def scenario() -> None:
+            fleet = Fleet(searcher_count=1, service=ONE_SLOT)
+            fleet.searchers['s0'].latency_s = 0.1
+            dispatcher = fleet.dispatchers[0]
+            await dispatcher.run_part(make_call())
+            async with anyio.create_task_group() as tasks:
+                for _ in range(10):
+                    tasks.start_soon(_run, dispatcher, make_call(30))
+                await anyio.sleep(0.001)
+                started_at = anyio.current_time()
+                with self.assertRaises(RefusalError) as caught:
+                    await dispatcher.run_part(make_call(0.5))
+                self.assertEqual(anyio.current_time(), started_at)
+            self.assertEqual(caught.exception.code, RefusalCode.OVERLOADED)
+            self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
+
+        run_virtual(scenario)
+
+    def test_queue_is_bounded(self) -> None:
+        """Guards against a queue that grows without limit."""
+
+        async def scenario() -> None:
+            fleet = Fleet(
+                searcher_count=1, service=ONE_SLOT, policy={'queue_limit': 5}
+            )
+            seen: list[str] = []
+
+            async def collect() -> None:
+                seen.append(await _run(fleet.dispatchers[0], make_call(30)))
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(collect)
+            self.assertEqual(seen.count('overloaded:not_run'), 14)
+
+        run_virtual(scenario)
+
+
+class RecheckTest(unittest.TestCase):
+    """What changed during the queue wait counts before the send."""
+
+    def _check_queued_requests(
+        self, change: Callable[[Fleet], None], expected: str
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(searcher_count=1, service=ONE_SLOT)
+            seen: list[str] = []
+
+            async def collect() -> None:
+                seen.append(await _run(fleet.dispatchers[0], make_call()))
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(5):
+                    tasks.start_soon(collect)
+                await anyio.sleep(0.005)
+                change(fleet)
+            self.assertEqual(len(fleet.searchers['s0'].messages), 1)
+            self.assertEqual(seen.count(expected), 4)
+            self.assertEqual(seen.count(''), 1)
+
+        run_virtual(scenario)
+
+    def test_leaving_searcher_gets_no_queued_request(self) -> None:
+        """Guards against new work on a leaving searcher."""
+
+        def change(fleet: Fleet) -> None:
+            fleet.searcher_settings['s0']['state'] = 'leaving'
+            fleet.apply()
+
+        self._check_queued_requests(change, 'no_replica')
+
+    def test_data_centre_out_gets_no_queued_request(self) -> None:
+        """Guards against new work in a data centre that is out."""
+
+        def change(fleet: Fleet) -> None:
+            fleet.centres['dc-0'] = 'out'
+            fleet.apply()
+
+        self._check_queued_requests(change, 'no_replica')
+
+    def test_lost_lease_stops_queued_requests(self) -> None:
+        """Guards against an isolated VM that empties its queues."""
+
+        def change(fleet: Fleet) -> None:
+            fleet.feeds[0].is_lease_valid = False
+
+        self._check_queued_requests(change, 'not_ready:not_run')
+
+    def test_draining_response_stops_queued_requests(self) -> None:
+        """Guards against work for a searcher that said it drains."""
+
+        def change(fleet: Fleet) -> None:
+            fleet.searchers['s0'].state = 'draining'
+
+        async def scenario() -> None:
+            fleet = Fleet(searcher_count=1, service=ONE_SLOT)
+            change(fleet)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(5):
+                    tasks.start_soon(_run, fleet.dispatchers[0], make_call())
+            self.assertEqual(len(fleet.searchers['s0'].messages), 1)
+
+        run_virtual(scenario)
+
+    def test_deadline_that_passed_in_the_queue_stops_the_send(self) -> None:
+        """Guards against late work that nobody waits for."""
+
+        async def scenario() -> None:
+            fleet = Fleet(searcher_count=1, service=ONE_SLOT)
+            fleet.searchers['s0'].latency_s = 1
+            dispatcher = fleet.dispatchers[0]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_run, dispatcher, make_call(5))
+                await anyio.sleep(0.1)
+                refused = await _run(dispatcher, make_call(0.9))
+            self.assertEqual(refused, 'overloaded:not_run')
+            self.assertEqual(len(fleet.searchers['s0'].messages), 1)
+
+        run_virtual(scenario)
