Test request bodies at random and read gather's prefix field

Gather answers GET /v1/request-id-prefix with the field 'prefix'; the entry and its stand-in now use that name.

--- a/jacinthcart/entry/_forward.py
+++ b/jacinthcart/entry/_forward.py
@@ -147,7 +147,7 @@
             return None
         prefix = None
         if response.is_success and isinstance(message, dict):
-            prefix = message.get('request_id_prefix')
+            prefix = message.get('prefix')
         return prefix if isinstance(prefix, str) else None
 
     async def _find_pool(self, home_vm: str | None) -> ConnectionPool:
--- a/tests/entry/_harness.py
+++ b/tests/entry/_harness.py
@@ -204,7 +204,7 @@
         """Record and answer one call."""
         self._gather.calls.append((self.address, target, body, headers))
         if target == '/v1/request-id-prefix':
-            prefix = {'request_id_prefix': self._gather.prefix}
+            prefix = {'prefix': self._gather.prefix}
             return respond(200, prefix)
         query = decode_json(body)
         self._gather.queries.append(query)
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -1,11 +1,16 @@
 """Tests of requests that the entry must refuse before anything runs."""
 
+import json
 import unittest
 from typing import Any
 
 import httpx
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from jacinthcart.errors import Ran, RefusalCode
+from jacinthcart.entry._messages import parse_query_message
+from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from jacinthcart.wire import decode_json, encode_json
 from tests.entry._harness import (
     AUTHORIZED,
     KEYS_PATH,
@@ -127,6 +132,38 @@
             )
 
 
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=5,
+)
+MESSAGES = st.fixed_dictionaries(
+    {'query': st.dictionaries(st.text(max_size=4), JSON_VALUES)},
+    optional={
+        'request_id': st.sampled_from((None, 'a.1', 'a b', 5)),
+        'deadline_ms': st.none() | st.integers(),
+        'workspace': st.sampled_from((None, 'a/b', 5)),
+    },
+)
+
+
+class ParsingTest(unittest.TestCase):
+    """Any body is either a valid message or a typed refusal."""
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.binary() | MESSAGES.map(lambda sent: json.dumps(sent).encode()))
+    def test_any_body(self, body: bytes) -> None:
+        """Guards against a body that fails later, or alters its query."""
+        try:
+            message = parse_query_message(body)
+        except RefusalError as refusal:
+            self.assertIs(refusal.code, RefusalCode.INVALID_REQUEST)
+            return
+        passed_on = decode_json(encode_json(message.query))
+        self.assertEqual(passed_on, decode_json(body)['query'])
+        self.assertGreaterEqual(message.deadline_ms or 1, 1)
+
+
 class CountedBody(httpx.AsyncByteStream):
     """A body without length that counts how much of it is read."""
 
