Get permits for the entry in batches

The entry asked control once a request. It now uses the coalescing client of the limits package: one call in flight carries all waiting requests and, for steady traffic, the demand of the next permit_batch_ms. Entry tests pass unchanged but for the two new methods of the stand-in.

--- a/jacinthcart/entry/__init__.py
+++ b/jacinthcart/entry/__init__.py
@@ -4,7 +4,6 @@
 from jacinthcart.entry._permits import (
     BasePermitSource,
     ControlPermitSource,
-    Permit,
 )
 from jacinthcart.entry._program import build_parts, run_entry
 
@@ -13,7 +12,6 @@
     'ControlPermitSource',
     'EntryApp',
     'EntryParts',
-    'Permit',
     'build_parts',
     'run_entry',
 ]
--- a/jacinthcart/entry/_admission.py
+++ b/jacinthcart/entry/_admission.py
@@ -4,9 +4,10 @@
 
 from jacinthcart.entry._drain import Drain
 from jacinthcart.entry._keys import Grant, authorize
-from jacinthcart.entry._permits import BasePermitSource, Permit
+from jacinthcart.entry._permits import BasePermitSource
 from jacinthcart.errors import RefusalCode, RefusalError
 from jacinthcart.feed import StateFeed
+from jacinthcart.limits import Permit
 from jacinthcart.telemetry import Metrics
 
 _PERMIT_TRIES = 2
--- a/jacinthcart/entry/_program.py
+++ b/jacinthcart/entry/_program.py
@@ -24,7 +24,6 @@
 from jacinthcart.wire import ConnectionPool, serve_application
 
 _PROGRAM = 'entry'
-_CONTROL_CONNECTIONS = 8
 #: Time for responses that are being written when the drain has ended.
 _CLOSE_GRACE_S = 1
 
@@ -32,12 +31,12 @@
 def build_parts(
     feed: StateFeed,
     permits: BasePermitSource,
+    metrics: Metrics,
     logger: Logger,
     random_source: random.Random,
     create_pool: PoolFactory = ConnectionPool,
 ) -> EntryParts:
     """Wire the parts of one entry."""
-    metrics = Metrics()
     drain = Drain(feed)
     gather = GatherClient(feed, metrics, create_pool)
     admission = Admission(feed, permits, drain, metrics)
@@ -56,20 +55,20 @@
 async def run_entry(settings: ProcessSettings, stop: StopSignal) -> None:
     """Serve callers until the stop signal, then drain and return."""
     feed = StateFeed(settings, _PROGRAM)
-    permits = ControlPermitSource(
-        ConnectionPool(
-            settings.address,
-            settings.control_port,
-            _CONTROL_CONNECTIONS,
-        ),
-        feed.clock,
-    )
+    metrics = Metrics()
+    permits = ControlPermitSource(feed, metrics)
     logger = create_logger(_PROGRAM)
-    parts = build_parts(feed, permits, logger, random.SystemRandom())
+    parts = build_parts(
+        feed,
+        permits,
+        metrics,
+        logger,
+        random.SystemRandom(),
+    )
     feed.listeners.append(lambda: set_log_level(feed.view.policy.log_level))
     logger.info('starting', vm=settings.vm_id, port=settings.entry_port)
     try:
-        await _serve(settings, parts, stop)
+        await _serve(parts, permits, stop)
     finally:
         with anyio.CancelScope(shield=True):
             await permits.close()
@@ -79,13 +78,15 @@
 
 
 async def _serve(
-    settings: ProcessSettings,
     parts: EntryParts,
+    permits: BasePermitSource,
     stop: StopSignal,
 ) -> None:
     drain = parts.drain
+    settings = parts.feed.process
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(parts.feed.run)
+        tasks.start_soon(permits.run)
         tasks.start_soon(drain.run)
         tasks.start_soon(drain.follow_signal, stop)
         await serve_application(
--- a/tests/entry/_harness.py
+++ b/tests/entry/_harness.py
@@ -13,13 +13,13 @@
 from jacinthcart.entry import (
     BasePermitSource,
     EntryApp,
-    Permit,
     build_parts,
 )
 from jacinthcart.errors import Ran, RefusalCode
 from jacinthcart.feed import StateFeed
+from jacinthcart.limits import Permit
 from jacinthcart.settings import ProcessSettings, SettingsValue
-from jacinthcart.telemetry import Logger
+from jacinthcart.telemetry import Logger, Metrics
 from jacinthcart.wire import (
     ConnectionPool,
     HttpResponse,
@@ -150,6 +150,12 @@
         self.before_grant: Callable[[], Awaitable[None]] | None = None
         self._clock = clock
 
+    async def run(self) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Hold nothing."""
+
     async def acquire(self, workspace_id: str) -> Permit:
         """Return a permit counted from the moment of the question."""
         self.asked.append(workspace_id)
@@ -243,6 +249,7 @@
         self.parts = build_parts(
             self.feed,
             self.permits,
+            Metrics(),
             Logger('entry', self.feed.clock),
             random.Random(1),
             self.gather.create_pool,
