Keep hedges from hiding a cold searcher

Cause: a searcher that turned cold and answered slower than every hedge lost each race, so its responses were cancelled before they arrived. In a trial with three dispatchers it got 69 requests in a second without being found cold, and was then never chosen again, so no later response could show it either.

Requests without a response since the last one now count against the bound. When only one is left, it runs on after its hedge has won, because its response is the only evidence. The replica score no longer divides an idle link's latency by its allowance, so a replica that may get a single request is still tried. The same trial then sees at most 4 requests from each VM before the evidence, which is the bound.

Ruled out: lost posts to control (repeated, tested) and the ramp (no response reached it). Tests cover cold starts, ramps, probes, frozen policy, handover, old evidence and lost posts.

--- a/jacinthcart/dispatch/_choice.py
+++ b/jacinthcart/dispatch/_choice.py
@@ -52,7 +52,10 @@
         latency_s = link.latency_s
         if latency_s is None or link.latency_at < oldest:
             latency_s = best_known
-        waiting = link.in_flight + len(link.queue) + 1
-        return waiting * latency_s / max(link.allowance, 1), link.load
+        waiting = link.in_flight + len(link.queue)
+        # An idle link scores its latency whatever its allowance is, so a
+        # replica that may get only one request is still tried.
+        rounds = 1 + waiting / max(link.allowance, 1)
+        return rounds * latency_s, link.load
 
     return score
--- a/jacinthcart/dispatch/_dispatcher.py
+++ b/jacinthcart/dispatch/_dispatcher.py
@@ -69,7 +69,12 @@
             feed.clock,
         )
         self._prober = Prober(feed, self._rights, self._sender)
-        self._hedger = Hedger(feed, metrics, decisions)
+        self._hedger = Hedger(
+            feed,
+            metrics,
+            decisions,
+            self._rights.needs_evidence,
+        )
         self._retries_by_service: dict[str, ShareBudget] = {}
         self._view = feed.view
         self._index = build_replica_index(feed.view, feed.process.vm_id)
@@ -79,6 +84,7 @@
     async def run(self) -> None:
         """Step ramps, send probes and post warm entries until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self._hedger.background = tasks
             tasks.start_soon(self._post_entries)
             tasks.start_soon(self._record_hedges)
             while True:
--- a/jacinthcart/dispatch/_hedging.py
+++ b/jacinthcart/dispatch/_hedging.py
@@ -4,12 +4,13 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from anyio.abc import TaskGroup
 
 from jacinthcart.dispatch._budget import ShareBudget
 from jacinthcart.dispatch._link import SearcherLink
 from jacinthcart.dispatch._messages import PartCall
-from jacinthcart.dispatch._outcome import Outcome
-from jacinthcart.dispatch._replicas import PartKey
+from jacinthcart.dispatch._outcome import MissingReason, Outcome, Progress
+from jacinthcart.dispatch._replicas import PartKey, Replica
 from jacinthcart.errors import InvariantViolationError
 from jacinthcart.feed import StateFeed
 from jacinthcart.telemetry import DecisionLog, Metrics
@@ -19,6 +20,9 @@
 #: Reading a quantile scans the whole histogram, so it is kept for a while.
 _KEEP_DELAY_S = 0.2
 
+#: Stands for a copy that ended with the program.
+_STOPPED = Outcome(Progress.UNKNOWN, MissingReason.FAILED)
+
 #: Runs a request on a link; sets the event when it is about to be sent.
 Attempt = Callable[[SearcherLink, anyio.Event], Awaitable[Outcome]]
 #: Returns a link with a free slot for a hedge, None when there is none.
@@ -34,24 +38,27 @@
         self.outcomes: list[Outcome] = []
         self.error: InvariantViolationError | None = None
         self._attempt = attempt
-        self._running = 0
+        self._running: list[SearcherLink] = []
 
-    @property
-    def is_winner_alone(self) -> bool:
-        """Return whether a copy has won while another still runs."""
-        return self._running > 0 and self.decided.is_set()
+    def is_running(self, link: SearcherLink) -> bool:
+        """Return whether the copy on `link` has not ended."""
+        return link in self._running
 
     async def run(self, link: SearcherLink, sending: anyio.Event) -> None:
         """Run one copy."""
-        self._running += 1
+        self._running.append(link)
+        outcome = _STOPPED
         try:
             outcome = await self._attempt(link, sending)
         except InvariantViolationError as error:
             # A task group would wrap the error; the caller raises it.
             self.error = error
             self.decided.set()
-            return
-        self._running -= 1
+        finally:
+            self._note_end(link, outcome)
+
+    def _note_end(self, link: SearcherLink, outcome: Outcome) -> None:
+        self._running.remove(link)
         self.outcomes.append(outcome)
         if outcome.reply is not None or not self._running:
             self.decided.set()
@@ -61,7 +68,9 @@
     """Sends a second copy after the part's usual latency.
 
     The extra requests are a bounded share of the ordinary ones. The copy
-    that loses is cancelled.
+    that loses is cancelled, unless its response is the only evidence of the
+    searcher's state: otherwise a searcher that turned cold, and slower than
+    every hedge, would be sent requests without ever being found cold.
     """
 
     def __init__(
@@ -69,8 +78,12 @@
         feed: StateFeed,
         metrics: Metrics,
         decisions: DecisionLog,
+        needs_evidence: Callable[[Replica], bool],
     ) -> None:
         """Start without latencies and without budget."""
+        #: Runs copies that outlive their call; None outside of `run`.
+        self.background: TaskGroup | None = None
+        self._needs_evidence = needs_evidence
         self._feed = feed
         self._metrics = metrics
         self._decisions = decisions
@@ -135,14 +148,15 @@
             if hedge_link is None:
                 return
             started_at = self._feed.clock()
-            await race.run(hedge_link, anyio.Event())
-            if race.is_winner_alone:
-                # The cancelled copy's latency is at least this long.
+            self._start(tasks, race, hedge_link, anyio.Event())
+            await race.decided.wait()
+            if race.is_running(link):
+                # The losing copy's latency is at least this long.
                 elapsed_s = self._feed.clock() - started_at
                 link.note_latency(delay_s + elapsed_s)
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(race.run, link, sending)
+            self._start(tasks, race, link, sending)
             tasks.start_soon(hedge_later)
             await race.decided.wait()
             tasks.cancel_scope.cancel()
@@ -150,6 +164,17 @@
             raise race.error
         return race.outcomes
 
+    def _start(
+        self,
+        tasks: TaskGroup,
+        race: _Race,
+        link: SearcherLink,
+        sending: anyio.Event,
+    ) -> None:
+        if self._needs_evidence(link.replica) and self.background:
+            tasks = self.background
+        tasks.start_soon(race.run, link, sending)
+
     def _start_hedge(
         self,
         call: PartCall,
--- a/jacinthcart/dispatch/_rights.py
+++ b/jacinthcart/dispatch/_rights.py
@@ -1,5 +1,7 @@
 """How many concurrent requests this VM may have at each searcher."""
 
+from collections import Counter
+
 from jacinthcart.dispatch._entries import EntryBook
 from jacinthcart.dispatch._handover import HandoverTracker
 from jacinthcart.dispatch._ramps import RampTable
@@ -29,6 +31,7 @@
         self._handover = HandoverTracker()
         self._ramps = RampTable(feed, self.entries, decisions)
         self._responded_at_by_id: dict[str, float] = {}
+        self._unanswered_by_id: Counter[str] = Counter()
         self._set_aside_until_by_id: dict[str, float] = {}
 
     def take_index(self, index: ReplicaIndex) -> None:
@@ -49,7 +52,10 @@
             allowance = min(self._ramps.find(replica).allowance, replica.bound)
         else:
             return 0
-        return allowance if self._is_evidence_recent(replica) else 1
+        if self.needs_evidence(replica):
+            return 1
+        unanswered = self._unanswered_by_id[replica.searcher_id]
+        return min(allowance, replica.bound - unanswered)
 
     def find_reason(self, replica: Replica) -> str:
         """Return why a searcher receives nothing, empty when it may."""
@@ -78,11 +84,28 @@
             and not self._ramps.find(replica).has_good_response
         )
 
+    def needs_evidence(self, replica: Replica) -> bool:
+        """Return whether a response must come before more is sent.
+
+        Requests that hedges cancelled or that failed tell nothing about the
+        searcher. Without counting them a searcher that is slower than every
+        hedge would get new requests until its last response is too old.
+        """
+        searcher_id = replica.searcher_id
+        responded_at = self._responded_at_by_id.get(searcher_id)
+        if responded_at is None:
+            return True
+        if self._unanswered_by_id[searcher_id] >= max(replica.bound - 1, 1):
+            return True
+        max_age_s = self._feed.view.policy.evidence_max_age_ms / _MS_PER_S
+        return self._feed.clock() - responded_at > max_age_s
+
     def note_response(self, replica: Replica, seen: Observation) -> None:
         """Take what a response says; evidence counts at once."""
         now = self._feed.clock()
         searcher_id = replica.searcher_id
         self._responded_at_by_id[searcher_id] = now
+        self._unanswered_by_id.pop(searcher_id, None)
         if seen.says_draining:
             self._set_aside_until_by_id[searcher_id] = now + DRAINING_RECHECK_S
         reason = self._find_cold_reason(replica, seen)
@@ -91,6 +114,10 @@
         if self.is_ramping(replica):
             self._ramps.note_response(replica, seen)
 
+    def note_unanswered(self, replica: Replica) -> None:
+        """Count a request that ended without a response."""
+        self._unanswered_by_id[replica.searcher_id] += 1
+
     def note_failure(self, replica: Replica) -> None:
         """Take a request without a usable response."""
         if self.is_ramping(replica):
@@ -127,13 +154,6 @@
         until = self._set_aside_until_by_id.get(replica.searcher_id, 0)
         return self._feed.clock() < until
 
-    def _is_evidence_recent(self, replica: Replica) -> bool:
-        responded_at = self._responded_at_by_id.get(replica.searcher_id)
-        if responded_at is None:
-            return False
-        max_age_s = self._feed.view.policy.evidence_max_age_ms / _MS_PER_S
-        return self._feed.clock() - responded_at <= max_age_s
-
     def _find_cold_reason(self, replica: Replica, seen: Observation) -> str:
         entry = self.entries.find(replica.searcher_id)
         if seen.generation != entry.generation:
--- a/jacinthcart/dispatch/_sender.py
+++ b/jacinthcart/dispatch/_sender.py
@@ -140,6 +140,7 @@
                 reply = await client.search(message, deadline)
         finally:
             if reply is None:
+                self._rights.note_unanswered(link.replica)
                 with anyio.CancelScope(shield=True):
                     await client.cancel(message.sub_id)
         if reply is not None:
--- /dev/null
+++ b/tests/dispatch/test_rights.py
@@ -0,0 +1,320 @@
+"""Tests that cold searchers receive no more than they can handle."""
+
+import random
+import unittest
+
+import anyio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthcart.dispatch import Dispatcher
+from jacinthcart.errors import RefusalError
+from jacinthcart.feed import WarmEntry
+from tests.dispatch.support import (
+    Fleet,
+    StandInSearcher,
+    make_call,
+    run_virtual,
+)
+
+EAGER = {
+    'hedge_quantile': 0.5,
+    'hedge_budget': 1,
+    'retry_budget': 1,
+    'ramp_step_ms': 200,
+}
+BOUND = 4
+WORKERS = 5
+
+
+class ColdWatch:
+    """Finds requests that a cold searcher should not have received.
+
+    A VM knows of a cold start from a response or from its table. Before
+    that it may have as many requests in flight as its bound.
+    """
+
+    def __init__(self, fleet: Fleet, searcher: StandInSearcher) -> None:
+        """Watch one searcher."""
+        self.fleet = fleet
+        self.searcher = searcher
+        self.warmer = fleet.find_warmer(searcher.searcher_id)
+        self.informed: set[int] = set()
+        self.uninformed_counts = dict.fromkeys(range(len(fleet.vm_ids)), 0)
+        self.violations: list[str] = []
+        self.cold_requests = 0
+        searcher.on_search = self.note_search
+        searcher.on_response = self.note_response
+
+    def turn_cold(self, generation: str) -> None:
+        """Make the searcher cold without telling anyone."""
+        self.informed.clear()
+        self.uninformed_counts = dict.fromkeys(self.uninformed_counts, 0)
+        self.searcher.state = 'cold'
+        self.searcher.generation = generation
+
+    def note_search(self, vm: int) -> None:
+        """Check one request on its arrival."""
+        if self.searcher.state != 'cold':
+            return
+        self.cold_requests += 1
+        table = self.fleet.feeds[vm].warm_by_searcher_id
+        entry = table.get(self.searcher.searcher_id)
+        if vm not in self.informed and entry is not None and entry.warm:
+            self.uninformed_counts[vm] += 1
+            if self.uninformed_counts[vm] > BOUND:
+                self.violations.append(f'vm {vm} sent above its bound')
+        elif vm != self.warmer:
+            self.violations.append(f'vm {vm} sent without a right')
+        elif self.searcher.in_flight_by_vm[vm] > 1:
+            self.violations.append('warmer sent above the cold allowance')
+
+    def note_response(self, vm: int, state: str) -> None:
+        """Take the moment at which a VM learns of the cold start."""
+        if state == 'cold':
+            self.informed.add(vm)
+
+
+async def _work(
+    dispatcher: Dispatcher, source: random.Random, until: float
+) -> None:
+    while anyio.current_time() < until:
+        try:
+            await dispatcher.run_part(make_call(0.3))
+        except RefusalError:
+            await anyio.sleep(0.01)
+        await anyio.sleep(source.random() / 20)
+
+
+async def _run_load(
+    fleet: Fleet, seconds: float, tasks: anyio.abc.TaskGroup
+) -> None:
+    until = anyio.current_time() + seconds
+    for dispatcher in fleet.dispatchers:
+        tasks.start_soon(dispatcher.run)
+        for _ in range(WORKERS):
+            tasks.start_soon(_work, dispatcher, fleet.random, until)
+
+
+def _start_calls(
+    dispatcher: Dispatcher, count: int, tasks: anyio.abc.TaskGroup
+) -> None:
+    for _ in range(count):
+        tasks.start_soon(dispatcher.run_part, make_call())
+
+
+class ColdStartTest(unittest.TestCase):
+    """Three VMs together keep to a cold searcher's allowance."""
+
+    @settings(derandomize=True, deadline=None, max_examples=4)
+    @given(st.integers(0, 1000), st.sampled_from(['g1', 'g2']), st.booleans())
+    def test_silent_cold_start_stops_all_but_the_warmer(
+        self, seed: int, generation: str, refuses: bool
+    ) -> None:
+        """Guards against load on a cold searcher; its load report is 0."""
+
+        async def scenario() -> None:
+            fleet = Fleet(3, policy=EAGER, seed=seed)
+            searcher = fleet.searchers['s0']
+            watch = ColdWatch(fleet, searcher)
+            async with anyio.create_task_group() as tasks:
+                await _run_load(fleet, 5, tasks)
+                await anyio.sleep(1 + fleet.random.random())
+                watch.turn_cold(generation)
+                searcher.refusal = 'cold' if refuses else ''
+                searcher.latency_s = 0.2
+                await anyio.sleep(1.5)
+                self.assertFalse(fleet.table['s0'].warm)
+                self.assertGreater(watch.cold_requests, 3)
+                searcher.state = 'warm'
+                searcher.refusal = ''
+                searcher.latency_s = 0.01
+                await anyio.sleep(2)
+                self.assertTrue(fleet.table['s0'].warm)
+                tasks.cancel_scope.cancel()
+            self.assertEqual(watch.violations, [])
+
+        run_virtual(scenario)
+
+    def test_new_fleet_ramps_each_searcher(self) -> None:
+        """Guards against full load after all VMs were replaced."""
+
+        async def scenario() -> None:
+            fleet = Fleet(3, policy=EAGER, is_warm=False)
+            watches = [
+                ColdWatch(fleet, searcher)
+                for searcher in fleet.searchers.values()
+            ]
+            for searcher in fleet.searchers.values():
+                searcher.state = 'cold'
+            async with anyio.create_task_group() as tasks:
+                await _run_load(fleet, 4, tasks)
+                await anyio.sleep(1)
+                for searcher in fleet.searchers.values():
+                    self.assertEqual(searcher.most_in_flight, 1)
+                    searcher.state = 'warm'
+                await anyio.sleep(2)
+                tasks.cancel_scope.cancel()
+            for watch in watches:
+                self.assertEqual(watch.violations, [])
+            warm = [entry.warm for entry in fleet.table.values()]
+            self.assertEqual(warm, [True, True, True])
+
+        run_virtual(scenario)
+
+    def test_ramp_without_traffic_uses_probes(self) -> None:
+        """Guards against a searcher that stays unused for lack of load."""
+
+        async def scenario() -> None:
+            fleet = Fleet(3, policy=EAGER, is_warm=False)
+            async with anyio.create_task_group() as tasks:
+                for dispatcher in fleet.dispatchers:
+                    tasks.start_soon(dispatcher.run)
+                await anyio.sleep(2)
+                tasks.cancel_scope.cancel()
+            for searcher in fleet.searchers.values():
+                self.assertTrue(fleet.table[searcher.searcher_id].warm)
+                self.assertEqual(searcher.most_in_flight, 1)
+                self.assertEqual(searcher.messages[0].query, {'probe': True})
+
+        run_virtual(scenario)
+
+    def test_frozen_policy_stops_the_ramp(self) -> None:
+        """Guards against a ramp that operators have frozen."""
+
+        async def scenario() -> None:
+            frozen = {**EAGER, 'automatic_changes_frozen': True}
+            fleet = Fleet(1, policy=frozen, is_warm=False)
+            async with anyio.create_task_group() as tasks:
+                await _run_load(fleet, 3, tasks)
+                await anyio.sleep(3)
+                tasks.cancel_scope.cancel()
+            for searcher in fleet.searchers.values():
+                self.assertEqual(searcher.most_in_flight, 1)
+                self.assertFalse(fleet.table[searcher.searcher_id].warm)
+
+        run_virtual(scenario)
+
+    def test_failed_response_restarts_the_ramp(self) -> None:
+        """Guards against a ramp that rises while requests time out."""
+
+        async def scenario() -> None:
+            fleet = Fleet(1, policy=EAGER, is_warm=False)
+            for searcher in fleet.searchers.values():
+                searcher.latency_s = 2
+            async with anyio.create_task_group() as tasks:
+                await _run_load(fleet, 3, tasks)
+                await anyio.sleep(3)
+                tasks.cancel_scope.cancel()
+            for searcher in fleet.searchers.values():
+                self.assertEqual(searcher.most_in_flight, 1)
+
+        run_virtual(scenario)
+
+
+class RightTest(unittest.TestCase):
+    """Rights follow evidence, settings and the roster."""
+
+    def test_old_evidence_allows_one_request(self) -> None:
+        """Guards against a burst on a searcher that turned cold unseen."""
+
+        async def scenario() -> None:
+            fleet = Fleet(searcher_count=1)
+            searcher = fleet.searchers['s0']
+            for _ in range(2):
+                searcher.most_in_flight = 0
+                async with anyio.create_task_group() as tasks:
+                    _start_calls(fleet.dispatchers[0], 8, tasks)
+                    await anyio.sleep(0.005)
+                    self.assertEqual(searcher.most_in_flight, 1)
+                    await anyio.sleep(0.01)
+                    self.assertEqual(searcher.most_in_flight, BOUND)
+                await anyio.sleep(1.1)
+
+        run_virtual(scenario)
+
+    def test_searcher_without_entry_gets_nothing_from_others(self) -> None:
+        """Guards against a VM that sends without the warmer's word."""
+
+        async def scenario() -> None:
+            fleet = Fleet(3, searcher_count=1, is_warm=False)
+            for number, dispatcher in enumerate(fleet.dispatchers):
+                part = await dispatcher.run_part(make_call())
+                is_warmer = number == fleet.find_warmer('s0')
+                self.assertEqual(not part.missing, is_warmer)
+
+        run_virtual(scenario)
+
+    def test_gained_right_waits_for_the_handover(self) -> None:
+        """Guards against two owners while roster revisions overlap."""
+
+        async def scenario() -> None:
+            service = {'connection_limit': 8}
+            fleet = Fleet(2, 1, service=service)
+            owner = fleet.owners[0]
+            other = 1 - fleet.vm_ids.index(owner)
+            dispatcher = fleet.dispatchers[other]
+            fleet.vm_ids.remove(owner)
+            fleet.apply()
+            await anyio.sleep(29)
+            part = await dispatcher.run_part(make_call())
+            self.assertEqual(part.missing, {0: 'no_replica', 1: 'no_replica'})
+            await anyio.sleep(2)
+            part = await dispatcher.run_part(make_call())
+            self.assertEqual(part.missing, {})
+
+        run_virtual(scenario)
+
+    def test_vm_outside_the_roster_sends_nothing(self) -> None:
+        """Guards against connections above the searchers' limits."""
+
+        async def scenario() -> None:
+            fleet = Fleet(1)
+            fleet.vm_ids = ['vm-9']
+            fleet.apply()
+            part = await fleet.dispatchers[0].run_part(make_call())
+            self.assertEqual(part.missing, {0: 'no_replica', 1: 'no_replica'})
+
+        run_virtual(scenario)
+
+    def test_lost_post_is_repeated(self) -> None:
+        """Guards against evidence lost with one message to control."""
+
+        async def scenario() -> None:
+            fleet = Fleet(1, searcher_count=1)
+            fleet.failed_posts = 3
+            fleet.searchers['s0'].generation = 'g2'
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.dispatchers[0].run)
+                await fleet.dispatchers[0].run_part(make_call())
+                await anyio.sleep(0.9)
+                self.assertEqual(fleet.table['s0'], WarmEntry(1, True, 'g1'))
+                await anyio.sleep(2)
+                tasks.cancel_scope.cancel()
+            self.assertEqual(fleet.table['s0'].generation, 'g2')
+
+        run_virtual(scenario)
+
+    def test_changes_are_recorded_with_their_setting(self) -> None:
+        """Guards against automatic changes that operators cannot see."""
+
+        async def scenario() -> None:
+            fleet = Fleet(1, searcher_count=1, policy=EAGER)
+            fleet.searchers['s0'].generation = 'g2'
+            async with anyio.create_task_group() as tasks:
+                await _run_load(fleet, 3, tasks)
+                await anyio.sleep(3)
+                tasks.cancel_scope.cancel()
+            recorded = [
+                (decision.action, decision.setting)
+                for decision in fleet.decisions[0].list_newest()
+            ]
+            expected = [
+                ('searcher_set_aside', 'cold_allowance'),
+                ('ramp_step', 'ramp_step_ms'),
+                ('ramp_step', 'ramp_step_ms'),
+                ('searcher_warm', 'ramp_step_ms'),
+            ]
+            self.assertEqual(recorded[: len(expected)], expected)
+
+        run_virtual(scenario)
