--- a/tests/control/_fleet.py
+++ b/tests/control/_fleet.py
@@ -107,6 +107,7 @@
             port=FIRST_PORT + number,
         )
         self.gate = Gate()
+        self.input_gate = Gate()
         self.buffer = Buffer()
         self.platform = FakePlatform(fleet.service, self.gate)
         self.datagrams = FakeDatagrams(self, fleet.network)
--- a/tests/control/_stand_ins.py
+++ b/tests/control/_stand_ins.py
@@ -111,6 +111,7 @@
     def __init__(self, source: random.Random, loss: float = 0) -> None:
         """Start whole."""
         self.loss = loss
+        self.call_s = LATENCY_S * 2
         self.group_by_vm = {}
         self.vms_by_port = {}
         self.datagram_bytes = 0
@@ -213,7 +214,7 @@
 
     async def _reach(self, peer):
         await self._vm.gate.pass_through()
-        await anyio.sleep(LATENCY_S * 2)
+        await anyio.sleep(self._network.call_s)
         receiver = self._network.find(self._vm.vm_id, peer)
         if receiver is None or receiver.gate.is_paused:
             await anyio.sleep(1)
@@ -241,6 +242,7 @@
         """Receive one datagram after the other."""
         while True:
             body, source = await self._vm.buffer.take()
+            await self._vm.input_gate.pass_through()
             await self._vm.gate.pass_through()
             message = decode_datagram(body)
             await listener(message, source, trio.current_time())
--- a/tests/control/test_isolation.py
+++ b/tests/control/test_isolation.py
@@ -66,6 +66,8 @@
             fleet.service.is_down = True
             await anyio.sleep(10)
             self.assertTrue(paused.entry.is_serving)
+            paused.input_gate.pause()
+            await anyio.sleep(1)
             paused.gate.pause()
             await anyio.sleep(0.5)
             fleet.service.is_down = False
@@ -74,6 +76,7 @@
             for vm in fleet.vms[1:]:
                 fleet.network.group_by_vm[vm.vm_id] = 1
             paused.platform.is_cut_off = True
+            paused.input_gate.resume()
             paused.gate.resume()
             for _ in range(100):
                 self.assertFalse(paused.entry.is_serving)
@@ -118,21 +121,60 @@
     def test_vm_with_a_stale_service_never_serves_the_old_settings(
         self,
     ) -> None:
-        """Guards against a start from a lower revision than the peers'."""
+        """Guards against a start before the peers were heard."""
+
+        async def scenario(fleet):
+            replacement = await self._replace_with_stale_service(fleet)
+            fleet.network.loss = 1
+            await self._check_key_is_unused(replacement, 0.3)
+            fleet.network.loss = 0
+            await self._check_key_is_unused(replacement, 4)
+            self.assertTrue(replacement.entry.is_serving)
+
+        run_fleet(8, scenario)
+
+    def test_vm_waits_for_the_higher_revision_of_a_peer(self) -> None:
+        """Guards against a start while the pull is still running."""
+
+        async def scenario(fleet):
+            replacement = await self._replace_with_stale_service(fleet)
+            fleet.network.call_s = 1
+            await self._check_key_is_unused(replacement, 6)
+            self.assertTrue(replacement.entry.is_serving)
+
+        run_fleet(8, scenario)
+
+    async def _replace_with_stale_service(self, fleet):
+        await fleet.start()
+        fleet.withdraw_key()
+        await anyio.sleep(2)
+        fleet.vms[0].stop()
+        replacement = fleet.add(0)
+        replacement.platform.stale_revision = 3
+        return replacement
+
+    async def _check_key_is_unused(self, vm, seconds):
+        for _ in range(round(seconds / 0.02)):
+            await anyio.sleep(0.02)
+            granted = vm.entry.view.workspace_id_by_digest
+            self.assertFalse(vm.entry.is_serving and DIGEST in granted)
+
+
+class LeavingTest(unittest.TestCase):
+    """A planned stop is known at once."""
+
+    def test_leaving_reaches_peers_and_neighbours_at_once(self) -> None:
+        """Guards against callers sent to a VM that is stopping."""
 
         async def scenario(fleet):
             await fleet.start()
-            fleet.withdraw_key()
             await anyio.sleep(2)
-            fleet.vms[0].stop()
-            replacement = fleet.add(0)
-            replacement.platform.stale_revision = 3
-            for _ in range(300):
-                await anyio.sleep(0.02)
-                served = replacement.entry.store.view.workspace_id_by_digest
-                self.assertFalse(
-                    replacement.entry.is_serving and DIGEST in served,
-                )
-            self.assertTrue(replacement.entry.is_serving)
+            first = fleet.vms[0]
+            first.node.announce_leaving()
+            await anyio.sleep(0.15)
+            self.assertTrue(first.node.state.export_after('')['leaving'])
+            for vm in fleet.vms[1:]:
+                live = vm.node.state.live
+                self.assertEqual(live.state_by_vm[first.vm_id], 'leaving')
 
         run_fleet(8, scenario)
