--- /dev/null
+++ b/jacinthcart_lab/_control_cost.py
@@ -0,0 +1,90 @@
+"""What one control process costs by the size of the roster.
+
+Only a few VMs of the roster run: the one measured, and those that exchange
+heartbeats with it. A control process talks to `heartbeat_peers` others at
+any size, so these are all the messages it would see in the whole fleet.
+"""
+
+import pathlib
+import time
+from typing import Any
+
+import httpx
+
+from jacinthcart.membership import select_peers
+from jacinthcart_lab._deployment import (
+    RouteShape,
+    ServiceShape,
+    TeamShape,
+)
+from jacinthcart_lab._fleet import ADMIN_KEY, Fleet, VmProcesses
+from jacinthcart_lab._slopes import ROSTER_SIZES, SlopePoint
+
+_MEASURED_VM = 'vm-1'
+_HEARTBEAT_PEERS = 8
+_SEARCHERS_PER_VM = 2200 / 530
+_REPLICAS = 4
+_SETTLE_S = 12
+_MEASURE_S = 20
+_TIMEOUT_S = 10
+_KEPT = ('cpu_share', 'resident_bytes', 'datagram_bytes_per_s')
+
+
+def measure_control_costs(
+    folder: pathlib.Path,
+    sizes: tuple[int, ...] = ROSTER_SIZES,
+) -> list[SlopePoint]:
+    """Return CPU, memory and traffic of control for each roster size."""
+    points: list[SlopePoint] = []
+    for size in sizes:
+        cost = _measure(folder / str(size), size)
+        points.extend(
+            SlopePoint(f'control {name}', 'VMs in the roster', size, cost[name])
+            for name in (*_KEPT, 'http_body_bytes_per_s')
+        )
+    return points
+
+
+def _measure(folder: pathlib.Path, size: int) -> dict[str, float]:
+    fleet = Fleet(folder, (_build_team(size),), size)
+    # The searchers are part of the settings but need not run.
+    fleet.searcher_specs.clear()
+    try:
+        fleet.start(_choose_running(fleet))
+        time.sleep(_SETTLE_S + _MEASURE_S)
+        status = _read_status(fleet.vms_by_id[_MEASURED_VM])
+    finally:
+        fleet.close()
+    return dict(status['cost'])
+
+
+def _choose_running(fleet: Fleet) -> list[str]:
+    """Return the measured VM with its peers in both directions."""
+    roster = list(fleet.vms_by_id)
+    peers = select_peers(_MEASURED_VM, roster, _HEARTBEAT_PEERS)
+    senders = [
+        vm_id
+        for vm_id in roster
+        if _MEASURED_VM in select_peers(vm_id, roster, _HEARTBEAT_PEERS)
+    ]
+    return list(dict.fromkeys([_MEASURED_VM, *peers, *senders]))
+
+
+def _build_team(vm_count: int) -> TeamShape:
+    parts = max(1, round(vm_count * _SEARCHERS_PER_VM / _REPLICAS))
+    return TeamShape(
+        name='bench',
+        data_centres=tuple(f'dc-{number}' for number in range(9)),
+        services=(ServiceShape('index', parts, _REPLICAS, 6, 25, 1, 2),),
+        routes=(RouteShape('search', 'search', 'index', 'priority'),),
+        limits_by_workspace={'one': (100.0, 100.0)},
+    )
+
+
+def _read_status(vm: VmProcesses) -> dict[str, Any]:
+    response = httpx.get(
+        f'{vm.admin_url}/admin/v1/status',
+        headers={'authorization': f'Bearer {ADMIN_KEY}'},
+        timeout=_TIMEOUT_S,
+    )
+    return dict(response.raise_for_status().json())
--- a/jacinthcart_lab/_fleet.py
+++ b/jacinthcart_lab/_fleet.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import subprocess
+from collections.abc import Iterable
 from typing import Any
 
 import orjson
@@ -23,6 +24,7 @@
 _FIRST_PORT = 21000
 _PORT_NAMES = ('entry_port', 'gather_port', 'control_port', 'admin_port')
 _SEED_PEERS = 3
+_HOSTS_PER_BLOCK = 250
 
 
 @dataclasses.dataclass
@@ -78,15 +80,19 @@
         self.values['fleet/roster'] = self._build_roster()
         self.values['fleet/policy'] = policy or {}
 
-    def start(self) -> None:
-        """Start emulators, publish the settings, start every VM."""
+    def start(self, running_vms: Iterable[str] | None = None) -> None:
+        """Start emulators, publish the settings, start the VMs.
+
+        `running_vms` starts some of the roster's VMs only.
+        """
+        chosen = list(running_vms or self.vms_by_id)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.emulators.start(self.searcher_specs)
         self.emulators.put(self.values)
         self.emulators.set_config_fault(
-            vms={vm_id: 'live' for vm_id in self.vms_by_id},
+            vms={vm_id: 'live' for vm_id in chosen},
         )
-        for vm_id in self.vms_by_id:
+        for vm_id in chosen:
             self.start_vm(vm_id)
 
     def start_vm(self, vm_id: str) -> None:
@@ -163,4 +169,5 @@
 
 
 def _vm_address(number: int) -> str:
-    return f'127.0.1.{number}'
+    block, host = divmod(number, _HOSTS_PER_BLOCK)
+    return f'127.1.{block}.{host + 1}'
