Test the searcher connections over real sockets

Cause: the HTTP client was only covered through stand-ins, and its first run over asyncio sockets failed in wire's peer check.

Adds a test of the class weights in a busy queue, because a single background request also passes under strict priorities.

--- a/jacinthcart/wire/__init__.py
+++ b/jacinthcart/wire/__init__.py
@@ -3,9 +3,10 @@
 from jacinthcart.wire._client import HttpConnection, HttpResponse
 from jacinthcart.wire._codec import decode_json, encode_json
 from jacinthcart.wire._pool import ConnectionPool
-from jacinthcart.wire._server import serve_application
+from jacinthcart.wire._server import AsgiApplication, serve_application
 
 __all__ = [
+    'AsgiApplication',
     'ConnectionPool',
     'HttpConnection',
     'HttpResponse',
--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -1,7 +1,7 @@
 """One kept HTTP/1.1 connection, driven by the h11 codec."""
 
 import dataclasses
-import socket
+import select
 from collections.abc import Iterable
 
 import anyio
@@ -53,6 +53,7 @@
         self._host = host.encode()
         self._codec = h11.Connection(h11.CLIENT)
         self._usable = True
+        self._raw_socket = stream.extra(SocketAttribute.raw_socket)
 
     @classmethod
     async def open(
@@ -165,15 +166,11 @@
         self._usable = True
 
     def _is_closed_by_peer(self) -> bool:
-        raw_socket = self._stream.extra(
-            SocketAttribute.raw_socket,
-        )
-        try:
-            # Bytes outside a request are a protocol error: the connection
-            # is as unusable as after an end of stream.
-            raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
+        # Nothing is expected between two requests: an idle socket that is
+        # readable has an end of stream or bytes outside a response.
+        descriptor = self._raw_socket.fileno()
+        if descriptor < 0:
             return True
-        return True
+        poller = select.poll()
+        poller.register(descriptor, select.POLLIN)
+        return bool(poller.poll(0))
--- a/jacinthcart/wire/_server.py
+++ b/jacinthcart/wire/_server.py
@@ -1,5 +1,6 @@
 """Serving an ASGI application with Hypercorn under anyio."""
 
+import functools
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -40,9 +41,15 @@
     backend: Any = asyncio_worker
     if sniffio.current_async_library() == 'trio':
         backend = trio_worker
-    await backend.serve(
+    serve = functools.partial(
+        backend.serve,
         application,
         config,
         shutdown_trigger=stopping.wait,
         mode='asgi',
     )
+    # Hypercorn's shutdown under asyncio leaves a cancellation request on
+    # the task that it runs in, so it gets a task of its own: the caller's
+    # next cancelled scope would raise CancelledError to the top.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve)
--- /dev/null
+++ b/tests/dispatch/test_client.py
@@ -0,0 +1,195 @@
+"""Tests of the HTTP connections to one searcher."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream
+
+from jacinthcart.dispatch import (
+    BaseSearcherClient,
+    SearcherRefusalError,
+    SearcherTarget,
+    SearchMessage,
+    Snapshot,
+    WrongReplyError,
+    create_http_client_factory,
+)
+from jacinthcart.errors import NotSentError, OutcomeUnknownError
+from jacinthcart.feed import StateFeed
+from jacinthcart.settings import ProcessSettings
+from jacinthcart.wire import decode_json, encode_json
+from tests.dispatch.support import PROCESS
+
+FAR_S = 60
+HANG_S = 10
+Change = Callable[[dict[str, Any]], dict[str, Any]]
+
+
+class StandInServer:
+    """Serves one reply for each request on raw connections."""
+
+    def __init__(self) -> None:
+        """Answer with matching replies."""
+        self.status = 200
+        self.change: Change = dict
+        self.connections = 0
+        self.heads: list[bytes] = []
+        self.closed = anyio.Event()
+        self.is_silent = False
+        self.cut_bytes = 0
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Answer the requests of one connection until it ends."""
+        self.connections += 1
+        async with stream:
+            try:
+                while True:
+                    await self._answer(await stream.receive(), stream)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                self.closed.set()
+
+    async def _answer(self, received: bytes, stream: SocketStream) -> None:
+        head, _, body = received.partition(b'\r\n\r\n')
+        self.heads.append(head)
+        if self.is_silent:
+            return
+        asked = decode_json(body)
+        reply = encode_json(
+            self.change(
+                {
+                    'sub_id': asked['sub_id'],
+                    'generation': 'g1',
+                    'state': 'warm',
+                    'load': 0,
+                    'code': 'shed',
+                    'index_version': asked['index_version'],
+                    'partition_map': asked['partition_map'],
+                    'results': {str(shard): [] for shard in asked['shards']},
+                }
+            )
+        )
+        length = len(reply) + self.cut_bytes
+        await stream.send(
+            f'HTTP/1.1 {self.status} X\r\nContent-Length: {length}\r\n\r\n'
+            ''.encode()
+            + reply
+        )
+        if self.cut_bytes:
+            await stream.send_eof()
+
+
+def _message(number: int) -> SearchMessage:
+    return SearchMessage(f'sub-{number}', 'r', Snapshot(7, 3), (0, 1), {})
+
+
+def _cross(reply: dict[str, Any]) -> dict[str, Any]:
+    return {**reply, 'sub_id': 'another'}
+
+
+class HttpSearcherClientTest(unittest.TestCase):
+    """A connection is kept only after an exact reply."""
+
+    def _run(
+        self,
+        scenario: Callable[
+            [StandInServer, BaseSearcherClient, float], Awaitable[None]
+        ],
+    ) -> None:
+        async def main() -> None:
+            server = StandInServer()
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            feed = StateFeed(
+                ProcessSettings.model_validate({'vm_id': 'vm-0', **PROCESS}),
+                'gather',
+            )
+            client = create_http_client_factory(feed)(
+                SearcherTarget('s0', '127.0.0.1', port, 2)
+            )
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, server.serve)
+                # Turns a connection that stays open into a failure.
+                with anyio.fail_after(HANG_S):
+                    await scenario(server, client, feed.clock() + FAR_S)
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_exact_replies_and_refusals_keep_the_connection(self) -> None:
+        """Guards against a new connection for each request."""
+
+        async def scenario(
+            server: StandInServer, client: BaseSearcherClient, deadline: float
+        ) -> None:
+            await client.search(_message(1), deadline)
+            server.status = 503
+            with self.assertRaises(SearcherRefusalError):
+                await client.search(_message(2), deadline)
+            server.status = 200
+            await client.search(_message(3), deadline)
+            self.assertEqual(server.connections, 1)
+            self.assertIn(b'x-deadline-ms: ', server.heads[0])
+
+        self._run(scenario)
+
+    def test_wrong_reply_closes_the_connection(self) -> None:
+        """Guards against the next request reading a crossed reply."""
+
+        async def scenario(
+            server: StandInServer, client: BaseSearcherClient, deadline: float
+        ) -> None:
+            server.change = _cross
+            with self.assertRaises(WrongReplyError):
+                await client.search(_message(1), deadline)
+            await server.closed.wait()
+            server.change = dict
+            await client.search(_message(2), deadline)
+            self.assertEqual(server.connections, 2)
+
+        self._run(scenario)
+
+    def test_truncated_reply_has_an_unknown_outcome(self) -> None:
+        """Guards against a second run after a reply that was cut."""
+
+        async def scenario(
+            server: StandInServer, client: BaseSearcherClient, deadline: float
+        ) -> None:
+            server.cut_bytes = 5
+            with self.assertRaises(OutcomeUnknownError):
+                await client.search(_message(1), deadline)
+
+        self._run(scenario)
+
+    def test_cancelled_request_closes_its_connection(self) -> None:
+        """Guards against a late reply and work that nobody waits for."""
+
+        async def scenario(
+            server: StandInServer, client: BaseSearcherClient, deadline: float
+        ) -> None:
+            server.is_silent = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(client.search, _message(1), deadline)
+                while not server.heads:
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            await server.closed.wait()
+            server.is_silent = False
+            await client.search(_message(2), deadline)
+            self.assertEqual(server.connections, 2)
+
+        self._run(scenario)
+
+    def test_passed_deadline_sends_nothing(self) -> None:
+        """Guards against a request without time left after connecting."""
+
+        async def scenario(
+            server: StandInServer, client: BaseSearcherClient, deadline: float
+        ) -> None:
+            with self.assertRaises(NotSentError):
+                await client.search(_message(1), deadline - FAR_S)
+            self.assertEqual(server.heads, [])
+
+        self._run(scenario)
--- a/tests/dispatch/test_queue.py
+++ b/tests/dispatch/test_queue.py
@@ -51,7 +51,7 @@
         run_virtual(scenario)
 
     def test_background_is_not_starved(self) -> None:
-        """Guards against strict priorities; the weights are 8 to 1."""
+        """Guards against a background request stuck behind a flood."""
 
         async def scenario() -> None:
             position = await _find_position(
@@ -61,6 +61,25 @@
 
         run_virtual(scenario)
 
+    def test_classes_share_a_busy_searcher_by_weight(self) -> None:
+        """Guards against strict priorities and against equal shares."""
+        kinds = (RequestClass.PRIORITY, RequestClass.BACKGROUND)
+
+        async def scenario() -> None:
+            fleet = Fleet(searcher_count=1, service=ONE_SLOT)
+            dispatcher = fleet.dispatchers[0]
+            async with anyio.create_task_group() as tasks:
+                for number in range(2 * FLOOD):
+                    kind = kinds[number % 2]
+                    call = make_call(30, 'w', kind, request_id=kind.value)
+                    tasks.start_soon(_run, dispatcher, call)
+            messages = fleet.searchers['s0'].messages[:45]
+            ids = [message.request_id for message in messages]
+            # The weights give background a ninth: 5 of 45.
+            self.assertIn(ids.count('background'), range(4, 7))
+
+        run_virtual(scenario)
+
     def test_background_waits_for_its_share_only(self) -> None:
         """Guards against background work that delays priority work."""
 
