Test that a bad response restarts the ramp

Cause: the former test let every request time out, so the rule for old evidence alone kept the allowance at 1 and the test passed with the reset switched off. The new test raises the allowance first and then sees it fall after a reset connection and after a shed request.

Seen to fail once with the reset after a failure removed, and once with bad responses counted as good.

--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from jacinthcart.dispatch import Dispatcher
-from jacinthcart.errors import RefusalError
+from jacinthcart.errors import OutcomeUnknownError, RefusalError
 from jacinthcart.feed import WarmEntry
 from tests.dispatch.support import (
     Fleet,
@@ -25,6 +25,7 @@
 }
 BOUND = 4
 WORKERS = 5
+RESET = OutcomeUnknownError('reset')
 
 
 class ColdWatch:
@@ -96,6 +97,10 @@
             tasks.start_soon(_work, dispatcher, fleet.random, until)
 
 
+def _find_allowance(dispatcher: Dispatcher) -> int:
+    return int(dispatcher.describe()['s0']['allowance'])
+
+
 def _start_calls(
     dispatcher: Dispatcher, count: int, tasks: anyio.abc.TaskGroup
 ) -> None:
@@ -195,19 +200,25 @@
 
         run_virtual(scenario)
 
-    def test_failed_response_restarts_the_ramp(self) -> None:
-        """Guards against a ramp that rises while requests time out."""
+    def test_bad_response_restarts_the_ramp(self) -> None:
+        """Guards against a ramp that rises while requests fail."""
 
         async def scenario() -> None:
-            fleet = Fleet(1, policy=EAGER, is_warm=False)
-            for searcher in fleet.searchers.values():
-                searcher.latency_s = 2
+            fleet = Fleet(1, 1, policy=EAGER, is_warm=False)
+            searcher, dispatcher = fleet.searchers['s0'], fleet.dispatchers[0]
             async with anyio.create_task_group() as tasks:
-                await _run_load(fleet, 3, tasks)
-                await anyio.sleep(3)
+                tasks.start_soon(dispatcher.run)
+                await anyio.sleep(0.3)
+                for failure, refusal in ((RESET, ''), (None, 'shed')):
+                    self.assertEqual(_find_allowance(dispatcher), 2)
+                    searcher.failure = failure
+                    searcher.refusal = refusal
+                    await dispatcher.run_part(make_call())
+                    self.assertEqual(_find_allowance(dispatcher), 1)
+                    searcher.failure = None
+                    searcher.refusal = ''
+                    await anyio.sleep(0.3)
                 tasks.cancel_scope.cancel()
-            for searcher in fleet.searchers.values():
-                self.assertEqual(searcher.most_in_flight, 1)
 
         run_virtual(scenario)
 
