Keep back the predicted demand when lending tokens

VMs whose demand came in waves of 200 ms lent each other tokens between the waves, which expired after 100 ms.

--- a/jacinthcart/limits/_bucket.py
+++ b/jacinthcart/limits/_bucket.py
@@ -43,14 +43,14 @@
         return self._level
 
     def configure(self, rate: float, capacity: float, at: float) -> None:
-        """Change rate and capacity from `at` on; drop what exceeds them.
+        """Change rate and capacity from `at` on.
 
-        `at` is the present time or one since the last use of the bucket.
+        The next use drops what exceeds the capacity. `at` is the
+        present time or one since the last use of the bucket.
         """
         self._refill(at)
         self._rate = rate
         self._capacity = capacity
-        self._level = min(self._level, capacity)
 
     def take(self, count: int) -> int:
         """Debit up to `count` whole tokens and return how many."""
--- a/jacinthcart/limits/_demand.py
+++ b/jacinthcart/limits/_demand.py
@@ -44,12 +44,17 @@
         recent = counts[:_RECENT_INTERVALS]
         return max(sum(counts) / len(counts), sum(recent) / len(recent))
 
-    def count_latest(self) -> int:
-        """Return the larger of the last complete and the present interval."""
+    def count_kept_back(self) -> float:
+        """Return the demand that the VM's own tokens are kept for.
+
+        The largest of the last complete interval, the present interval and
+        the prediction.
+        """
         current = self._find_interval()
         return max(
             self._count_by_interval.get(current, 0),
             self._count_by_interval.get(current - 1, 0),
+            self.predict(),
         )
 
     def is_steady(self) -> bool:
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -139,7 +139,9 @@
     def lend(self, counts: Mapping[str, int]) -> dict[str, Loan]:
         """Debit and return what another VM may use of the own buckets.
 
-        What local demand of the last interval needs stays here.
+        What local demand of the last interval or of the last span needs
+        stays here. With the last interval alone, VMs whose demand comes in
+        waves lent each other tokens between the waves that then expired.
         """
         loans = {}
         for workspace_id, count in counts.items():
@@ -147,7 +149,7 @@
             if share is None or not self.policy.lending_enabled:
                 continue
             level = share.level
-            lendable = int(max(0.0, level - share.meter.count_latest()))
+            lendable = int(max(0.0, level - share.meter.count_kept_back()))
             grant = share.take_own(min(count, lendable))
             self._metrics.check(
                 'lent_no_more_than_held',
