--- a/jacinthcart_lab/limits_fleet.py
+++ b/jacinthcart_lab/limits_fleet.py
@@ -133,7 +133,8 @@
             self.metrics,
         )
         self._entry_scope = anyio.CancelScope()
-        self._tasks.start_soon(self._run_entry, self._client)
+        scope = self._entry_scope
+        self._tasks.start_soon(self._run_entry, self._client, scope)
 
     def start_control(self, view: SettingsView) -> None:
         """Start control with empty memory."""
@@ -193,8 +194,12 @@
             return None
         return True
 
-    async def _run_entry(self, client: PermitClient) -> None:
-        with self._entry_scope:
+    async def _run_entry(
+        self,
+        client: PermitClient,
+        scope: anyio.CancelScope,
+    ) -> None:
+        with scope:
             await client.run()
 
     async def _post(self, body: dict[str, Any]) -> dict[str, Any]:
