--- a/tests/control/_stand_ins.py
+++ b/tests/control/_stand_ins.py
@@ -112,6 +112,7 @@
         """Start whole."""
         self.loss = loss
         self.call_s = LATENCY_S * 2
+        self.are_calls_broken = False
         self.group_by_vm = {}
         self.vms_by_port = {}
         self.datagram_bytes = 0
@@ -216,6 +217,8 @@
         await self._vm.gate.pass_through()
         await anyio.sleep(self._network.call_s)
         receiver = self._network.find(self._vm.vm_id, peer)
+        if self._network.are_calls_broken:
+            receiver = None
         if receiver is None or receiver.gate.is_paused:
             await anyio.sleep(1)
             raise WireError('peer is not reachable')
