Show limits held, the token ledger's decisions and set-aside searchers

The status answer showed no limits, no searcher that is set aside (the gather reports them as 'dispatcher'), and the decisions of the token ledger went to a log that nobody read. Entry and gather recorded requests under the same key, so that the administration API counted each request twice. The status answer names the revisions of one path on request.

--- a/jacinthcart/control/_admin_api.py
+++ b/jacinthcart/control/_admin_api.py
@@ -19,7 +19,7 @@
     merge_decisions,
     merge_metrics,
 )
-from jacinthcart.control._status import describe_status
+from jacinthcart.control._status import describe_path, describe_status
 
 _STATUS_UNAUTHORIZED = 401
 _SCHEME = 'Bearer '
@@ -42,9 +42,13 @@
         self._reports = reports
 
     async def show_status(self, request: Request) -> Any:
-        """Return the VM's status."""
+        """Return the VM's status, with the revisions of `path` if given."""
         reports = await self._reports.collect()
-        return describe_status(self._node, self._costs, reports)
+        status = describe_status(self._node, self._costs, reports)
+        path = request.query_params.get('path')
+        if path is not None:
+            status['path'] = describe_path(self._node, path)
+        return status
 
     async def list_decisions(self, request: Request) -> Any:
         """Return the automatic changes of all three programs."""
--- a/jacinthcart/control/_limits.py
+++ b/jacinthcart/control/_limits.py
@@ -50,9 +50,10 @@
         datagrams: BaseDatagrams,
         metrics: Metrics,
         clock: Clock,
+        decisions: DecisionLog,
     ) -> None:
         """Start with empty buckets."""
-        self._ledger = TokenLedger(vm_id, clock, metrics, DecisionLog())
+        self._ledger = TokenLedger(vm_id, clock, metrics, decisions)
         self._messenger = RosterMessenger(datagrams)
         self._borrower = Borrower(
             self._ledger,
@@ -93,13 +94,14 @@
 
     def describe(self) -> dict[str, Any]:
         """Return the shares held by workspace id."""
-        return {}
+        return self._ledger.describe()
 
 
 def create_permits(
     process: ProcessSettings,
     datagrams: BaseDatagrams,
     metrics: Metrics,
+    decisions: DecisionLog,
 ) -> BasePermitService:
     """Return the permit service of one VM."""
     return SharedPermitService(
@@ -107,4 +109,5 @@
         datagrams,
         metrics,
         read_boot_clock,
+        decisions,
     )
--- a/jacinthcart/control/_program.py
+++ b/jacinthcart/control/_program.py
@@ -25,9 +25,9 @@
 _MS_PER_S = 1000
 _STOP_CHECK_S = 0.05
 
-#: Creates the permit service from VM id, datagrams and metrics.
+#: Creates the permit service; its automatic changes go to the log.
 PermitFactory = Callable[
-    [ProcessSettings, BaseDatagrams, Metrics],
+    [ProcessSettings, BaseDatagrams, Metrics, DecisionLog],
     BasePermitService,
 ]
 
@@ -36,6 +36,7 @@
     process: ProcessSettings,
     datagrams: BaseDatagrams,
     metrics: Metrics,
+    decisions: DecisionLog,
 ) -> BasePermitService:
     """Return the permit service that grants nothing."""
     return NoPermitService()
@@ -49,6 +50,7 @@
 ) -> None:
     """Run control until the stop signal and the neighbours' last poll."""
     metrics = Metrics()
+    decisions = DecisionLog()
     local = Endpoint(address=process.address, port=process.control_port)
     datagrams = DatagramEndpoint(local, metrics)
     platform = PlatformClient(process.config_service, metrics)
@@ -59,7 +61,7 @@
             platform=platform,
             peer_client=peer_client,
             datagrams=datagrams,
-            permits=create_permits(process, datagrams, metrics),
+            permits=create_permits(process, datagrams, metrics, decisions),
             merge_warm=merge_warm,
             clock=read_boot_clock,
             random=random.Random(),
@@ -69,7 +71,7 @@
     )
     await datagrams.start()
     try:
-        await _serve(node, datagrams, stop)
+        await _serve(node, datagrams, stop, decisions)
     finally:
         with anyio.CancelScope(shield=True):
             await datagrams.close()
@@ -81,10 +83,10 @@
     node: ControlNode,
     datagrams: DatagramEndpoint,
     stop: StopSignal,
+    decisions: DecisionLog,
 ) -> None:
     closing = anyio.Event()
     outside = node.outside
-    decisions = DecisionLog()
     reports = Reports(node.process, outside.metrics, decisions)
     costs = Costs(outside.metrics, outside.clock)
     async with anyio.create_task_group() as tasks:
--- a/jacinthcart/control/_status.py
+++ b/jacinthcart/control/_status.py
@@ -27,11 +27,26 @@
         'members': describe_members(node),
         'neighbour_age_s': node.neighbours.list_ages(),
         'limits': node.outside.permits.describe(),
-        'set_aside': reports.get('gather', {}).get('set_aside', {}),
+        'set_aside': _find_set_aside(reports.get('gather', {})),
         'cost': costs.describe(),
     }
 
 
+def describe_path(node: ControlNode, path: str) -> dict[str, int | None]:
+    """Return the revisions of one path, None where it has no value.
+
+    `newest` is the last change known here; `in_force` is below it while the
+    unit of the path has errors.
+    """
+    store = node.state.store
+    newest = store.export_after(0).get(path)
+    in_force = store.export_in_force().get(path)
+    return {
+        'newest': newest.revision if newest else None,
+        'in_force': in_force.revision if in_force else None,
+    }
+
+
 def describe_serving(node: ControlNode) -> dict[str, Any]:
     """Return whether leases are granted and why."""
     return {
@@ -57,3 +72,15 @@
         }
         for vm_id, member in node.heartbeats.members_by_vm.items()
     }
+
+
+def _find_set_aside(gather_report: dict[str, Any]) -> dict[str, str]:
+    """Return why searchers receive nothing from this VM, by searcher id."""
+    reason_by_searcher = {}
+    for searcher_id, link in gather_report.get('dispatcher', {}).items():
+        reason = link['set_aside']
+        if reason is None and link['is_failing']:
+            reason = 'failing'
+        if reason is not None:
+            reason_by_searcher[searcher_id] = str(reason)
+    return reason_by_searcher
--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -86,8 +86,10 @@
         metrics = self._parts.metrics
         seconds = self._feed.clock() - started
         service_id = message.service_id
+        # The entry measures `request`; the administration API adds the
+        # histograms of both programs by key.
         metrics.record_seconds(
-            ('request', message.workspace_id, message.request_class.value),
+            ('query', message.workspace_id, message.request_class.value),
             seconds,
         )
         metrics.record_seconds(('service', service_id), seconds)
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -155,6 +155,7 @@
                 f'{workspace_id}: lent {grant.count} of {level}',
             )
             if grant.count:
+                share.lent += grant.count
                 lifetime_ms = share.terms.lifetime_s * _MS_PER_S
                 loans[workspace_id] = Loan(grant.count, lifetime_ms)
         return loans
@@ -204,6 +205,13 @@
                 counts[workspace_id] = count
         return counts_by_owner
 
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return what this VM holds and lent, by workspace id."""
+        return {
+            workspace_id: share.describe()
+            for workspace_id, share in self._shares.items()
+        }
+
     def _create_share(
         self,
         workspace_id: str,
--- a/jacinthcart/limits/_share.py
+++ b/jacinthcart/limits/_share.py
@@ -60,6 +60,8 @@
         self.stock = PermitStock(clock, metrics)
         self.meter = DemandMeter(interval_s, clock)
         self.is_borrowing = False
+        #: Tokens lent to other VMs since the start of the process.
+        self.lent = 0
         self._clock = clock
         self._fraction = 0.0
         self._former_fractions: list[Ceiling] = []
@@ -151,6 +153,18 @@
             return NO_GRANT
         return Grant(taken, self._clock() + self.terms.lifetime_s)
 
+    def describe(self) -> dict[str, float]:
+        """Return share, own tokens and loans, for operators."""
+        level = self.level
+        return {
+            'share': _find_least(self._fraction, self._former_fractions),
+            'own_rate': self.own_rate,
+            'own_capacity': self.own_capacity,
+            'level': level,
+            'borrowed': self.stock.count_usable(),
+            'lent': self.lent,
+        }
+
     def _apply_bounds(self, now: float) -> None:
         self._former_fractions = _keep_alive(self._former_fractions, now)
         fraction = _find_least(self._fraction, self._former_fractions)
