Add the operators' command, the settings page and a staying demo fleet

The command reads only: settings are changed in the configuration service. Keys come from files or the environment because arguments are visible to other users of a machine. Histograms are added after decoding; quantiles of single VMs cannot be averaged.

--- /dev/null
+++ b/jacinthcart/admin/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command `jacinthcart`."""
+
+from jacinthcart.admin._command import main
+
+__all__ = ['main']
--- /dev/null
+++ b/jacinthcart/admin/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the operators' command: `python -m jacinthcart.admin`."""
+
+from jacinthcart.admin import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/jacinthcart/admin/_fleet_commands.py
@@ -0,0 +1,210 @@
+"""Subcommands that show what the VMs report."""
+
+import dataclasses
+import datetime
+from typing import Annotated, Any
+
+import cappa
+
+from jacinthcart.admin._errors import CommandError, ExitCode
+from jacinthcart.admin._fleet import ask_fleet
+from jacinthcart.admin._histograms import (
+    has_kind,
+    merge_counters,
+    merge_histograms,
+    split_key,
+)
+from jacinthcart.admin._options import FleetOptions
+from jacinthcart.admin._output import TableText, print_json, print_table
+from jacinthcart.admin._run import run_command
+from jacinthcart.admin._status import create_status_tables
+
+_SHOWN_KINDS = ('request', 'service')
+
+
+@cappa.command(
+    help='Show every VM: settings, members, limits held, searchers.',
+    description='Example: jacinthcart status --config 127.0.3.1:21000',
+)
+@dataclasses.dataclass(kw_only=True)
+class Status(FleetOptions):
+    """Shows every VM."""
+
+    def __call__(self) -> None:
+        """Run and exit."""
+        run_command(self.run)
+
+    async def run(self) -> ExitCode:
+        """Print the status of the VMs that answer."""
+        answers = await ask_fleet(self, 'status')
+        if self.json:
+            print_json(answers)
+            return ExitCode.SUCCESS
+        for table in create_status_tables(answers):
+            print_table(table)
+        return ExitCode.SUCCESS
+
+
+@cappa.command(
+    help='Show what the settings in force mean for a route or workspace.',
+    description='Example: jacinthcart explain --route '
+    'voskovka/katalog-search --workspace voskovka/kavarna-1',
+)
+@dataclasses.dataclass(kw_only=True)
+class Explain(FleetOptions):
+    """Explains a route and a workspace."""
+
+    route: Annotated[
+        str,
+        cappa.Arg(long=True, value_name='TEAM/NAME'),
+    ] = ''
+    workspace: Annotated[
+        str,
+        cappa.Arg(long=True, value_name='TEAM/NAME'),
+    ] = ''
+
+    def __call__(self) -> None:
+        """Run and exit."""
+        run_command(self.run)
+
+    async def run(self) -> ExitCode:
+        """Print the explanations of all VMs, equal ones once."""
+        if not self.route and not self.workspace:
+            raise CommandError(
+                ExitCode.INVALID,
+                'name a --route or a --workspace',
+            )
+        answers = await ask_fleet(
+            self,
+            'explain',
+            route=self.route,
+            workspace=self.workspace,
+        )
+        if self.json:
+            print_json(answers)
+        else:
+            _print_explanations(answers)
+        return ExitCode.SUCCESS if self._is_known(answers) else ExitCode.FAILURE
+
+    def _is_known(self, answers: dict[str, Any]) -> bool:
+        asked = {'route': self.route, 'workspace': self.workspace}
+        return all(
+            answer[name] is not None
+            for answer in answers.values()
+            for name, identity in asked.items()
+            if identity
+        )
+
+
+@cappa.command(
+    help='List the automatic changes of all VMs, oldest first.',
+    description='Example: jacinthcart decisions --last 20 --action hedge',
+)
+@dataclasses.dataclass(kw_only=True)
+class Decisions(FleetOptions):
+    """Lists automatic changes."""
+
+    last: Annotated[int, cappa.Arg(long=True, help='newest to show')] = 50
+    action: Annotated[
+        str | None,
+        cappa.Arg(long=True, help='only this action'),
+    ] = None
+
+    def __call__(self) -> None:
+        """Run and exit."""
+        run_command(self.run)
+
+    async def run(self) -> ExitCode:
+        """Print the newest decisions."""
+        answers = await ask_fleet(self, 'decisions')
+        decisions = [
+            {'vm': vm_id, **decision}
+            for vm_id, answer in answers.items()
+            for decision in answer['decisions']
+            if self.action in {None, decision['action']}
+        ]
+        decisions.sort(key=lambda decision: float(decision['at']))
+        shown = decisions[-self.last :]
+        if self.json:
+            print_json({'decisions': shown})
+            return ExitCode.SUCCESS
+        print_table(_create_decision_table(shown))
+        return ExitCode.SUCCESS
+
+
+@cappa.command(
+    help='Show latencies of the whole fleet in milliseconds.',
+    description='`request` is measured by the entry for each workspace and '
+    'class, `service` by the gather for each service. '
+    'Example: jacinthcart histograms --all',
+)
+@dataclasses.dataclass(kw_only=True)
+class Histograms(FleetOptions):
+    """Shows latencies."""
+
+    every: Annotated[
+        bool,
+        cappa.Arg(long='--all', help='show every kind of histogram'),
+    ] = False
+
+    def __call__(self) -> None:
+        """Run and exit."""
+        run_command(self.run)
+
+    async def run(self) -> ExitCode:
+        """Print the merged histograms and, as JSON, the counters."""
+        answers = await ask_fleet(self, 'histograms')
+        merged = {
+            key: quantiles
+            for key, quantiles in merge_histograms(answers).items()
+            if self.every or has_kind(key, _SHOWN_KINDS)
+        }
+        if self.json:
+            print_json(
+                {
+                    'vms': list(answers),
+                    'histograms': merged,
+                    'counters': merge_counters(answers),
+                },
+            )
+            return ExitCode.SUCCESS
+        columns = ('what', 'of', 'count', 'p50', 'p90', 'p99', 'p99.9', 'max')
+        rows = [
+            (*split_key(key), *dataclasses.astuple(quantiles))
+            for key, quantiles in merged.items()
+        ]
+        print_table(TableText('Latency in ms', columns, rows))
+        return ExitCode.SUCCESS
+
+
+def _create_decision_table(decisions: list[dict[str, Any]]) -> TableText:
+    names = ('vm', 'program', 'action', 'target', 'reason', 'observation')
+    return TableText(
+        'Automatic changes',
+        ('time', *names, 'setting'),
+        [
+            (
+                _format_time(decision['at']),
+                *(decision[name] for name in names),
+                decision['setting'],
+            )
+            for decision in decisions
+        ],
+    )
+
+
+def _format_time(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.isoformat(timespec='milliseconds')
+
+
+def _print_explanations(answers: dict[str, Any]) -> None:
+    """Print each different answer once with the VMs that gave it."""
+    vms_by_text: dict[str, list[str]] = {}
+    answer_by_text: dict[str, Any] = {}
+    for vm_id, answer in answers.items():
+        text = repr(answer)
+        vms_by_text.setdefault(text, []).append(vm_id)
+        answer_by_text[text] = answer
+    for text, answer in answer_by_text.items():
+        print_json({'vms': vms_by_text[text], **answer})
--- /dev/null
+++ b/jacinthcart/admin/_status.py
@@ -0,0 +1,106 @@
+"""Tables of `jacinthcart status`."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from jacinthcart.admin._output import TableText
+
+
+def create_status_tables(answers: Mapping[str, Any]) -> list[TableText]:
+    """Return the tables of all VMs."""
+    return [
+        TableText(
+            'VMs',
+            (
+                'VM',
+                'revision',
+                'ready',
+                'leaving',
+                'lease ms',
+                'reason',
+                'service age s',
+                'entry s',
+                'gather s',
+                'CPU %',
+                'MB',
+                'KB/s',
+            ),
+            [_list_vm_cells(vm_id, vm) for vm_id, vm in answers.items()],
+        ),
+        TableText(
+            'Units with errors',
+            ('VM', 'path', 'rule'),
+            [
+                (vm_id, error['path'], error['rule'])
+                for vm_id, vm in answers.items()
+                for error in vm['errors']
+            ],
+        ),
+        TableText(
+            'Members seen',
+            ('VM', 'member', 'age s', 'revision', 'ready', 'leaving'),
+            _list_members(answers),
+        ),
+        TableText(
+            'Limits held',
+            ('VM', 'workspace', 'share', 'level', 'of', 'borrowed', 'lent'),
+            _list_limits(answers),
+        ),
+        TableText(
+            'Searchers set aside',
+            ('VM', 'searcher', 'reason'),
+            [
+                (vm_id, searcher_id, reason)
+                for vm_id, vm in answers.items()
+                for searcher_id, reason in vm['set_aside'].items()
+            ],
+        ),
+    ]
+
+
+def _list_vm_cells(vm_id: str, vm: Mapping[str, Any]) -> list[object]:
+    serving = vm['serving']
+    ages = vm['neighbour_age_s']
+    cost = vm['cost']
+    traffic = cost['datagram_bytes_per_s'] + cost['http_body_bytes_per_s']
+    return [
+        vm_id,
+        vm['revision'],
+        vm['ready'],
+        vm['leaving'],
+        serving['lease_ms'],
+        serving['start_waits_for'] or serving['reason'],
+        serving['service_age_s'],
+        ages['entry'],
+        ages['gather'],
+        cost['cpu_share'] * 100,
+        cost['resident_bytes'] / 1e6,
+        traffic / 1e3,
+    ]
+
+
+def _list_members(answers: Mapping[str, Any]) -> Iterator[list[object]]:
+    for vm_id, vm in answers.items():
+        for member_id, member in sorted(vm['members'].items()):
+            yield [
+                vm_id,
+                member_id,
+                member['age_s'],
+                member['revision'],
+                member['ready'],
+                member['leaving'],
+            ]
+
+
+def _list_limits(answers: Mapping[str, Any]) -> Iterator[list[object]]:
+    for vm_id, vm in answers.items():
+        for workspace_id, held in sorted(vm['limits'].items()):
+            yield [
+                vm_id,
+                workspace_id,
+                held['share'],
+                held['level'],
+                held['own_capacity'],
+                held['borrowed'],
+                held['lent'],
+            ]
--- /dev/null
+++ b/jacinthcart/admin/_watch.py
@@ -0,0 +1,162 @@
+"""`jacinthcart watch`: follows one change until it is in force."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from jacinthcart.admin._errors import ExitCode
+from jacinthcart.admin._fleet import FleetAnswers, FleetClient
+from jacinthcart.admin._output import format_cell
+from jacinthcart.settings import find_unit
+
+_POLL_S = 0.2
+
+Report = Callable[[str], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """How far one change has come."""
+
+    #: Revision that is waited for, None while no VM knows the path.
+    target: int | None
+    #: VMs on which it is in force.
+    reached: tuple[str, ...]
+    #: What holds the other VMs back, by VM id.
+    lagging_by_vm: dict[str, str]
+    #: Errors of VMs that know the change and do not apply it.
+    errors: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class PathRevisions:
+    """What one VM knows of a path."""
+
+    #: Revision of the newest change, None without a value.
+    newest: int | None
+    #: Revision of the value in force, None without one.
+    in_force: int | None
+
+
+class ChangeWatcher:
+    """Asks the VMs until one path has one revision everywhere."""
+
+    def __init__(
+        self,
+        client: FleetClient,
+        path: str,
+        target: int | None,
+        report: Report,
+        *,
+        needs_ready: bool = False,
+    ) -> None:
+        """Wait for `target`, or for the newest revision that a VM knows.
+
+        With `needs_ready`, wait also until every VM is ready for callers.
+        """
+        self._client = client
+        self._needs_ready = needs_ready
+        self._path = path
+        self._target = target
+        self._report = report
+
+    async def run(self, timeout_s: float) -> ExitCode:
+        """Report each step; return how it ended."""
+        progress = Progress(self._target, (), {}, ())
+        with anyio.move_on_after(timeout_s):
+            while True:
+                newest = await self._read_progress()
+                if newest != progress:
+                    self._report(describe_progress(self._path, newest))
+                progress = newest
+                if progress.errors:
+                    self._report_each(progress.errors)
+                    return ExitCode.INVALID
+                if progress.target is not None and not progress.lagging_by_vm:
+                    return ExitCode.SUCCESS
+                await anyio.sleep(_POLL_S)
+        self._report_each(
+            f'{vm_id}: {reason}'
+            for vm_id, reason in progress.lagging_by_vm.items()
+        )
+        return ExitCode.TIMED_OUT
+
+    async def _read_progress(self) -> Progress:
+        answers = await self._client.ask('status', path=self._path)
+        progress = find_progress(self._path, self._target, answers)
+        if not self._needs_ready:
+            return progress
+        unready = {
+            vm_id: 'not ready'
+            for vm_id in progress.reached
+            if not answers.answers_by_vm[vm_id]['ready']
+        }
+        return dataclasses.replace(
+            progress,
+            reached=tuple(
+                vm_id for vm_id in progress.reached if vm_id not in unready
+            ),
+            lagging_by_vm={**progress.lagging_by_vm, **unready},
+        )
+
+    def _report_each(self, lines: Any) -> None:
+        for line in lines:
+            self._report(line)
+
+
+def find_progress(
+    path: str,
+    target: int | None,
+    answers: FleetAnswers,
+) -> Progress:
+    """Compare the revisions of a path on all VMs with `target`."""
+    revisions = {
+        vm_id: PathRevisions(**answer['path'])
+        for vm_id, answer in sorted(answers.answers_by_vm.items())
+    }
+    if target is None:
+        target = max(
+            (known.newest or 0 for known in revisions.values()),
+            default=0,
+        )
+    lagging = {
+        vm_id: f'revision in force is {format_cell(known.in_force)}'
+        for vm_id, known in revisions.items()
+        if not known.in_force or known.in_force < target
+    }
+    rejecting = {
+        vm_id
+        for vm_id in lagging
+        if target and (revisions[vm_id].newest or 0) >= target
+    }
+    errors = {
+        line
+        for vm_id in rejecting
+        for line in _list_errors(path, answers.answers_by_vm[vm_id])
+    }
+    return Progress(
+        target or None,
+        tuple(vm_id for vm_id in revisions if vm_id not in lagging),
+        {**lagging, **answers.failures_by_vm},
+        tuple(sorted(errors)),
+    )
+
+
+def describe_progress(path: str, progress: Progress) -> str:
+    """Return one line for operators."""
+    total = len(progress.reached) + len(progress.lagging_by_vm)
+    lagging = ', '.join(sorted(progress.lagging_by_vm)) or 'none'
+    return (
+        f'{path} revision {format_cell(progress.target)}: in force on '
+        f'{len(progress.reached)} of {total} VMs; waiting for: {lagging}'
+    )
+
+
+def _list_errors(path: str, answer: dict[str, Any]) -> list[str]:
+    return [
+        f'invalid: {error["path"]}: {error["rule"]}'
+        for error in answer['errors']
+        if error['path'].startswith(find_unit(path))
+    ] or [f'invalid: {path} is not in force']
--- a/jacinthcart/control/_status.py
+++ b/jacinthcart/control/_status.py
@@ -6,6 +6,10 @@
 from jacinthcart.control._node import ControlNode
 
 
+#: A VM sends nothing to the searchers of parts that other VMs own.
+_NOT_SET_ASIDE = frozenset(('', 'not_owner'))
+
+
 def describe_status(
     node: ControlNode,
     costs: Costs,
@@ -75,12 +79,12 @@
 
 
 def _find_set_aside(gather_report: dict[str, Any]) -> dict[str, str]:
-    """Return why searchers receive nothing from this VM, by searcher id."""
+    """Return why this owner sends searchers nothing, by searcher id."""
     reason_by_searcher = {}
     for searcher_id, link in gather_report.get('dispatcher', {}).items():
         reason = link['set_aside']
-        if reason is None and link['is_failing']:
+        if not reason and link['is_failing']:
             reason = 'failing'
-        if reason is not None:
-            reason_by_searcher[searcher_id] = str(reason)
+        if reason not in _NOT_SET_ASIDE:
+            reason_by_searcher[searcher_id] = reason
     return reason_by_searcher
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -107,7 +107,7 @@
             share.meter.add(count)
             grant = share.take(count)
             if grant.count:
-                self._check_unexpired(grant)
+                _check_unexpired(self._metrics, grant, self._clock())
                 granted[workspace_id] = grant
             if grant.count < count:
                 retry_after_ms[workspace_id] = self._estimate_retry_ms(share)
@@ -293,10 +293,10 @@
             waits_ms.append(max(self.policy.borrow_interval_ms, next_token_ms))
         return max(1, math.ceil(min(waits_ms, default=_NO_SHARE_RETRY_MS)))
 
-    def _check_unexpired(self, grant: Grant) -> None:
-        now = self._clock()
-        self._metrics.check(
-            'expired_permit_not_granted',
-            grant.expires_at > now,
-            f'expired at {grant.expires_at}, now {now}',
-        )
+
+def _check_unexpired(metrics: Metrics, grant: Grant, now: float) -> None:
+    metrics.check(
+        'expired_permit_not_granted',
+        grant.expires_at > now,
+        f'expired at {grant.expires_at}, now {now}',
+    )
--- a/jacinthcart/settings/_models.py
+++ b/jacinthcart/settings/_models.py
@@ -30,19 +30,37 @@
 class RosterEntry(SettingsModel):
     """Where one VM of the query tier listens."""
 
-    address: IpAddress
-    data_centre: Name
-    region: Name = 'default'
-    entry_port: Port
-    gather_port: Port
-    control_port: Port
-    admin_port: Port
+    address: IpAddress = pydantic.Field(
+        description='address that the programs of the VM listen on',
+    )
+    data_centre: Name = pydantic.Field(
+        description='data centre that the VM stands in',
+    )
+    region: Name = pydantic.Field(
+        default='default',
+        description='region that the VM stands in',
+    )
+    entry_port: Port = pydantic.Field(
+        description='TCP port for callers',
+    )
+    gather_port: Port = pydantic.Field(
+        description='TCP port for entries and other gathers',
+    )
+    control_port: Port = pydantic.Field(
+        description='TCP port of control and UDP port of its datagrams',
+    )
+    admin_port: Port = pydantic.Field(
+        description='TCP port of the administration API',
+    )
 
 
 class Roster(SettingsModel):
     """`fleet/roster`: the VMs that may hold rights, by VM id."""
 
-    vms_by_id: dict[Name, RosterEntry] = pydantic.Field(min_length=1)
+    vms_by_id: dict[Name, RosterEntry] = pydantic.Field(
+        min_length=1,
+        description='VMs that may hold rights, by VM id',
+    )
 
 
 class DataCentreState(enum.StrEnum):
@@ -55,7 +73,10 @@
 class DataCentres(SettingsModel):
     """`fleet/data_centres`: the state of each data centre by name."""
 
-    state_by_name: dict[Name, DataCentreState]
+    state_by_name: dict[Name, DataCentreState] = pydantic.Field(
+        description='`out` stops new work to the searchers of a data '
+        'centre; one that is not named is `in`',
+    )
 
 
 class RequestClass(enum.StrEnum):
@@ -76,23 +97,41 @@
 class Searcher(SettingsModel):
     """One backend server that answers for the shards of its part."""
 
-    address: IpAddress
-    port: Port
-    data_centre: Name
-    state: SearcherState = SearcherState.ACTIVE
+    address: IpAddress = pydantic.Field(
+        description='address of the searcher',
+    )
+    port: Port = pydantic.Field(
+        description='TCP port of the searcher',
+    )
+    data_centre: Name = pydantic.Field(
+        description='data centre that the searcher stands in',
+    )
+    state: SearcherState = pydantic.Field(
+        default=SearcherState.ACTIVE,
+        description='`leaving` stops new work to the searcher',
+    )
 
 
 class Part(SettingsModel):
     """Shards and the searchers that are replicas of all of them."""
 
-    shards: tuple[int, ...] = pydantic.Field(min_length=1)
-    searchers_by_id: dict[Name, Searcher] = pydantic.Field(min_length=1)
+    shards: tuple[int, ...] = pydantic.Field(
+        min_length=1,
+        description='shards of the part; a shard belongs to one part',
+    )
+    searchers_by_id: dict[Name, Searcher] = pydantic.Field(
+        min_length=1,
+        description='searchers that each hold all shards of the part',
+    )
 
 
 class Service(SettingsModel):
     """`teams/<team>/services/<name>`: parts, versions and limits."""
 
-    parts_by_name: dict[Name, Part] = pydantic.Field(min_length=1)
+    parts_by_name: dict[Name, Part] = pydantic.Field(
+        min_length=1,
+        description='parts of the index by name',
+    )
     index_versions: tuple[int, ...] = pydantic.Field(
         min_length=1,
         description='versions that queries may use, preferred first',
@@ -155,9 +194,18 @@
 class Route(SettingsModel):
     """`teams/<team>/routes/<name>`: what callers may ask for."""
 
-    kind: RouteKind
-    service: Name
-    request_class: RequestClass = RequestClass.ORDINARY
+    kind: RouteKind = pydantic.Field(
+        description='`search` asks all shards, `lookup` the shard of an id, '
+        '`submit` is not idempotent and runs at most once',
+    )
+    service: Name = pydantic.Field(
+        description='service of the same team that answers',
+    )
+    request_class: RequestClass = pydantic.Field(
+        default=RequestClass.ORDINARY,
+        description='weight in the queues: `priority` 8, `ordinary` 3, '
+        '`background` 1',
+    )
     open_to_all: bool = pydantic.Field(
         default=False,
         description='whether requests need no key',
@@ -213,4 +261,8 @@
     sha256_digests: tuple[
         Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')],
         ...,
-    ] = ()
+    ] = pydantic.Field(
+        default=(),
+        description='SHA-256 digests of the keys that work; a removed '
+        'digest stops its key',
+    )
--- a/jacinthcart/settings/_process.py
+++ b/jacinthcart/settings/_process.py
@@ -11,8 +11,8 @@
 class Endpoint(SettingsModel):
     """An address and a TCP or UDP port."""
 
-    address: IpAddress
-    port: Port
+    address: IpAddress = pydantic.Field(description='IP address')
+    port: Port = pydantic.Field(description='port')
 
 
 class ProcessSettings(SettingsModel):
@@ -21,17 +21,34 @@
     The same file serves the three programs of one VM.
     """
 
-    vm_id: Name
-    data_centre: Name
-    address: IpAddress
-    entry_port: Port
-    gather_port: Port
+    vm_id: Name = pydantic.Field(
+        description='identity of the VM, its entry in the roster',
+    )
+    data_centre: Name = pydantic.Field(
+        description='data centre that the VM stands in',
+    )
+    address: IpAddress = pydantic.Field(
+        description='address that the three programs listen on',
+    )
+    entry_port: Port = pydantic.Field(
+        description='TCP port for callers',
+    )
+    gather_port: Port = pydantic.Field(
+        description='TCP port for entries and other gathers',
+    )
     control_port: Port = pydantic.Field(
         description='TCP port of control; its datagrams use the same UDP port',
     )
-    admin_port: Port
-    admin_key_sha256: str = pydantic.Field(pattern='^[0-9a-f]{64}$')
-    config_service: Endpoint
+    admin_port: Port = pydantic.Field(
+        description='TCP port of the administration API',
+    )
+    admin_key_sha256: str = pydantic.Field(
+        pattern='^[0-9a-f]{64}$',
+        description='SHA-256 digest of the administration key',
+    )
+    config_service: Endpoint = pydantic.Field(
+        description='configuration service and VM list of the platform',
+    )
     seed_peers: tuple[Endpoint, ...] = pydantic.Field(
         default=(),
         description='control addresses of other VMs, asked at start',
--- a/jacinthcart_lab/__main__.py
+++ b/jacinthcart_lab/__main__.py
@@ -1,11 +1,26 @@
-"""Demo and bench: `python -m jacinthcart_lab demo|bench`."""
+"""Demo and bench: `python -m jacinthcart_lab demo|fleet|put|fault`."""
 
 import dataclasses
+import pathlib
 import sys
+from typing import Annotated
 
 import cappa
+import orjson
 
+from jacinthcart_lab._changes import post_to_service
 from jacinthcart_lab._demo import run_demo
+from jacinthcart_lab._stay import run_fleet
+
+ServiceOption = Annotated[
+    str,
+    cappa.Arg(
+        long='--config',
+        value_name='ADDRESS:PORT',
+        default=cappa.Env('JACINTHCART_CONFIG', default='127.0.3.1:21000'),
+        help='emulated configuration service',
+    ),
+]
 
 
 @dataclasses.dataclass
@@ -17,11 +32,62 @@
         sys.exit(run_demo())
 
 
+@cappa.command(name='fleet', help='Run the demo fleet until Ctrl-C.')
+@dataclasses.dataclass
+class StayingFleet:
+    """Run the demo fleet until SIGTERM or Ctrl-C."""
+
+    folder: Annotated[
+        pathlib.Path,
+        cappa.Arg(long=True, help='files, logs and keys; emptied first'),
+    ] = pathlib.Path('run/fleet')
+    first_port: Annotated[int, cappa.Arg(long='--first-port')] = 21000
+
+    def __call__(self) -> None:
+        """Exit with 0 after a signal."""
+        sys.exit(run_fleet(self.folder, self.first_port))
+
+
+@cappa.command(help='Publish one settings value, as an operator does.')
+@dataclasses.dataclass
+class Put:
+    """Publish one settings value."""
+
+    path: Annotated[str, cappa.Arg(value_name='PATH')]
+    json_text: Annotated[
+        str,
+        cappa.Arg(value_name='JSON', help='the value; null deletes the path'),
+    ]
+    config: ServiceOption
+
+    def __call__(self) -> None:
+        """Exit with 0 when the service took the change."""
+        change = {self.path: orjson.loads(self.json_text)}
+        sys.exit(post_to_service(self.config, 'put', {'values': change}))
+
+
+@cappa.command(help='Switch a fault of the emulated configuration service.')
+@dataclasses.dataclass
+class Fault:
+    """Switch a fault of the emulated configuration service."""
+
+    json_text: Annotated[
+        str,
+        cappa.Arg(value_name='JSON', help='for example \'{"down": true}\''),
+    ]
+    config: ServiceOption
+
+    def __call__(self) -> None:
+        """Exit with 0 when the fault is switched."""
+        fault = orjson.loads(self.json_text)
+        sys.exit(post_to_service(self.config, 'fault', fault))
+
+
 @dataclasses.dataclass
 class Lab:
     """Demo and bench of the query tier."""
 
-    command: cappa.Subcommands[Demo]
+    command: cappa.Subcommands[Demo | StayingFleet | Put | Fault]
 
 
 if __name__ == '__main__':
