--- a/jacinthcart/control/_status.py
+++ b/jacinthcart/control/_status.py
@@ -6,6 +6,10 @@
 from jacinthcart.control._node import ControlNode
 
 
+#: A VM sends nothing to the searchers of parts that other VMs own.
+_NOT_SET_ASIDE = frozenset(('', 'not_owner'))
+
+
 def describe_status(
     node: ControlNode,
     costs: Costs,
@@ -27,11 +31,26 @@
         'members': describe_members(node),
         'neighbour_age_s': node.neighbours.list_ages(),
         'limits': node.outside.permits.describe(),
-        'set_aside': reports.get('gather', {}).get('set_aside', {}),
+        'set_aside': _find_set_aside(reports.get('gather', {})),
         'cost': costs.describe(),
     }
 
 
+def describe_path(node: ControlNode, path: str) -> dict[str, int | None]:
+    """Return the revisions of one path, None where it has no value.
+
+    `newest` is the last change known here; `in_force` is below it while the
+    unit of the path has errors.
+    """
+    store = node.state.store
+    newest = store.export_after(0).get(path)
+    in_force = store.export_in_force().get(path)
+    return {
+        'newest': newest.revision if newest else None,
+        'in_force': in_force.revision if in_force else None,
+    }
+
+
 def describe_serving(node: ControlNode) -> dict[str, Any]:
     """Return whether leases are granted and why."""
     return {
@@ -57,3 +76,15 @@
         }
         for vm_id, member in node.heartbeats.members_by_vm.items()
     }
+
+
+def _find_set_aside(gather_report: dict[str, Any]) -> dict[str, str]:
+    """Return why this owner sends searchers nothing, by searcher id."""
+    reason_by_searcher = {}
+    for searcher_id, link in gather_report.get('dispatcher', {}).items():
+        reason = link['set_aside']
+        if not reason and link['is_failing']:
+            reason = 'failing'
+        if reason not in _NOT_SET_ASIDE:
+            reason_by_searcher[searcher_id] = reason
+    return reason_by_searcher
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -107,7 +107,7 @@
             share.meter.add(count)
             grant = share.take(count)
             if grant.count:
-                self._check_unexpired(grant)
+                _check_unexpired(self._metrics, grant, self._clock())
                 granted[workspace_id] = grant
             if grant.count < count:
                 retry_after_ms[workspace_id] = self._estimate_retry_ms(share)
@@ -157,6 +157,7 @@
                 f'{workspace_id}: lent {grant.count} of {level}',
             )
             if grant.count:
+                share.lent += grant.count
                 lifetime_ms = share.terms.lifetime_s * _MS_PER_S
                 loans[workspace_id] = Loan(grant.count, lifetime_ms)
         return loans
@@ -206,6 +207,13 @@
                 counts[workspace_id] = count
         return counts_by_owner
 
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return what this VM holds and lent, by workspace id."""
+        return {
+            workspace_id: share.describe()
+            for workspace_id, share in self._shares.items()
+        }
+
     def _create_share(
         self,
         workspace_id: str,
@@ -287,10 +295,10 @@
             waits_ms.append(max(self.policy.borrow_interval_ms, next_token_ms))
         return max(1, math.ceil(min(waits_ms, default=_NO_SHARE_RETRY_MS)))
 
-    def _check_unexpired(self, grant: Grant) -> None:
-        now = self._clock()
-        self._metrics.check(
-            'expired_permit_not_granted',
-            grant.expires_at > now,
-            f'expired at {grant.expires_at}, now {now}',
-        )
+
+def _check_unexpired(metrics: Metrics, grant: Grant, now: float) -> None:
+    metrics.check(
+        'expired_permit_not_granted',
+        grant.expires_at > now,
+        f'expired at {grant.expires_at}, now {now}',
+    )
