Qualify searcher ids by their service in the warm table

Cause: the warm table was keyed by the searcher id alone, which is unique within a service only; two teams with equal ids would have shared one entry, so that one team's searcher could be treated as warm on the other's word. Ids are now <team>/<service>/<searcher>.

--- a/jacinthcart/control/_explain.py
+++ b/jacinthcart/control/_explain.py
@@ -7,6 +7,7 @@
     find_part_owners,
     find_token_owners,
     find_warmer,
+    qualify_searcher,
 )
 from jacinthcart.errors import SettingsError
 from jacinthcart.settings import Part, Service, SettingsView
@@ -65,26 +66,33 @@
             'shards': list(part.shards),
             'owners': owners,
             'searchers': {
-                searcher_id: self._explain_searcher(part, searcher_id, owners)
+                searcher_id: self._explain_searcher(
+                    service_id,
+                    part,
+                    searcher_id,
+                    owners,
+                )
                 for searcher_id in part.searchers_by_id
             },
         }
 
     def _explain_searcher(
         self,
+        service_id: str,
         part: Part,
         searcher_id: str,
         owners: list[str],
     ) -> dict[str, Any]:
         searcher = part.searchers_by_id[searcher_id]
-        known = self._node.state.warm.export().get(searcher_id)
+        warm_id = qualify_searcher(service_id, searcher_id)
+        known = self._node.state.warm.export().get(warm_id)
         return {
             'state': str(searcher.state),
             'data_centre': searcher.data_centre,
             'data_centre_in': self._view.is_data_centre_in(
                 searcher.data_centre,
             ),
-            'warmer': find_warmer(searcher_id, owners) if owners else None,
+            'warmer': find_warmer(warm_id, owners) if owners else None,
             'warm_entry': known,
         }
 
--- a/jacinthcart/control/_warm_spread.py
+++ b/jacinthcart/control/_warm_spread.py
@@ -7,11 +7,12 @@
 from jacinthcart.control._warm import encode_warm_entries, read_warm_entries
 from jacinthcart.feed import WarmEntry
 from jacinthcart.membership import BaseDatagrams
-from jacinthcart.ownership import find_part_owners
+from jacinthcart.ownership import find_part_owners, qualify_searcher
 from jacinthcart.settings import Endpoint, SettingsView
 
-#: Keeps a datagram below 1,400 bytes with ids of at most 64 characters.
-_ENTRIES_PER_DATAGRAM = 6
+#: Keeps a datagram below 1,400 bytes with ids of three names of at most 64
+#: characters each.
+_ENTRIES_PER_DATAGRAM = 4
 
 
 class WarmSpread:
@@ -32,12 +33,13 @@
     def apply_settings(self, view: SettingsView) -> None:
         """Take the searchers and owners in force."""
         vm_ids = list(view.roster.vms_by_id) if view.roster else []
-        owners_by_searcher_id = {}
+        owners_by_searcher_id: dict[str, list[str]] = {}
         for service_id, service in view.services_by_id.items():
             for name, part in service.parts_by_name.items():
                 owners = find_part_owners(service_id, name, service, vm_ids)
                 owners_by_searcher_id.update(
-                    dict.fromkeys(part.searchers_by_id, owners),
+                    (qualify_searcher(service_id, searcher), owners)
+                    for searcher in part.searchers_by_id
                 )
         self._owners_by_searcher_id = owners_by_searcher_id
         self._state.warm.retain(frozenset(owners_by_searcher_id))
--- a/jacinthcart/dispatch/_replicas.py
+++ b/jacinthcart/dispatch/_replicas.py
@@ -4,7 +4,11 @@
 import itertools
 from collections.abc import Iterator, Mapping
 
-from jacinthcart.ownership import find_part_owners, find_warmer
+from jacinthcart.ownership import (
+    find_part_owners,
+    find_warmer,
+    qualify_searcher,
+)
 from jacinthcart.settings import (
     Searcher,
     SearcherState,
@@ -79,7 +83,8 @@
     vm_ids = view.roster.vms_by_id if view.roster else ()
     owners = find_part_owners(service_id, part, service, vm_ids)
     searchers = service.parts_by_name[part].searchers_by_id
-    for searcher_id, searcher in searchers.items():
+    for name, searcher in searchers.items():
+        searcher_id = qualify_searcher(service_id, name)
         is_owner = vm_id in owners
         yield Replica(
             searcher_id,
--- a/jacinthcart/gather/_choice.py
+++ b/jacinthcart/gather/_choice.py
@@ -6,7 +6,7 @@
 from jacinthcart.gather._context import GatherParts, PinnedQuery
 from jacinthcart.gather._outcomes import PartWork
 from jacinthcart.gather._plan import Plan, VmRank, plan_parts
-from jacinthcart.ownership import find_warmer
+from jacinthcart.ownership import find_warmer, qualify_searcher
 
 #: A cold part is served only by the warmers of its searchers, usually three.
 _ATTEMPTS_PER_PART = 4
@@ -66,8 +66,8 @@
             return candidates
         service = self._view.services_by_id[self._service_id]
         warmers = {
-            find_warmer(searcher_id, owners)
-            for searcher_id in service.parts_by_name[part].searchers_by_id
+            find_warmer(qualify_searcher(self._service_id, name), owners)
+            for name in service.parts_by_name[part].searchers_by_id
         }
         return [vm_id for vm_id in candidates if vm_id in warmers] or candidates
 
--- a/jacinthcart/ownership/__init__.py
+++ b/jacinthcart/ownership/__init__.py
@@ -5,6 +5,7 @@
     find_part_owners,
     find_token_owners,
     find_warmer,
+    qualify_searcher,
     rank_owners,
 )
 
@@ -13,5 +14,6 @@
     'find_part_owners',
     'find_token_owners',
     'find_warmer',
+    'qualify_searcher',
     'rank_owners',
 ]
--- a/jacinthcart/ownership/_ranking.py
+++ b/jacinthcart/ownership/_ranking.py
@@ -46,6 +46,15 @@
     return rank_owners(f'part/{service_id}/{part}', known, count)
 
 
+def qualify_searcher(service_id: str, searcher_id: str) -> str:
+    """Return the id of a searcher that is unique over all teams.
+
+    Searcher ids are unique within a service only, and one team's settings
+    must not change the warmth of another team's searchers.
+    """
+    return f'{service_id}/{searcher_id}'
+
+
 def find_warmer(searcher_id: str, part_owners: Iterable[str]) -> str:
     """Return the one VM that may send to the searcher while it is cold."""
     return rank_owners(f'warm/{searcher_id}', part_owners, 1)[0]
--- a/jacinthcart/settings/_tree.py
+++ b/jacinthcart/settings/_tree.py
@@ -73,13 +73,16 @@
     unchanged values, which are not parsed again.
     """
     errors: list[SettingsError] = []
-    models_by_path: dict[str, SettingsModel] = {}
+    models_by_path = {
+        path: model
+        for path, model in (known_by_path or {}).items()
+        if json_by_path.get(path) is not None
+    }
     for path, json_value in json_by_path.items():
-        if json_value is None:
+        if json_value is None or path in models_by_path:
             continue
         try:
-            known = known_by_path.get(path) if known_by_path else None
-            models_by_path[path] = known or parse_value(path, json_value)
+            models_by_path[path] = parse_value(path, json_value)
         except SettingsError as error:
             errors.append(error)
         except pydantic.ValidationError as error:
--- a/tests/control/test_warm_table.py
+++ b/tests/control/test_warm_table.py
@@ -24,7 +24,7 @@
     'slots': 2,
     'connection_limit': 8,
 }
-ENTRY = {'s0': {'incident': 3, 'warm': True, 'generation': 'g'}}
+ENTRY = {'v/k/s0': {'incident': 3, 'warm': True, 'generation': 'g'}}
 
 
 class WarmTableTest(unittest.TestCase):
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -22,7 +22,11 @@
 )
 from jacinthcart.errors import NotSentError
 from jacinthcart.feed import StateFeed, WarmEntry
-from jacinthcart.ownership import find_part_owners, find_warmer
+from jacinthcart.ownership import (
+    find_part_owners,
+    find_warmer,
+    qualify_searcher,
+)
 from jacinthcart.settings import (
     ProcessSettings,
     RequestClass,
@@ -32,6 +36,8 @@
 from jacinthcart.warming import merge_warm_entries
 
 SERVICE_ID = 'team/katalog'
+S0 = f'{SERVICE_ID}/s0'
+S1 = f'{SERVICE_ID}/s1'
 SNAPSHOT = Snapshot(index_version=7, partition_map=3)
 PROCESS = {
     'data_centre': 'dc-a',
@@ -178,7 +184,9 @@
         """Create dispatchers and searchers; use inside a running loop."""
         self.vm_ids = [f'vm-{number}' for number in range(vm_count)]
         self.searchers = {
-            f's{number}': StandInSearcher(f's{number}')
+            qualify_searcher(SERVICE_ID, f's{number}'): StandInSearcher(
+                qualify_searcher(SERVICE_ID, f's{number}'),
+            )
             for number in range(searcher_count)
         }
         self.random = random.Random(seed)
@@ -193,12 +201,12 @@
             **(service or {}),
         }
         self.searcher_settings = {
-            searcher_id: {
+            f's{number}': {
                 'address': '127.0.0.1',
                 'port': 9000,
                 'data_centre': f'dc-{number}',
             }
-            for number, searcher_id in enumerate(self.searchers)
+            for number in range(searcher_count)
         }
         self.centres: dict[str, str] = {}
         self.failed_posts = 0
--- a/tests/dispatch/test_hedging.py
+++ b/tests/dispatch/test_hedging.py
@@ -6,7 +6,12 @@
 import anyio
 
 from jacinthcart.errors import OutcomeUnknownError
-from tests.dispatch.support import Fleet, make_call, run_virtual
+from tests.dispatch.support import (
+    Fleet,
+    S0,
+    make_call,
+    run_virtual,
+)
 
 REQUESTS = 1000
 
@@ -100,7 +105,7 @@
 
         async def scenario() -> None:
             fleet = Fleet()
-            fleet.searchers['s0'].failure = OutcomeUnknownError('reset')
+            fleet.searchers[S0].failure = OutcomeUnknownError('reset')
             for _ in range(200):
                 part = await fleet.dispatchers[0].run_part(make_call())
                 self.assertEqual(part.missing, {})
--- a/tests/dispatch/test_queue.py
+++ b/tests/dispatch/test_queue.py
@@ -8,7 +8,12 @@
 from jacinthcart.dispatch import Dispatcher, PartCall
 from jacinthcart.errors import Ran, RefusalCode, RefusalError
 from jacinthcart.settings import RequestClass
-from tests.dispatch.support import Fleet, make_call, run_virtual
+from tests.dispatch.support import (
+    Fleet,
+    S0,
+    make_call,
+    run_virtual,
+)
 
 ONE_SLOT = {'slots': 1, 'connections_per_owner': 1}
 FLOOD = 60
@@ -33,7 +38,7 @@
         await anyio.sleep(0.001)
         call = make_call(30, 'team/small', late, request_id='late')
         tasks.start_soon(_run, dispatcher, call)
-    ids = [item.request_id for item in fleet.searchers['s0'].messages]
+    ids = [item.request_id for item in fleet.searchers[S0].messages]
     return ids.index('late')
 
 
@@ -73,7 +78,7 @@
                     kind = kinds[number % 2]
                     call = make_call(30, 'w', kind, request_id=kind.value)
                     tasks.start_soon(_run, dispatcher, call)
-            messages = fleet.searchers['s0'].messages[:45]
+            messages = fleet.searchers[S0].messages[:45]
             ids = [message.request_id for message in messages]
             # The weights give background a ninth: 5 of 45.
             self.assertIn(ids.count('background'), range(4, 7))
@@ -96,7 +101,7 @@
 
         async def scenario() -> None:
             fleet = Fleet(searcher_count=1, service=ONE_SLOT)
-            fleet.searchers['s0'].latency_s = 0.1
+            fleet.searchers[S0].latency_s = 0.1
             dispatcher = fleet.dispatchers[0]
             await dispatcher.run_part(make_call())
             async with anyio.create_task_group() as tasks:
@@ -150,7 +155,7 @@
                     tasks.start_soon(collect)
                 await anyio.sleep(0.005)
                 change(fleet)
-            self.assertEqual(len(fleet.searchers['s0'].messages), 1)
+            self.assertEqual(len(fleet.searchers[S0].messages), 1)
             self.assertEqual(seen.count(expected), 4)
             self.assertEqual(seen.count(''), 1)
 
@@ -186,7 +191,7 @@
         """Guards against work for a searcher that said it drains."""
 
         def change(fleet: Fleet) -> None:
-            fleet.searchers['s0'].state = 'draining'
+            fleet.searchers[S0].state = 'draining'
 
         async def scenario() -> None:
             fleet = Fleet(searcher_count=1, service=ONE_SLOT)
@@ -194,7 +199,7 @@
             async with anyio.create_task_group() as tasks:
                 for _ in range(5):
                     tasks.start_soon(_run, fleet.dispatchers[0], make_call())
-            self.assertEqual(len(fleet.searchers['s0'].messages), 1)
+            self.assertEqual(len(fleet.searchers[S0].messages), 1)
 
         run_virtual(scenario)
 
@@ -203,13 +208,13 @@
 
         async def scenario() -> None:
             fleet = Fleet(searcher_count=1, service=ONE_SLOT)
-            fleet.searchers['s0'].latency_s = 1
+            fleet.searchers[S0].latency_s = 1
             dispatcher = fleet.dispatchers[0]
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_run, dispatcher, make_call(5))
                 await anyio.sleep(0.1)
                 refused = await _run(dispatcher, make_call(0.9))
             self.assertEqual(refused, 'overloaded:not_run')
-            self.assertEqual(len(fleet.searchers['s0'].messages), 1)
+            self.assertEqual(len(fleet.searchers[S0].messages), 1)
 
         run_virtual(scenario)
--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -12,6 +12,7 @@
 from jacinthcart.feed import WarmEntry
 from tests.dispatch.support import (
     Fleet,
+    S0,
     StandInSearcher,
     make_call,
     run_virtual,
@@ -98,7 +99,7 @@
 
 
 def _find_allowance(dispatcher: Dispatcher) -> int:
-    return int(dispatcher.describe()['s0']['allowance'])
+    return int(dispatcher.describe()[S0]['allowance'])
 
 
 def _start_calls(
@@ -120,7 +121,7 @@
 
         async def scenario() -> None:
             fleet = Fleet(3, policy=EAGER, seed=seed)
-            searcher = fleet.searchers['s0']
+            searcher = fleet.searchers[S0]
             watch = ColdWatch(fleet, searcher)
             async with anyio.create_task_group() as tasks:
                 await _run_load(fleet, 5, tasks)
@@ -129,13 +130,13 @@
                 searcher.refusal = 'cold' if refuses else ''
                 searcher.latency_s = 0.2
                 await anyio.sleep(1.5)
-                self.assertFalse(fleet.table['s0'].warm)
+                self.assertFalse(fleet.table[S0].warm)
                 self.assertGreater(watch.cold_requests, 3)
                 searcher.state = 'warm'
                 searcher.refusal = ''
                 searcher.latency_s = 0.01
                 await anyio.sleep(2)
-                self.assertTrue(fleet.table['s0'].warm)
+                self.assertTrue(fleet.table[S0].warm)
                 tasks.cancel_scope.cancel()
             self.assertEqual(watch.violations, [])
 
@@ -205,7 +206,7 @@
 
         async def scenario() -> None:
             fleet = Fleet(1, 1, policy=EAGER, is_warm=False)
-            searcher, dispatcher = fleet.searchers['s0'], fleet.dispatchers[0]
+            searcher, dispatcher = fleet.searchers[S0], fleet.dispatchers[0]
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(dispatcher.run)
                 await anyio.sleep(0.3)
@@ -231,7 +232,7 @@
 
         async def scenario() -> None:
             fleet = Fleet(searcher_count=1)
-            searcher = fleet.searchers['s0']
+            searcher = fleet.searchers[S0]
             for _ in range(2):
                 searcher.most_in_flight = 0
                 async with anyio.create_task_group() as tasks:
@@ -251,7 +252,7 @@
             fleet = Fleet(3, searcher_count=1, is_warm=False)
             for number, dispatcher in enumerate(fleet.dispatchers):
                 part = await dispatcher.run_part(make_call())
-                is_warmer = number == fleet.find_warmer('s0')
+                is_warmer = number == fleet.find_warmer(S0)
                 self.assertEqual(not part.missing, is_warmer)
 
         run_virtual(scenario)
@@ -294,15 +295,15 @@
         async def scenario() -> None:
             fleet = Fleet(1, searcher_count=1)
             fleet.failed_posts = 3
-            fleet.searchers['s0'].generation = 'g2'
+            fleet.searchers[S0].generation = 'g2'
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(fleet.dispatchers[0].run)
                 await fleet.dispatchers[0].run_part(make_call())
                 await anyio.sleep(0.9)
-                self.assertEqual(fleet.table['s0'], WarmEntry(1, True, 'g1'))
+                self.assertEqual(fleet.table[S0], WarmEntry(1, True, 'g1'))
                 await anyio.sleep(2)
                 tasks.cancel_scope.cancel()
-            self.assertEqual(fleet.table['s0'].generation, 'g2')
+            self.assertEqual(fleet.table[S0].generation, 'g2')
 
         run_virtual(scenario)
 
@@ -311,7 +312,7 @@
 
         async def scenario() -> None:
             fleet = Fleet(1, searcher_count=1, policy=EAGER)
-            fleet.searchers['s0'].generation = 'g2'
+            fleet.searchers[S0].generation = 'g2'
             async with anyio.create_task_group() as tasks:
                 await _run_load(fleet, 3, tasks)
                 await anyio.sleep(3)
--- a/tests/dispatch/test_submit.py
+++ b/tests/dispatch/test_submit.py
@@ -15,6 +15,8 @@
 )
 from tests.dispatch.support import (
     Fleet,
+    S0,
+    S1,
     StandInSearcher,
     make_call,
     run_virtual,
@@ -77,7 +79,7 @@
 
         async def scenario() -> None:
             fleet = Fleet()
-            for searcher_id in ('s0', 's1'):
+            for searcher_id in (S0, S1):
                 _break(fleet.searchers[searcher_id], 'shed')
             part = await fleet.dispatchers[0].run_part(
                 make_call(is_submit=True)
--- a/tests/gather/test_query.py
+++ b/tests/gather/test_query.py
@@ -9,6 +9,7 @@
 from jacinthcart.errors import Ran, RefusalCode, RefusalError
 from jacinthcart.ownership import find_warmer
 from tests.gather.fakes import (
+    SERVICE_ID,
     SERVICE_PATH,
     Fleet,
     answer_all,
@@ -228,7 +229,11 @@
         owners = fleet.find_owners('p0')
         warmer = max(owners)
         names = (f's{number}' for number in range(100))
-        name = next(one for one in names if find_warmer(one, owners) == warmer)
+        name = next(
+            one
+            for one in names
+            if find_warmer(f'{SERVICE_ID}/{one}', owners) == warmer
+        )
         service = create_service(1, owners=4)
         part = service['parts_by_name']['p0']
         part['searchers_by_id'] = {name: part['searchers_by_id']['s0']}
