--- a/jacinthcart/admin/_change_commands.py
+++ b/jacinthcart/admin/_change_commands.py
@@ -24,6 +24,7 @@
 )
 from jacinthcart.admin._roster import read_tree
 from jacinthcart.admin._run import run_command
+from jacinthcart.admin._secrets import write_key
 from jacinthcart.admin._settings_page import create_settings_page
 from jacinthcart.admin._watch import ChangeWatcher
 
@@ -142,13 +143,22 @@
 @cappa.command(
     help='Make a random key and the digest to publish.',
     description='The key goes to the caller, the digest into '
-    'teams/TEAM/keys/WORKSPACE. Example: jacinthcart key',
+    'teams/TEAM/keys/WORKSPACE. Example: jacinthcart key --write new.key',
 )
 @dataclasses.dataclass(kw_only=True)
 class Key:
     """Makes a key."""
 
     json: JsonOption = False
+    write: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            long=True,
+            value_name='FILE',
+            help='write the key to a new file that only its owner can read, '
+            'and print only the digest',
+        ),
+    ] = None
 
     def __call__(self) -> None:
         """Run and exit."""
@@ -158,7 +168,10 @@
         """Print a new key and its digest."""
         key = secrets.token_urlsafe(_KEY_BYTES)
         digest = hashlib.sha256(key.encode()).hexdigest()
-        if self.json:
+        if self.write is not None:
+            write_key(self.write, key)
+            print_line(digest)
+        elif self.json:
             print_json({'key': key, 'sha256': digest})
         else:
             print_line(f'key:    {key}')
--- a/jacinthcart/admin/_fleet_commands.py
+++ b/jacinthcart/admin/_fleet_commands.py
@@ -30,13 +30,22 @@
 class Status(FleetOptions):
     """Shows every VM."""
 
+    vm: Annotated[
+        str | None,
+        cappa.Arg(long=True, value_name='VM', help='only this VM'),
+    ] = None
+
     def __call__(self) -> None:
         """Run and exit."""
         run_command(self.run)
 
     async def run(self) -> ExitCode:
         """Print the status of the VMs that answer."""
-        answers = await ask_fleet(self, 'status')
+        answers = {
+            vm_id: answer
+            for vm_id, answer in (await ask_fleet(self, 'status')).items()
+            if self.vm in {None, vm_id}
+        }
         if self.json:
             print_json(answers)
             return ExitCode.SUCCESS
--- a/jacinthcart/admin/_options.py
+++ b/jacinthcart/admin/_options.py
@@ -10,6 +10,7 @@
 from jacinthcart.admin._roster import (
     ROSTER_PATH,
     parse_endpoint,
+    parse_endpoints,
     parse_roster,
     read_roster_file,
     read_tree,
@@ -75,8 +76,7 @@
         cappa.Arg(
             long='--admin',
             value_name='ADDRESS:PORT',
-            parse=parse_endpoint,
-            num_args=1,
+            parse=parse_endpoints,
             action=cappa.ArgAction.append,
             help='administration address of one VM, repeatable; used '
             'instead of a roster',
--- a/jacinthcart/admin/_output.py
+++ b/jacinthcart/admin/_output.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import sys
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Any, NoReturn
 
 import orjson
@@ -24,7 +24,7 @@
     #: Column names.
     columns: Sequence[str]
     #: Cells of each row.
-    rows: Iterable[Sequence[object]]
+    rows: Sequence[Sequence[object]]
 
 
 def print_json(message: Any) -> None:
--- a/jacinthcart/admin/_request_commands.py
+++ b/jacinthcart/admin/_request_commands.py
@@ -17,7 +17,7 @@
     print_json,
     print_table,
 )
-from jacinthcart.admin._roster import format_url, parse_endpoint
+from jacinthcart.admin._roster import format_url, parse_endpoints
 from jacinthcart.admin._run import run_command
 from jacinthcart.admin._secrets import CALLER_KEY_VARIABLE, read_key
 from jacinthcart.caller import (
@@ -45,8 +45,7 @@
         cappa.Arg(
             long='--entry',
             value_name='ADDRESS:PORT',
-            parse=parse_endpoint,
-            num_args=1,
+            parse=parse_endpoints,
             action=cappa.ArgAction.append,
             help='address of one entry, repeatable; used instead of a roster',
         ),
--- a/jacinthcart/admin/_roster.py
+++ b/jacinthcart/admin/_roster.py
@@ -37,6 +37,11 @@
     return Endpoint(address=address, port=int(port))
 
 
+def parse_endpoints(texts: list[str]) -> list[Endpoint]:
+    """Read each `ADDRESS:PORT`; raise ValueError."""
+    return [parse_endpoint(text) for text in texts]
+
+
 def format_url(endpoint: Endpoint) -> str:
     """Return the base URL of an endpoint."""
     is_v6 = ':' in endpoint.address
--- a/jacinthcart/admin/_secrets.py
+++ b/jacinthcart/admin/_secrets.py
@@ -26,3 +26,16 @@
             ExitCode.INVALID,
             f'{file}: {error.strerror}',
         ) from error
+
+
+def write_key(file: pathlib.Path, key: str) -> None:
+    """Write a key to a new file with mode 600; raise CommandError."""
+    try:
+        descriptor = os.open(file, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    except OSError as error:
+        raise CommandError(
+            ExitCode.FAILURE,
+            f'{file}: {error.strerror}',
+        ) from error
+    with open(descriptor, 'w', encoding='utf-8') as opened:
+        opened.write(key)
--- a/jacinthcart/admin/_settings_page.py
+++ b/jacinthcart/admin/_settings_page.py
@@ -67,7 +67,8 @@
     schema = model.model_json_schema()
     definitions = schema.get('$defs', {})
     title = f'`{path}`' if '/' in path else path
-    *_, purpose = str(schema['description']).splitlines()[0].split(': ')
+    summary = str(schema['description']).splitlines()[0]
+    purpose = summary.rpartition(': ')[2]
     lines = [
         f'## {title}\n',
         _capitalize(purpose),
--- a/jacinthcart/admin/_status.py
+++ b/jacinthcart/admin/_status.py
@@ -1,5 +1,6 @@
 """Tables of `jacinthcart status`."""
 
+import collections
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -7,8 +8,8 @@
 
 
 def create_status_tables(answers: Mapping[str, Any]) -> list[TableText]:
-    """Return the tables of all VMs."""
-    return [
+    """Return the tables of these VMs that have rows."""
+    tables = [
         TableText(
             'VMs',
             (
@@ -39,11 +40,19 @@
         TableText(
             'Members seen',
             ('VM', 'member', 'age s', 'revision', 'ready', 'leaving'),
-            _list_members(answers),
+            list(_list_members(answers)),
         ),
         TableText(
-            'Limits held',
-            ('VM', 'workspace', 'share', 'level', 'of', 'borrowed', 'lent'),
+            'Limits held by these VMs together, in tokens',
+            (
+                'workspace',
+                'share',
+                'rate',
+                'level',
+                'capacity',
+                'borrowed',
+                'lent',
+            ),
             _list_limits(answers),
         ),
         TableText(
@@ -56,6 +65,7 @@
             ],
         ),
     ]
+    return [table for table in tables if table.rows]
 
 
 def _list_vm_cells(vm_id: str, vm: Mapping[str, Any]) -> list[object]:
@@ -92,15 +102,15 @@
             ]
 
 
-def _list_limits(answers: Mapping[str, Any]) -> Iterator[list[object]]:
-    for vm_id, vm in answers.items():
-        for workspace_id, held in sorted(vm['limits'].items()):
-            yield [
-                vm_id,
-                workspace_id,
-                held['share'],
-                held['level'],
-                held['own_capacity'],
-                held['borrowed'],
-                held['lent'],
-            ]
+def _list_limits(answers: Mapping[str, Any]) -> list[list[object]]:
+    """Return sums over the VMs by workspace."""
+    totals: dict[str, collections.Counter[str]] = {}
+    for vm in answers.values():
+        for workspace_id, held in vm['limits'].items():
+            total = totals.setdefault(workspace_id, collections.Counter())
+            total.update(held)
+    names = ('share', 'own_rate', 'level', 'own_capacity', 'borrowed', 'lent')
+    return [
+        [name, *(total[part] for part in names)]
+        for name, total in sorted(totals.items())
+    ]
--- a/jacinthcart_lab/__main__.py
+++ b/jacinthcart_lab/__main__.py
@@ -39,7 +39,7 @@
 
     folder: Annotated[
         pathlib.Path,
-        cappa.Arg(long=True, help='files, logs and keys; emptied first'),
+        cappa.Arg(long=True, help='files, logs and keys'),
     ] = pathlib.Path('run/fleet')
     first_port: Annotated[int, cappa.Arg(long='--first-port')] = 21000
 
--- a/jacinthcart_lab/_stay.py
+++ b/jacinthcart_lab/_stay.py
@@ -1,7 +1,6 @@
 """A fleet that stays, for trying the operators' command and the runbook."""
 
 import pathlib
-import shutil
 import signal
 import sys
 
@@ -28,7 +27,6 @@
     A VM whose three processes have ended is started again, as a platform
     replaces a VM under its roster entry.
     """
-    shutil.rmtree(folder, ignore_errors=True)
     fleet = Fleet(
         folder,
         (build_voskovka(_SCALE), build_fjordsom(_SCALE)),
--- /dev/null
+++ b/tests/admin/test_operations_page.py
@@ -0,0 +1,99 @@
+"""The runbook against the demo fleet, as processes on loopback."""
+
+import contextlib
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+ROOT = pathlib.Path(__file__).parents[2]
+PAGE = ROOT / 'docs' / 'operations.md'
+FIRST_PORT = '31000'
+#: Bounds a run that hangs; a run takes well under a minute.
+TIMEOUT_S = 240
+#: Sections that the others do not depend on run side by side.
+AT_ONCE = 3
+#: Sections that disturb the fleet run one after the other.
+ALONE = (
+    'Rolling restart',
+    'Replace a VM',
+    'The configuration service is down',
+    'The configuration service is stale',
+)
+
+
+def read_sections():
+    """Return the command blocks of each section by heading."""
+    setup, *sections = re.split('^## ', PAGE.read_text(), flags=re.M)
+    return {
+        section.partition('\n')[0]: join_blocks(setup) + join_blocks(section)
+        for section in sections
+    }
+
+
+def join_blocks(text):
+    """Return the shell commands of a piece of the page."""
+    return ''.join(re.findall('^```sh\n(.*?)^```$', text, re.M | re.S))
+
+
+@contextlib.contextmanager
+def run_fleet(folder, environment):
+    """Run the demo fleet in `folder` while the context is open."""
+    command = [sys.executable, '-m', 'jacinthcart_lab', 'fleet']
+    with subprocess.Popen(
+        [*command, '--first-port', FIRST_PORT],
+        cwd=folder,
+        env=environment,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as fleet:
+        try:
+            for line in fleet.stdout:
+                if line.startswith('ready'):
+                    break
+            yield fleet
+        finally:
+            fleet.send_signal(signal.SIGTERM)
+            fleet.stdout.close()
+
+
+class OperationsPageTest(unittest.TestCase):
+    """Every command of the page works as written."""
+
+    def test_commands_of_the_page(self) -> None:
+        """Guards against a runbook whose commands fail when needed."""
+        sections = read_sections()
+        together = [name for name in sections if name not in ALONE]
+        folders = f'{pathlib.Path(sys.executable).parent}:{os.environ["PATH"]}'
+        self.environment = {
+            **os.environ,
+            'PYTHONPATH': str(ROOT),
+            'PATH': folders,
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            self.folder = folder
+            with run_fleet(folder, self.environment) as fleet:
+                with ThreadPoolExecutor(AT_ONCE) as threads:
+                    commands = [sections[name] for name in together]
+                    list(threads.map(self._run_section, together, commands))
+                for name in ALONE:
+                    self._run_section(name, sections[name])
+            self.assertEqual(fleet.returncode, 0)
+
+    def _run_section(self, name, commands):
+        ended = subprocess.run(
+            ['bash', '-euc', commands],
+            cwd=self.folder,
+            env=self.environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        said = f'{name}: {ended.stderr[-2000:]}\n{ended.stdout[-2000:]}'
+        self.assertEqual(ended.returncode, 0, said)
