--- a/jacinthcart/admin/_watch.py
+++ b/jacinthcart/admin/_watch.py
@@ -74,7 +74,7 @@
                 if progress.errors:
                     self._report_each(progress.errors)
                     return ExitCode.INVALID
-                if progress.target is not None and not progress.lagging_by_vm:
+                if not progress.lagging_by_vm:
                     return ExitCode.SUCCESS
                 await anyio.sleep(_POLL_S)
         self._report_each(
--- a/jacinthcart/control/_status.py
+++ b/jacinthcart/control/_status.py
@@ -31,7 +31,7 @@
         'members': describe_members(node),
         'neighbour_age_s': node.neighbours.list_ages(),
         'limits': node.outside.permits.describe(),
-        'set_aside': _find_set_aside(reports.get('gather', {})),
+        'set_aside': find_set_aside(reports.get('gather', {})),
         'cost': costs.describe(),
     }
 
@@ -78,7 +78,7 @@
     }
 
 
-def _find_set_aside(gather_report: dict[str, Any]) -> dict[str, str]:
+def find_set_aside(gather_report: dict[str, Any]) -> dict[str, str]:
     """Return why this owner sends searchers nothing, by searcher id."""
     reason_by_searcher = {}
     for searcher_id, link in gather_report.get('dispatcher', {}).items():
--- a/tests/admin/test_operations_page.py
+++ b/tests/admin/test_operations_page.py
@@ -17,7 +17,7 @@
 #: Bounds a run that hangs; a run takes well under a minute.
 TIMEOUT_S = 240
 #: Sections that the others do not depend on run side by side.
-AT_ONCE = 3
+AT_ONCE = 4
 #: Sections that disturb the fleet run one after the other.
 ALONE = (
     'Rolling restart',
--- /dev/null
+++ b/tests/admin/test_status.py
@@ -0,0 +1,61 @@
+"""Tests of what control tells operators about itself."""
+
+import types
+import unittest
+
+from jacinthcart.control._status import find_set_aside, describe_path
+from jacinthcart.settings import SettingsStore, SettingsValue
+from tests.limits.fixtures import (
+    WORKSPACE,
+    ManualClock,
+    create_ledger,
+    create_view,
+)
+
+PATH = 'teams/team/workspaces/one'
+
+
+class StatusTest(unittest.TestCase):
+    """The status answer shows what is in force and what is held."""
+
+    def test_rejected_change_is_not_in_force(self) -> None:
+        """Guards against a rejected value that is shown as in force."""
+        store = SettingsStore()
+        for revision, rate in ((1, 5), (2, -5)):
+            change = SettingsValue(revision, {'rate': rate, 'burst': 9})
+            store.apply({PATH: change}, revision)
+        node = types.SimpleNamespace(state=types.SimpleNamespace(store=store))
+        self.assertEqual(
+            describe_path(node, PATH),
+            {'newest': 2, 'in_force': 1},
+        )
+        self.assertEqual(
+            describe_path(node, 'fleet/policy'),
+            {'newest': None, 'in_force': None},
+        )
+
+    def test_limits_show_loans(self) -> None:
+        """Guards against lent tokens that operators cannot see."""
+        clock = ManualClock()
+        ledger = create_ledger(clock)
+        ledger.apply_settings(create_view())
+        clock.now += 60
+        full = ledger.describe()[WORKSPACE]
+        ledger.lend({WORKSPACE: 10})
+        held = ledger.describe()[WORKSPACE]
+        self.assertEqual((full['share'], full['lent']), (0.125, 0))
+        self.assertEqual(held['lent'], 10)
+        self.assertEqual(full['level'] - held['level'], 10)
+
+    def test_set_aside_searchers_are_those_of_own_parts(self) -> None:
+        """Guards against a table full of searchers that others own."""
+        links = {
+            'own': {'set_aside': '', 'is_failing': False},
+            'foreign': {'set_aside': 'not_owner', 'is_failing': False},
+            'out': {'set_aside': 'out_of_service', 'is_failing': False},
+            'broken': {'set_aside': '', 'is_failing': True},
+        }
+        self.assertEqual(
+            find_set_aside({'dispatcher': links}),
+            {'out': 'out_of_service', 'broken': 'failing'},
+        )
