--- a/tests/gather/test_query.py
+++ b/tests/gather/test_query.py
@@ -51,6 +51,19 @@
             {'shards_asked': 6, 'shards_answered': 6, 'missing': []},
         )
 
+    def test_queries_have_a_histogram_of_their_own(self) -> None:
+        """Guards against requests that entry and gather both count.
+
+        Control adds the histograms of its VM's programs by key, and the
+        entry's key is `request`.
+        """
+        fleet = Fleet(create_service())
+        asker = fleet.find_stranger('p0')
+        run_in_virtual_time(asker.query)
+        keys = asker.metrics.export()['histograms']
+        self.assertIn('query|team/shop|priority', keys)
+        self.assertNotIn('request|team/shop|priority', keys)
+
     def test_lookup_asks_one_shard(self) -> None:
         """Guards against a lookup that fans out or has no stable shard."""
         fleet = Fleet(create_service())
