Add the load tool and the experiments of the bench

jacinthcart-load drives a running fleet through the reference caller with an open-loop schedule and checks what a caller can see. The bench runs it against fleets of the launcher while emulators and VMs fail.

--- /dev/null
+++ b/jacinthcart/load/_checks.py
@@ -0,0 +1,120 @@
+"""What a caller can see of the rules that must always hold."""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable, Sequence
+
+from jacinthcart.caller import Answer
+from jacinthcart.load._arrivals import Arrival
+from jacinthcart.load._models import WorkspaceLoad
+from jacinthcart.load._results import RequestResult
+from jacinthcart.load._window import find_excess
+from jacinthcart.settings import RouteKind
+
+#: Returns what is wrong with the content of an answer.
+AnswerChecker = Callable[[Arrival, Answer], list[str]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A rule that was seen broken."""
+
+    #: Name of the rule.
+    rule: str
+    #: What was seen.
+    detail: str
+
+
+def accept_every_answer(arrival: Arrival, answer: Answer) -> list[str]:
+    """Check nothing: without a model of the index, hits cannot be judged."""
+    return []
+
+
+def find_faults(
+    results: Sequence[RequestResult],
+    check_answer: AnswerChecker,
+) -> list[Fault]:
+    """Return every broken rule that the results show."""
+    faults: list[Fault] = []
+    for entry in results:
+        if entry.answer is not None:
+            found = find_answer_faults(entry.arrival, entry.answer)
+            wrong = check_answer(entry.arrival, entry.answer)
+            found.extend(Fault('right_answer', detail) for detail in wrong)
+            faults.extend(
+                Fault(fault.rule, f'{entry.arrival.number}: {fault.detail}')
+                for fault in found
+            )
+    faults.extend(find_repeated_submits(results))
+    faults.extend(find_rate_faults(results))
+    return faults
+
+
+def find_answer_faults(arrival: Arrival, answer: Answer) -> list[Fault]:
+    """Return what one answer breaks, by itself."""
+    faults: list[Fault] = []
+    if answer.workspace != arrival.workspace.workspace:
+        faults.append(Fault('own_answer', f'is for {answer.workspace}'))
+    versions = {
+        hit['index_version'] for hit in answer.hits if 'index_version' in hit
+    }
+    if versions - {answer.snapshot.index_version}:
+        faults.append(Fault('one_snapshot', f'hits of versions {versions}'))
+    detail = _find_false_coverage(answer)
+    if detail:
+        faults.append(Fault('true_coverage', detail))
+    return faults
+
+
+def find_repeated_submits(results: Iterable[RequestResult]) -> list[Fault]:
+    """Return the ids of submits that were answered more than once."""
+    answers = collections.Counter(
+        entry.answer.request_id
+        for entry in results
+        if entry.answer is not None
+        and entry.arrival.route.kind is RouteKind.SUBMIT
+    )
+    return [
+        Fault('submit_once', f'{request_id} answered {count} times')
+        for request_id, count in answers.items()
+        if count > 1
+    ]
+
+
+def find_rate_faults(results: Iterable[RequestResult]) -> list[Fault]:
+    """Return the workspaces with more answers than their limit allows."""
+    spans_by_workspace: dict[str, list[tuple[float, float]]] = {}
+    load_by_workspace: dict[str, WorkspaceLoad] = {}
+    for entry in results:
+        load = entry.arrival.workspace
+        load_by_workspace[load.workspace] = load
+        if entry.answer is not None:
+            spans_by_workspace.setdefault(load.workspace, []).append(
+                (entry.sent_s, entry.received_s),
+            )
+    faults: list[Fault] = []
+    for workspace, spans in spans_by_workspace.items():
+        load = load_by_workspace[workspace]
+        if load.rate is None or load.burst is None:
+            continue
+        excess = find_excess(spans, load.rate, load.burst)
+        if excess is not None:
+            faults.append(Fault('rate', f'{workspace}: {excess}'))
+    return faults
+
+
+def _find_false_coverage(answer: Answer) -> str:
+    coverage = answer.coverage
+    missing = {entry.shard for entry in coverage.missing}
+    seen = {hit['shard'] for hit in answer.hits if 'shard' in hit}
+    if len(missing) != len(coverage.missing):
+        return 'a missing shard is named twice'
+    if coverage.shards_answered + len(missing) != coverage.shards_asked:
+        return 'answered and missing shards do not add up to those asked'
+    if coverage.complete != (not missing):
+        return f'complete is {coverage.complete} with {len(missing)} missing'
+    if seen & missing:
+        return f'hits of missing shards {sorted(seen & missing)}'
+    if len(seen) > coverage.shards_answered:
+        return f'hits of {len(seen)} shards, more than answered'
+    return ''
--- /dev/null
+++ b/jacinthcart/load/_report.py
@@ -0,0 +1,150 @@
+"""Figures by phase, workspace and class, and their Markdown tables."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from jacinthcart.load._checks import Fault
+from jacinthcart.load._models import Experiment
+from jacinthcart.load._results import ANSWERED, RequestResult
+from jacinthcart.telemetry import Metrics
+
+_MS_PER_S = 1000
+_SHOWN_FAULTS = 20
+_HEADER = (
+    'phase',
+    'workspace',
+    'class',
+    'requests',
+    'answered',
+    'refused %',
+    'complete %',
+    'p50 ms',
+    'p99 ms',
+    'p99.9 ms',
+    'other outcomes',
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Figures:
+    """Figures of a group of requests."""
+
+    #: Requests that arrived.
+    requests: int
+    #: Requests that were answered.
+    answered: int
+    #: Answers with complete coverage.
+    complete: int
+    #: Latency quantiles of the answers in milliseconds, 0 without answers.
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    #: Number of requests by outcome, other than answered.
+    failures_by_outcome: dict[str, int]
+
+    @property
+    def refused_percent(self) -> float:
+        """Share of the requests without an answer."""
+        return _percent(self.requests - self.answered, self.requests)
+
+    @property
+    def complete_percent(self) -> float:
+        """Share of the answers with complete coverage."""
+        return _percent(self.complete, self.answered)
+
+
+def summarize(results: Iterable[RequestResult]) -> Figures:
+    """Return the figures of some requests; latency from intended start."""
+    metrics = Metrics()
+    key = ('latency',)
+    outcomes: collections.Counter[str] = collections.Counter()
+    complete = 0
+    for entry in results:
+        outcomes[entry.outcome] += 1
+        if entry.answer is not None:
+            metrics.record_seconds(key, entry.latency_s)
+            complete += entry.answer.coverage.complete
+    p50_ms, p99_ms, p999_ms = (
+        (metrics.quantile_seconds(key, quantile) or 0) * _MS_PER_S
+        for quantile in (0.5, 0.99, 0.999)
+    )
+    answered = outcomes.pop(ANSWERED, 0)
+    return Figures(
+        answered + outcomes.total(),
+        answered,
+        complete,
+        p50_ms,
+        p99_ms,
+        p999_ms,
+        dict(outcomes),
+    )
+
+
+def group_results(
+    results: Iterable[RequestResult],
+) -> dict[tuple[str, str, str], list[RequestResult]]:
+    """Return the results by phase, workspace and class."""
+    groups: dict[tuple[str, str, str], list[RequestResult]] = {}
+    for entry in results:
+        arrival = entry.arrival
+        key = (
+            arrival.phase,
+            arrival.workspace.workspace,
+            str(arrival.route.request_class),
+        )
+        groups.setdefault(key, []).append(entry)
+    return groups
+
+
+def build_table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Return a Markdown table."""
+    lines = [header, ['---' for _ in header], *rows]
+    return ''.join(f'| {" | ".join(line)} |\n' for line in lines)
+
+
+def build_report(
+    experiment: Experiment,
+    results: Sequence[RequestResult],
+    faults: Sequence[Fault],
+) -> str:
+    """Return the report of a run as Markdown."""
+    rows = [
+        [*key, *_format_figures(summarize(group))]
+        for key, group in group_results(results).items()
+    ]
+    total = _format_figures(summarize(results))
+    rows.append(['all', 'all', 'all', *total])
+    lines = [
+        f'# {experiment.name}\n',
+        f'Seed {experiment.seed}, {experiment.duration_s:g} s, '
+        f'{experiment.rate_per_s:g} requests/s. '
+        'Latency counts from the intended start.\n',
+        build_table(_HEADER, rows),
+        f'Broken rules seen: {len(faults)}\n',
+    ]
+    lines.extend(
+        f'* {fault.rule}: {fault.detail}' for fault in faults[:_SHOWN_FAULTS]
+    )
+    return '\n'.join(lines)
+
+
+def _format_figures(figures: Figures) -> list[str]:
+    failures = [
+        f'{name} {count}'
+        for name, count in sorted(figures.failures_by_outcome.items())
+    ]
+    return [
+        str(figures.requests),
+        str(figures.answered),
+        f'{figures.refused_percent:.2f}',
+        f'{figures.complete_percent:.2f}',
+        f'{figures.p50_ms:.1f}',
+        f'{figures.p99_ms:.1f}',
+        f'{figures.p999_ms:.1f}',
+        ', '.join(failures),
+    ]
+
+
+def _percent(count: int, total: int) -> float:
+    return 100 * count / total if total else 0
--- /dev/null
+++ b/jacinthcart/load/_run.py
@@ -0,0 +1,167 @@
+"""Sends the arrivals of an experiment at their times."""
+
+import random
+from collections.abc import Mapping
+
+import anyio
+
+from jacinthcart.caller import (
+    Address,
+    Answer,
+    Caller,
+    CallerError,
+    DeadlineError,
+    InvalidAnswerError,
+    OutcomeLostError,
+    RefusedError,
+    UnreachableError,
+)
+from jacinthcart.load._arrivals import Arrival, create_arrivals
+from jacinthcart.load._models import Experiment, WorkspaceLoad
+from jacinthcart.load._results import ANSWERED, NOT_SENT, RequestResult
+from jacinthcart.load._transport import (
+    Attempt,
+    ObservingTransport,
+    attempts_made,
+)
+from jacinthcart.program import Clock
+from jacinthcart.settings import RouteKind
+
+_OUTCOMES: tuple[tuple[type[CallerError], str], ...] = (
+    (UnreachableError, 'unreachable'),
+    (DeadlineError, 'deadline'),
+    (OutcomeLostError, 'outcome_lost'),
+    (InvalidAnswerError, 'invalid_answer'),
+)
+
+
+def create_callers(
+    experiment: Experiment,
+    key_by_workspace: Mapping[str, str],
+    clock: Clock,
+) -> dict[str, Caller]:
+    """Return a reference caller by workspace."""
+    return {
+        load.workspace: _create_caller(
+            experiment,
+            load,
+            key_by_workspace.get(load.workspace),
+            clock,
+        )
+        for load in experiment.workspaces
+    }
+
+
+class LoadRun:
+    """One run; it stops by itself after the last arrival's outcome."""
+
+    def __init__(
+        self,
+        experiment: Experiment,
+        callers: Mapping[str, Caller],
+        clock: Clock,
+    ) -> None:
+        """Keep the callers by workspace; their owner closes them."""
+        self.results: list[RequestResult] = []
+        self._experiment = experiment
+        self._callers = callers
+        self._clock = clock
+        self._in_flight = 0
+        self._started = 0.0
+
+    async def run(self) -> list[RequestResult]:
+        """Send every arrival at its time; return the results in order.
+
+        A late answer delays no later arrival.
+        """
+        self._started = self._clock()
+        async with anyio.create_task_group() as tasks:
+            for arrival in create_arrivals(self._experiment):
+                await anyio.sleep(max(0, arrival.at_s - self._now()))
+                if self._in_flight >= self._experiment.max_in_flight:
+                    self._add_unsent(arrival)
+                    continue
+                self._in_flight += 1
+                tasks.start_soon(self._send, arrival)
+            remaining_s = self._experiment.duration_s - self._now()
+            await anyio.sleep(max(0, remaining_s))
+        self.results.sort(key=lambda entry: entry.arrival.number)
+        return self.results
+
+    async def _send(self, arrival: Arrival) -> None:
+        attempts: list[Attempt] = []
+        attempts_made.set(attempts)
+        sent_s = self._now()
+        answer: Answer | None = None
+        outcome = ANSWERED
+        ran = ''
+        try:
+            answer = await self._ask(arrival)
+        except CallerError as error:
+            outcome = _name_outcome(error)
+            ran = str(error.ran)
+        finally:
+            self._in_flight -= 1
+        self.results.append(
+            RequestResult(
+                arrival,
+                sent_s,
+                self._now(),
+                outcome,
+                ran,
+                tuple(attempts),
+                answer,
+            ),
+        )
+
+    async def _ask(self, arrival: Arrival) -> Answer:
+        caller = self._callers[arrival.workspace.workspace]
+        methods = {
+            RouteKind.SEARCH: caller.search,
+            RouteKind.LOOKUP: caller.lookup,
+        }
+        send = methods.get(arrival.route.kind, caller.submit)
+        return await send(
+            arrival.route.route,
+            arrival.query,
+            arrival.route.deadline_ms,
+        )
+
+    def _add_unsent(self, arrival: Arrival) -> None:
+        now = self._now()
+        self.results.append(
+            RequestResult(arrival, now, now, NOT_SENT, 'not_run', (), None),
+        )
+
+    def _now(self) -> float:
+        return self._clock() - self._started
+
+
+def _create_caller(
+    experiment: Experiment,
+    load: WorkspaceLoad,
+    key: str | None,
+    clock: Clock,
+) -> Caller:
+    seeds = [
+        Address(str(entry.address), entry.port) for entry in experiment.entries
+    ]
+    return Caller(
+        seeds,
+        key,
+        clock,
+        # Ids must differ between runs with equal seeds: a fleet remembers
+        # the ids of submits.
+        random.SystemRandom(),
+        workspace=load.workspace,
+        transport=ObservingTransport(load.pinned_entry),
+    )
+
+
+def _name_outcome(error: CallerError) -> str:
+    if isinstance(error, RefusedError):
+        return str(error.code)
+    for kind, name in _OUTCOMES:
+        if isinstance(error, kind):
+            return name
+    return 'failed'
--- /dev/null
+++ b/jacinthcart_lab/_bench.py
@@ -0,0 +1,117 @@
+"""Runs the experiments one after another and prints their tables."""
+
+import dataclasses
+import pathlib
+import sys
+import time
+import types
+from collections.abc import Callable, Mapping
+
+from jacinthcart.load import build_table
+from jacinthcart_lab._bench_run import (
+    SCALE,
+    BenchFleet,
+    BenchOptions,
+    ExperimentReport,
+    describe_load,
+    open_fleet,
+)
+from jacinthcart_lab._client_cost import measure_client_costs
+from jacinthcart_lab._cold import run_cold
+from jacinthcart_lab._data_centre import run_data_centre
+from jacinthcart_lab._deployment import (
+    TeamShape,
+    build_fjordsom,
+    build_voskovka,
+)
+from jacinthcart_lab._fairness import run_fairness
+from jacinthcart_lab._path_cost import measure_path_cost
+from jacinthcart_lab._tail import run_tail
+from jacinthcart_lab._wrongful_refusals import run_wrongful_refusals
+
+_FOLDER = pathlib.Path('run/bench')
+_PATH_SEARCHERS = 30
+_PATH_RATE = 10
+
+EXPERIMENTS_BY_NAME: Mapping[
+    str,
+    Callable[[BenchFleet], ExperimentReport],
+] = types.MappingProxyType(
+    {
+        'tail': run_tail,
+        'wrongful-refusals': run_wrongful_refusals,
+        'cold': run_cold,
+        'fairness': run_fairness,
+        'data-centre': run_data_centre,
+    },
+)
+COSTS = ('clients', 'path')
+NAMES = (*EXPERIMENTS_BY_NAME, *COSTS)
+
+
+def run_bench(seed: int, only: str | None, *, is_short: bool) -> None:
+    """Run all experiments, or one; print tables and write them."""
+    folder = _FOLDER / time.strftime('%Y%m%d-%H%M%S')
+    options = BenchOptions(folder, seed, is_short)
+    chosen = [only] if only else list(NAMES)
+    experiments = [name for name in chosen if name in EXPERIMENTS_BY_NAME]
+    if is_short and experiments:
+        # One fleet for all: starting one takes longer than an experiment.
+        _run_on_fleet(options, build_voskovka(SCALE), experiments)
+    else:
+        for name in experiments:
+            _run_on_fleet(options, build_voskovka(SCALE), [name])
+            _run_on_fleet(options, build_fjordsom(SCALE), [name])
+    for cost in COSTS:
+        if cost in chosen:
+            _publish(folder, _measure_cost(options, cost))
+
+
+def _run_on_fleet(
+    options: BenchOptions,
+    team: TeamShape,
+    names: list[str],
+) -> None:
+    with open_fleet(options, names[0], team) as bench:
+        for name in names:
+            before = describe_load()
+            report = EXPERIMENTS_BY_NAME[name](bench)
+            report.notes.append(f'load average before: {before}')
+            _publish(options.folder, report)
+
+
+def _measure_cost(options: BenchOptions, name: str) -> ExperimentReport:
+    queries = int(options.choose_s(200, 20))
+    if name == 'clients':
+        costs = measure_client_costs(options.folder / name, queries)
+        rows = [list(map(_format, dataclasses.astuple(one))) for one in costs]
+        fields = dataclasses.fields(costs[0])
+        header = [field.name for field in fields]
+        return ExperimentReport('clients', header, rows, [])
+    cost = measure_path_cost(
+        options.folder / name,
+        _PATH_SEARCHERS,
+        queries,
+        _PATH_RATE,
+    )
+    figures = dataclasses.asdict(cost)
+    figures.update(figures.pop('cpu_ms_by_program'))
+    row = [_format(figure) for figure in figures.values()]
+    notes = ['the columns named after programs are CPU ms a query']
+    return ExperimentReport('path', list(figures), [row], notes)
+
+
+def _publish(folder: pathlib.Path, report: ExperimentReport) -> None:
+    notes = [*report.notes, f'load average after: {describe_load()}']
+    lines = ''.join(f'* {note}\n' for note in notes)
+    table = build_table(report.header, report.rows)
+    text = f'## {report.title}\n\n{table}\n{lines}\n'
+    sys.stdout.write(text)
+    sys.stdout.flush()
+    folder.mkdir(parents=True, exist_ok=True)
+    with (folder / 'report.md').open('a') as file:
+        file.write(text)
+
+
+def _format(figure: object) -> str:
+    return f'{figure:.2f}' if isinstance(figure, float) else str(figure)
--- /dev/null
+++ b/jacinthcart_lab/_bench_run.py
@@ -0,0 +1,318 @@
+"""What the experiments share: a fleet, load with timed actions, tables."""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import shutil
+import types
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import Any
+
+import anyio
+from anyio.to_thread import run_sync
+
+from jacinthcart.load import (
+    EntryAddress,
+    Experiment,
+    Fault,
+    LoadRun,
+    Phase,
+    RequestResult,
+    RouteLoad,
+    WorkspaceLoad,
+    build_report,
+    create_callers,
+    draw_latency_over_time,
+    find_faults,
+    write_results,
+)
+from jacinthcart.program import read_boot_clock
+from jacinthcart_lab._deployment import TeamShape, make_key
+from jacinthcart_lab._fleet import Fleet
+from jacinthcart_lab._oracle import create_answer_checker
+
+VM_COUNT = 4
+SCALE = 0.3
+WARM_UP = 'warm-up'
+FIRST_PORT = 33000
+#: Searchers warm up within seconds, and callers drop a VM that left after at
+#: most this time, so that phases can be short.
+_POLICY = types.MappingProxyType(
+    {'ramp_step_ms': 200, 'addresses_keep_ms': 2000},
+)
+#: Time in which every searcher warms up, and connections open.
+_FIRST_WARM_UP_S = 5
+_WARM_UP_S = 2
+_SHORT_WARM_UP_S = 1
+_LAG_QUANTILE = 0.99
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class BenchOptions:
+    """How the experiments run."""
+
+    #: Folder for files, logs and figures of all experiments.
+    folder: pathlib.Path
+    #: Seed of the arrivals.
+    seed: int
+    #: Whether phases are cut to what shows that the experiment works.
+    is_short: bool
+
+    def choose_s(self, full_s: float, short_s: float) -> float:
+        """Return the length of a phase in seconds."""
+        return short_s if self.is_short else full_s
+
+
+@dataclasses.dataclass(frozen=True)
+class TimedAction:
+    """Something that the bench does while the load runs."""
+
+    #: Seconds after the start of the load.
+    at_s: float
+    #: The action, run in a thread; its failure ends the run.
+    act: Callable[[], object]
+
+
+@dataclasses.dataclass(frozen=True)
+class BenchCase:
+    """The outcome of one run of load."""
+
+    #: Name of the run.
+    name: str
+    #: Results in order of arrival, the warm-up included.
+    results: list[RequestResult]
+    #: Rules seen broken.
+    faults: list[Fault]
+    #: Searcher requests received during the run.
+    searcher_requests: int
+
+    def select(
+        self,
+        phase: str,
+        workspaces: Iterable[str] = (),
+    ) -> list[RequestResult]:
+        """Return the results of a phase, of some workspaces or of all."""
+        chosen = frozenset(workspaces)
+        return [
+            entry
+            for entry in self.results
+            if entry.arrival.phase == phase
+            and (not chosen or entry.arrival.workspace.workspace in chosen)
+        ]
+
+
+@dataclasses.dataclass(frozen=True)
+class ExperimentReport:
+    """Tables of one experiment on one deployment."""
+
+    #: Name of the experiment and the deployment.
+    title: str
+    #: Columns.
+    header: Sequence[str]
+    #: Rows, as text.
+    rows: list[list[str]]
+    #: Further findings, one a line.
+    notes: list[str]
+
+
+class BenchFleet:
+    """A running fleet of one team and the load that is put on it."""
+
+    def __init__(self, fleet: Fleet, options: BenchOptions) -> None:
+        """Use a fleet that runs."""
+        self.fleet = fleet
+        self.team = fleet.teams[0]
+        self.options = options
+        self._check_answer = create_answer_checker(fleet)
+        self._warm_up_s = _FIRST_WARM_UP_S
+
+    def put_policy(self, **changes: Any) -> None:
+        """Publish the policy with some values changed from the start."""
+        policy = {**self.fleet.values['fleet/policy'], **changes}
+        self.fleet.emulators.put({'fleet/policy': policy})
+
+    def build_load(
+        self,
+        workspace: str,
+        route: RouteLoad,
+        weight: float = 1,
+        pinned_vm: str | None = None,
+    ) -> WorkspaceLoad:
+        """Return the load of one workspace with its limits."""
+        rate, burst = self.team.limits_by_workspace[workspace]
+        return WorkspaceLoad(
+            workspace=f'{self.team.name}/{workspace}',
+            weight=weight,
+            routes=(route,),
+            rate=rate,
+            burst=burst,
+            pinned_entry=self._find_entry(pinned_vm) if pinned_vm else None,
+        )
+
+    def build_route(self, name: str, deadline_ms: int = 2000) -> RouteLoad:
+        """Return the load of one route of the team."""
+        shape = next(one for one in self.team.routes if one.name == name)
+        return RouteLoad.model_validate(
+            {
+                'route': f'{self.team.name}/{name}',
+                'kind': shape.kind,
+                'request_class': shape.request_class,
+                'deadline_ms': deadline_ms,
+            },
+        )
+
+    def run(
+        self,
+        name: str,
+        loads: Sequence[WorkspaceLoad],
+        phases: Sequence[Phase],
+        actions: Sequence[TimedAction] = (),
+    ) -> BenchCase:
+        """Warm up, run the phases and judge; weights are requests/s.
+
+        Actions count their time from the start of the first phase.
+        """
+        experiment = Experiment(
+            name=name,
+            seed=self.options.seed,
+            entries=tuple(map(self._find_entry, self.fleet.vms_by_id)),
+            workspaces=tuple(loads),
+            rate_per_s=sum(load.weight for load in loads),
+            phases=(
+                Phase(name=WARM_UP, duration_s=self._warm_up_s),
+                *phases,
+            ),
+        )
+        before = self.count_searchers('received')
+        results = anyio.run(self._run, experiment, actions)
+        self._warm_up_s = self.options.choose_s(
+            _WARM_UP_S,
+            _SHORT_WARM_UP_S,
+        )
+        after = self.count_searchers('received')
+        faults = find_faults(results, self._check_answer)
+        if self.count_searchers('submits_run_twice'):
+            faults.append(Fault('submit_once', 'a searcher ran one twice'))
+        self._write(experiment, results, faults)
+        return BenchCase(name, results, faults, after - before)
+
+    def count_searchers(
+        self,
+        field: str,
+        searchers: Iterable[str] | None = None,
+    ) -> int:
+        """Return the sum of a counter over some searchers or all."""
+        counts = self.fleet.emulators.read_searcher_counts()
+        chosen = counts if searchers is None else searchers
+        return sum(counts[searcher].get(field, 0) for searcher in chosen)
+
+    def list_searchers(
+        self,
+        *,
+        data_centre: str | None = None,
+        part: tuple[str, str] | None = None,
+    ) -> list[str]:
+        """Return the ids of the searchers of a data centre or a part."""
+        found: list[str] = []
+        for shape in self.team.services:
+            path = f'teams/{self.team.name}/services/{shape.name}'
+            parts = self.fleet.values[path]['parts_by_name']
+            for part_name, entry in parts.items():
+                found.extend(
+                    searcher_id
+                    for searcher_id, searcher in entry[
+                        'searchers_by_id'
+                    ].items()
+                    if data_centre in {None, searcher['data_centre']}
+                    and part in {None, (shape.name, part_name)}
+                )
+        return found
+
+    async def _run(
+        self,
+        experiment: Experiment,
+        actions: Sequence[TimedAction],
+    ) -> list[RequestResult]:
+        callers = create_callers(
+            experiment,
+            {
+                load.workspace: make_key(*load.workspace.split('/'))
+                for load in experiment.workspaces
+            },
+            read_boot_clock,
+        )
+        load_run = LoadRun(experiment, callers, read_boot_clock)
+        try:
+            async with anyio.create_task_group() as tasks:
+                for action in actions:
+                    tasks.start_soon(_act_later, self._warm_up_s, action)
+                await load_run.run()
+        finally:
+            for caller in callers.values():
+                await caller.close()
+        return load_run.results
+
+    def _write(
+        self,
+        experiment: Experiment,
+        results: list[RequestResult],
+        faults: list[Fault],
+    ) -> None:
+        folder = self.options.folder / 'figures'
+        folder.mkdir(parents=True, exist_ok=True)
+        name = f'{self.team.name}-{experiment.name}'
+        write_results(folder / f'{name}.jsonl', results)
+        report = build_report(experiment, results, faults)
+        (folder / f'{name}.md').write_text(report)
+        draw_latency_over_time(folder / f'{name}.svg', results)
+
+    def _find_entry(self, vm_id: str) -> EntryAddress:
+        settings = self.fleet.vms_by_id[vm_id].settings
+        return EntryAddress(
+            address=settings['address'],
+            port=settings['entry_port'],
+        )
+
+
+@contextlib.contextmanager
+def open_fleet(
+    options: BenchOptions,
+    name: str,
+    team: TeamShape,
+) -> Iterator[BenchFleet]:
+    """Run a fleet of one team while the context lasts."""
+    folder = options.folder / f'{name}-{team.name}'
+    shutil.rmtree(folder, ignore_errors=True)
+    fleet = Fleet(folder, (team,), VM_COUNT, dict(_POLICY), FIRST_PORT)
+    try:
+        fleet.start()
+        fleet.wait_until_ready()
+        yield BenchFleet(fleet, options)
+    finally:
+        fleet.close()
+
+
+def describe_load() -> str:
+    """Return the machine's load average."""
+    return ', '.join(f'{load:.1f}' for load in os.getloadavg())
+
+
+def describe_faults(cases: Iterable[BenchCase]) -> str:
+    """Return how often each rule was seen broken."""
+    rules = [fault.rule for case in cases for fault in case.faults]
+    found = {rule: rules.count(rule) for rule in sorted(set(rules))}
+    return f'broken rules seen: {found or "none"}'
+
+
+def describe_lag(case: BenchCase) -> str:
+    """Return how late requests were sent, which counts as their latency."""
+    lags = sorted(entry.sent_s - entry.arrival.at_s for entry in case.results)
+    p99_ms = lags[int(len(lags) * _LAG_QUANTILE)] * _MS_PER_S
+    return f'{case.name}: p99 of the sending delay {p99_ms:.1f} ms'
+
+
+async def _act_later(warm_up_s: float, action: TimedAction) -> None:
+    await anyio.sleep(warm_up_s + action.at_s)
+    await run_sync(action.act)
--- /dev/null
+++ b/jacinthcart_lab/_data_centre.py
@@ -0,0 +1,202 @@
+"""Experiment `data-centre`: a data centre is taken out and returned."""
+
+import dataclasses
+import time
+from typing import Any
+
+from jacinthcart.load import Phase, summarize
+from jacinthcart_lab._bench_run import (
+    BenchCase,
+    BenchFleet,
+    ExperimentReport,
+    TimedAction,
+    describe_faults,
+    describe_lag,
+)
+
+#: Callers ask this VM for addresses first, and it prefers itself.
+_CALLED_VM = 'vm-1'
+_CALM_S = 8
+_SHORT_CALM_S = 2
+_OUT_S = 10
+_SHORT_OUT_S = 4
+_RATES = (15.0, 10.0, 5.0)
+_POLL_S = 0.05
+_MS_PER_S = 1000
+_HEADER = (
+    'phase',
+    'requests',
+    'refused or failed %',
+    'complete %',
+    'p50 ms',
+    'p99 ms',
+    'p99.9 ms',
+    'requests to its VMs',
+    'requests to its searchers',
+    'failures',
+)
+
+
+@dataclasses.dataclass
+class _Watch:
+    """Polls the searchers of one data centre and remembers their counts."""
+
+    bench: BenchFleet
+    searchers: list[str]
+    #: Sum of received requests by the time of the reading.
+    readings: list[tuple[float, int]] = dataclasses.field(
+        default_factory=list,
+    )
+
+    def read(self) -> int:
+        """Read once; return the sum."""
+        received = self.bench.count_searchers('received', self.searchers)
+        self.readings.append((time.monotonic(), received))
+        return received
+
+    def read_for(self, duration_s: float) -> None:
+        """Read again and again for a time."""
+        give_up_at = time.monotonic() + duration_s
+        while time.monotonic() < give_up_at:
+            self.read()
+            time.sleep(_POLL_S)
+
+    def find_last_change_ms(self) -> float:
+        """Return when the sum last rose, after the first reading."""
+        final = self.readings[-1][1]
+        ended = next(at for at, count in self.readings if count == final)
+        return (ended - self.readings[0][0]) * _MS_PER_S
+
+
+class _DataCentre:
+    """One data centre, taken out and returned by setting."""
+
+    def __init__(self, bench: BenchFleet, name: str, out_s: float) -> None:
+        self.watch = _Watch(bench, bench.list_searchers(data_centre=name))
+        self.received: list[int] = []
+        self._bench = bench
+        self._name = name
+        self._out_s = out_s
+
+    @property
+    def addresses(self) -> set[str]:
+        """IP addresses of its VMs."""
+        vms_by_id = self._bench.fleet.vms_by_id
+        settings = [vm.settings for vm in vms_by_id.values()]
+        return {
+            one['address']
+            for one in settings
+            if one['data_centre'] == self._name
+        }
+
+    def take_out(self) -> None:
+        """Take it out and watch its searchers until it returns."""
+        self.received.append(self.watch.read())
+        self._put('out')
+        self.watch.read_for(self._out_s - 0.5)
+
+    def bring_back(self) -> None:
+        """Bring it back."""
+        self.received.append(self.watch.read())
+        self._put('in')
+
+    def _put(self, state: str) -> None:
+        path = 'fleet/data_centres'
+        centres: dict[str, Any] = self._bench.fleet.values[path]
+        states = {**centres['state_by_name'], self._name: state}
+        self._bench.fleet.emulators.put({path: {'state_by_name': states}})
+
+
+def run_data_centre(bench: BenchFleet) -> ExperimentReport:
+    """Run a calm phase as the baseline, one without it, one with it again."""
+    calm_s = bench.options.choose_s(_CALM_S, _SHORT_CALM_S)
+    out_s = bench.options.choose_s(_OUT_S, _SHORT_OUT_S)
+    name = bench.fleet.vms_by_id[_CALLED_VM].settings['data_centre']
+    centre = _DataCentre(bench, name, out_s)
+    search = next(one for one in bench.team.routes if one.kind == 'search')
+    route = bench.build_route(search.name)
+    centre.received.append(centre.watch.read())
+    centre.watch.readings.clear()
+    case = bench.run(
+        'data-centre',
+        [
+            bench.build_load(workspace, route, rate)
+            for workspace, rate in zip(
+                bench.team.limits_by_workspace,
+                _RATES,
+                strict=False,
+            )
+        ],
+        [
+            Phase(name='calm', duration_s=calm_s),
+            Phase(name='out', duration_s=out_s),
+            Phase(name='returned', duration_s=out_s),
+        ],
+        [
+            TimedAction(calm_s, centre.take_out),
+            TimedAction(calm_s + out_s, centre.bring_back),
+        ],
+    )
+    last_change_ms = centre.watch.find_last_change_ms()
+    centre.received.append(centre.watch.read())
+    rows = [
+        _build_row(case, centre, phase, index)
+        for index, phase in enumerate(('calm', 'out', 'returned'))
+    ]
+    return ExperimentReport(
+        f'data-centre, {bench.team.name}',
+        _HEADER,
+        rows,
+        [
+            f'data centre {name}: {len(centre.watch.searchers)} searchers, '
+            f'{len(centre.addresses)} of {len(bench.fleet.vms_by_id)} VMs',
+            'its searchers got the last request '
+            f'{last_change_ms:.0f} ms after the setting was published (read '
+            f'every {_POLL_S * _MS_PER_S:.0f} ms)',
+            'its entries got the last request '
+            f'{_find_last_sent_ms(case, centre):.0f} ms after the phase began',
+            'requests to searchers of the calm row include the warm-up',
+            describe_faults([case]),
+            describe_lag(case),
+        ],
+    )
+
+
+def _build_row(
+    case: BenchCase,
+    centre: _DataCentre,
+    phase: str,
+    index: int,
+) -> list[str]:
+    results = case.select(phase)
+    figures = summarize(results)
+    to_vms = sum(
+        one.address in centre.addresses
+        for entry in results
+        for one in entry.attempts
+    )
+    to_searchers = centre.received[index + 1] - centre.received[index]
+    return [
+        phase,
+        str(figures.requests),
+        f'{figures.refused_percent:.2f}',
+        f'{figures.complete_percent:.2f}',
+        f'{figures.p50_ms:.1f}',
+        f'{figures.p99_ms:.1f}',
+        f'{figures.p999_ms:.1f}',
+        str(to_vms),
+        str(to_searchers),
+        str(figures.failures_by_outcome or ''),
+    ]
+
+
+def _find_last_sent_ms(case: BenchCase, centre: _DataCentre) -> float:
+    results = case.select('out')
+    sent = [
+        entry.sent_s
+        for entry in results
+        if any(one.address in centre.addresses for one in entry.attempts)
+    ]
+    if not sent:
+        return 0
+    return (max(sent) - results[0].sent_s) * _MS_PER_S
--- /dev/null
+++ b/jacinthcart_lab/_oracle.py
@@ -0,0 +1,62 @@
+"""Judges answers with the emulated index, apart from the product's merge."""
+
+from jacinthcart.caller import Answer
+from jacinthcart.gather import choose_lookup_shard
+from jacinthcart.load import AnswerChecker, Arrival
+from jacinthcart.settings import RouteKind, Service
+from jacinthcart_emulator import compute_hits, merge_hits
+from jacinthcart_lab._fleet import Fleet
+
+_HIT_LIMIT = 10
+
+
+def create_answer_checker(fleet: Fleet) -> AnswerChecker:
+    """Return a checker for answers of the fleet's routes."""
+    service_by_route = {
+        f'{team.name}/{route.name}': Service.model_validate(
+            fleet.values[f'teams/{team.name}/services/{route.service}'],
+        )
+        for team in fleet.teams
+        for route in team.routes
+    }
+
+    def check_answer(arrival: Arrival, answer: Answer) -> list[str]:
+        service = service_by_route[arrival.route.route]
+        asked = _find_asked_shards(arrival, answer, service)
+        return _judge(arrival, answer, asked)
+
+    return check_answer
+
+
+def _find_asked_shards(
+    arrival: Arrival,
+    answer: Answer,
+    service: Service,
+) -> set[int]:
+    if arrival.route.kind is RouteKind.LOOKUP:
+        return {choose_lookup_shard(service, str(arrival.query['id']))}
+    seen = {hit['shard'] for hit in answer.hits}
+    return {
+        shard
+        for part in service.parts_by_name.values()
+        for shard in part.shards
+        if arrival.route.kind is RouteKind.SEARCH or seen & set(part.shards)
+    }
+
+
+def _judge(arrival: Arrival, answer: Answer, asked: set[int]) -> list[str]:
+    missing = {entry.shard for entry in answer.coverage.missing}
+    if answer.coverage.shards_asked != len(asked):
+        return [f'asked {answer.coverage.shards_asked}, not {len(asked)}']
+    hits = [
+        hit
+        for shard in asked - missing
+        for hit in compute_hits(
+            arrival.query,
+            shard,
+            answer.snapshot.index_version,
+        )
+    ]
+    if list(answer.hits) != merge_hits(hits, _HIT_LIMIT):
+        return ['other hits than those of the answered shards']
+    return []
