--- a/jacinthcart/load/_transport.py
+++ b/jacinthcart/load/_transport.py
@@ -12,6 +12,9 @@
 
 _ADDRESSES_PATH = '/v1/addresses'
 _OK = 200
+#: The pool's work for each request grows with the square of the idle
+#: connections; hundreds of them made the load tool itself late.
+_KEPT_CONNECTIONS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,7 +46,10 @@
         self._transport = httpx.AsyncHTTPTransport(
             retries=0,
             trust_env=False,
-            limits=httpx.Limits(max_connections=None),
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=_KEPT_CONNECTIONS,
+            ),
         )
 
     async def handle_async_request(
--- a/jacinthcart_lab/_data_centre.py
+++ b/jacinthcart_lab/_data_centre.py
@@ -102,16 +102,18 @@
 
     def _put(self, state: str) -> None:
         path = 'fleet/data_centres'
-        centres: dict[str, Any] = self._bench.fleet.values[path]
+        fleet = self._bench.fleet
+        centres: dict[str, Any] = fleet.values[path]
         states = {**centres['state_by_name'], self._name: state}
-        self._bench.fleet.emulators.put({path: {'state_by_name': states}})
+        fleet.emulators.put({path: {'state_by_name': states}})
 
 
 def run_data_centre(bench: BenchFleet) -> ExperimentReport:
     """Run a calm phase as the baseline, one without it, one with it again."""
     calm_s = bench.options.choose_s(_CALM_S, _SHORT_CALM_S)
     out_s = bench.options.choose_s(_OUT_S, _SHORT_OUT_S)
-    name = bench.fleet.vms_by_id[_CALLED_VM].settings['data_centre']
+    called_vm = bench.fleet.vms_by_id[_CALLED_VM]
+    name = called_vm.settings['data_centre']
     centre = _DataCentre(bench, name, out_s)
     search = next(one for one in bench.team.routes if one.kind == 'search')
     route = bench.build_route(search.name)
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tool."""
--- /dev/null
+++ b/tests/load/test_run.py
@@ -0,0 +1,137 @@
+"""Tests of sending on time and of the figures, in virtual time."""
+
+import unittest
+
+import anyio
+import httpx
+import trio
+from trio.testing import MockClock
+
+from jacinthcart.caller import (
+    Answer,
+    DeadlineError,
+    RefusedError,
+    UnreachableError,
+)
+from jacinthcart.errors import Ran, RefusalCode
+from jacinthcart.load import (
+    EntryAddress,
+    LoadRun,
+    ObservingTransport,
+    RequestResult,
+    create_arrivals,
+    summarize,
+)
+from tests.load.samples import (
+    make_answer,
+    make_arrival,
+    make_experiment,
+    make_result,
+)
+
+PINNED = EntryAddress(address='127.0.0.1', port=1)
+
+
+class SlowCaller:
+    """Answers after a time, or fails."""
+
+    def __init__(self, answer_s: float, error: Exception | None = None) -> None:
+        """Count what is asked."""
+        self._answer_s = answer_s
+        self._error = error
+
+    async def search(self, route, query, deadline_ms) -> Answer:
+        """Answer with the query as id."""
+        await anyio.sleep(self._answer_s)
+        if self._error is not None:
+            raise self._error
+        return make_answer(request_id=query['text'])
+
+    lookup = search
+    submit = search
+
+
+def run_virtual(caller: SlowCaller, **fields) -> list[RequestResult]:
+    """Run the sample experiment against a caller."""
+    run = LoadRun(
+        make_experiment(**fields),
+        {'team/one': caller},
+        trio.current_time,
+    )
+    return anyio.run(
+        run.run,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
+
+
+class LoadRunTest(unittest.TestCase):
+    """Requests leave at their times whatever the fleet does."""
+
+    def test_slow_answers_delay_no_arrival(self) -> None:
+        """Guards against load that falls when the fleet slows down."""
+        results = run_virtual(SlowCaller(answer_s=3))
+        arrivals = list(create_arrivals(make_experiment()))
+        self.assertEqual([one.arrival for one in results], arrivals)
+        for one in results:
+            self.assertAlmostEqual(one.sent_s, one.arrival.at_s)
+            self.assertAlmostEqual(one.latency_s, 3)
+
+    def test_latency_counts_from_the_intended_start(self) -> None:
+        """Guards against hiding the time that a request waited to be sent."""
+        late = make_result(
+            arrival=make_arrival(at_s=1),
+            sent_s=2,
+            received_s=2.5,
+        )
+        self.assertEqual(late.latency_s, 1.5)
+        self.assertAlmostEqual(summarize([late]).p50_ms, 1500, delta=15)
+
+    def test_excess_in_flight_is_recorded(self) -> None:
+        """Guards against requests that vanish from the figures."""
+        results = run_virtual(SlowCaller(answer_s=60), max_in_flight=5)
+        figures = summarize(results)
+        self.assertEqual(figures.answered, 5)
+        self.assertEqual(
+            figures.failures_by_outcome,
+            {'not_sent': len(results) - 5},
+        )
+
+    def test_failures_are_named(self) -> None:
+        """Guards against a refusal that is counted as another failure."""
+        refused = RefusedError(RefusalCode.OVER_RATE, Ran.NOT_RUN, '', None, ())
+        named = (
+            (refused, 'over_rate'),
+            (DeadlineError('x'), 'deadline'),
+            (UnreachableError('x'), 'unreachable'),
+        )
+        for error, name in named:
+            results = run_virtual(SlowCaller(0, error), max_requests=1)
+            self.assertEqual(results[0].outcome, name)
+            self.assertEqual(results[0].ran, 'not_run')
+
+
+class PinnedEntryTest(unittest.TestCase):
+    """A pinned workspace keeps its entry."""
+
+    def test_addresses_name_only_the_pinned_entry(self) -> None:
+        """Guards against an experiment whose load leaves its VM."""
+        transport = ObservingTransport(PINNED)
+        listed = {
+            'addresses': [{'address': '127.0.0.2', 'port': 2}],
+            'keep_for_ms': 5,
+        }
+        transport._transport = httpx.MockTransport(
+            lambda request: httpx.Response(200, json=listed),
+        )
+
+        async def ask() -> httpx.Response:
+            async with httpx.AsyncClient(transport=transport) as client:
+                return await client.get('http://127.0.0.1:1/v1/addresses')
+
+        message = anyio.run(ask).json()
+        self.assertEqual(
+            message['addresses'],
+            [{'address': '127.0.0.1', 'port': 1}],
+        )
+        self.assertEqual(message['keep_for_ms'], 5)
--- /dev/null
+++ b/tests/load/test_window.py
@@ -0,0 +1,62 @@
+"""Tests of the check against rate and burst."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthcart.load import find_excess, find_rate_faults
+from tests.load.samples import make_result
+
+SPANS = st.lists(
+    st.tuples(st.integers(0, 40), st.integers(0, 10)).map(
+        lambda pair: (pair[0] / 8, (pair[0] + pair[1]) / 8),
+    ),
+    min_size=1,
+    max_size=25,
+)
+
+
+def find_by_force(
+    spans: list[tuple[float, float]],
+    rate: float,
+    burst: float,
+) -> float:
+    """Return the highest excess over all windows, one by one."""
+    return max(
+        sum(start <= sent and done <= end for sent, done in spans)
+        - rate * (end - start)
+        - burst
+        for start, _ in spans
+        for _, end in spans
+        if start <= end
+    )
+
+
+class FindExcessTest(unittest.TestCase):
+    """The check sees every certain excess and no other."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(SPANS, st.integers(1, 8), st.integers(1, 4))
+    def test_equals_search_over_all_windows(self, spans, rate, burst) -> None:
+        """Guards against windows that the fast search skips or invents."""
+        expected = find_by_force(spans, rate, burst)
+        found = find_excess(spans, rate, burst)
+        if expected <= 0:
+            self.assertIsNone(found)
+        else:
+            self.assertAlmostEqual(found.amount, expected)
+
+    def test_slow_answers_show_no_excess(self) -> None:
+        """Guards against a false alarm: admission can lie anywhere between."""
+        spans = [(0.0, 2.0) for _ in range(9)]
+        self.assertIsNone(find_excess(spans, 2, 5))
+        spans.append((0.0, 2.0))
+        self.assertEqual(find_excess(spans, 2, 5).amount, 1)
+
+    def test_fault_names_the_workspace(self) -> None:
+        """Guards against an excess that is not reported."""
+        results = [make_result(number) for number in range(6)]
+        self.assertEqual(find_rate_faults(results[:5]), [])
+        fault = find_rate_faults(results)[0]
+        self.assertIn('team/one', fault.detail)
