--- /dev/null
+++ b/tests/load/test_program.py
@@ -0,0 +1,56 @@
+"""Tests of reading the experiment file and its keys."""
+
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from jacinthcart.errors import SettingsError
+from jacinthcart.load.__main__ import load_experiment, read_keys
+from tests.load.samples import WORKSPACE, make_experiment
+
+
+class ExperimentFileTest(unittest.TestCase):
+    """Files and keys are read, or the reason is named."""
+
+    def setUp(self) -> None:
+        """Make a folder for the files."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def test_written_experiment_is_read_back(self) -> None:
+        """Guards against a field that a file cannot carry."""
+        experiment = make_experiment()
+        path = self.folder / 'experiment.json'
+        path.write_text(experiment.model_dump_json())
+        self.assertEqual(load_experiment(path), experiment)
+
+    def test_unusable_file_is_named(self) -> None:
+        """Guards against a traceback in place of the reason."""
+        with self.assertRaisesRegex(SettingsError, 'absent.json'):
+            load_experiment(self.folder / 'absent.json')
+
+    def test_keys_come_from_environment_or_file(self) -> None:
+        """Guards against a run that silently sends no key."""
+        file = self.folder / 'key'
+        file.write_text('from-file\n')
+        cases = (
+            ({'key_environment': 'LOAD_KEY'}, {'team/one': 'from-variable'}),
+            ({'key_file': file}, {'team/one': 'from-file'}),
+            ({}, {}),
+        )
+        for fields, keys in cases:
+            with mock.patch.dict('os.environ', LOAD_KEY='from-variable'):
+                self.assertEqual(self.read(fields), keys)
+        for fields in (
+            {'key_environment': 'LOAD_KEY_THAT_IS_NOT_SET'},
+            {'key_file': self.folder / 'absent'},
+        ):
+            with self.assertRaises(SettingsError):
+                self.read(fields)
+
+    def read(self, fields: dict) -> dict[str, str]:
+        """Return the keys of an experiment whose workspace has `fields`."""
+        workspace = {**WORKSPACE.model_dump(), **fields}
+        return read_keys(make_experiment(workspaces=[workspace]))
