--- a/jacinthcart_lab/__main__.py
+++ b/jacinthcart_lab/__main__.py
@@ -1,4 +1,4 @@
-"""Demo and bench: `python -m jacinthcart_lab demo|fleet|put|fault`."""
+"""Demo, bench and fleet: `python -m jacinthcart_lab --help`."""
 
 import dataclasses
 import pathlib
@@ -8,6 +8,7 @@
 import cappa
 import orjson
 
+from jacinthcart_lab._bench import NAMES, run_bench
 from jacinthcart_lab._changes import post_to_service
 from jacinthcart_lab._demo import run_demo
 from jacinthcart_lab._stay import run_fleet
@@ -83,11 +84,30 @@
         sys.exit(post_to_service(self.config, 'fault', fault))
 
 
+@dataclasses.dataclass
+class Bench:
+    """Run the experiments of docs/MEASUREMENTS.md."""
+
+    #: One experiment to run instead of all.
+    only: Annotated[
+        str | None,
+        cappa.Arg(long=True, choices=list(NAMES), help='one experiment'),
+    ] = None
+    #: Whether to run short phases on one deployment.
+    short: Annotated[bool, cappa.Arg(long=True, help='short phases')] = False
+    #: Seed of the arrivals.
+    seed: Annotated[int, cappa.Arg(long=True, help='seed of arrivals')] = 1
+
+    def __call__(self) -> None:
+        """Print the tables and write them to a folder under run/."""
+        run_bench(self.seed, self.only, is_short=self.short)
+
+
 @dataclasses.dataclass
 class Lab:
     """Demo and bench of the query tier."""
 
-    command: cappa.Subcommands[Demo | StayingFleet | Put | Fault]
+    command: cappa.Subcommands[Demo | Bench | StayingFleet | Put | Fault]
 
 
 if __name__ == '__main__':
