--- a/jacinthcart/control/_internal_api.py
+++ b/jacinthcart/control/_internal_api.py
@@ -11,7 +11,6 @@
 from jacinthcart.control._node import ControlNode
 from jacinthcart.control._state_service import StateService
 from jacinthcart.errors import InvalidMessageError
-from jacinthcart.settings import encode_values
 from jacinthcart.wire import decode_json, encode_json
 
 _STATUS_INVALID = 400
@@ -55,12 +54,7 @@
     async def export_settings(self, request: Request) -> dict[str, Any]:
         """Answer a peer that lacks settings."""
         after = _read_number(request.query_params.get('after', '0'))
-        store = self._node.state.store
-        return {
-            'revision': store.revision,
-            'values': encode_values(store.export_after(after)),
-            'valid': encode_values(store.export_valid()),
-        }
+        return self._node.export_settings(after)
 
 
 def create_internal_application(node: ControlNode) -> Starlette:
--- a/jacinthcart/control/_node.py
+++ b/jacinthcart/control/_node.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Any
 
 import anyio
 
@@ -9,6 +10,7 @@
 from jacinthcart.control._neighbours import Neighbours
 from jacinthcart.control._permits import BasePermitService
 from jacinthcart.control._puller import PeerPuller
+from jacinthcart.control._rights_age import RightsAge
 from jacinthcart.control._sink import SettingsSink
 from jacinthcart.control._start import StartGate
 from jacinthcart.control._state import ControlState
@@ -22,11 +24,17 @@
     MemberState,
 )
 from jacinthcart.program import Clock
-from jacinthcart.settings import Endpoint, ProcessSettings
+from jacinthcart.settings import (
+    Endpoint,
+    ProcessSettings,
+    SettingsView,
+    encode_values,
+)
 from jacinthcart.sync import (
     BasePeerClient,
     BasePlatform,
     WatchLoop,
+    encode_roster_age,
 )
 from jacinthcart.telemetry import Logger, Metrics
 
@@ -100,10 +108,19 @@
                 self.heartbeats.apply_settings,
                 outside.permits.apply_settings,
                 self.warm.apply_settings,
+                self._apply_rights,
             ),
         )
         self._puller = self._create_puller()
         self._watch = self._create_watch()
+        self.rights_age = RightsAge(
+            process.vm_id,
+            self.state,
+            self._puller,
+            outside.clock,
+            outside.random,
+        )
+        self.rights_age.on_since = outside.permits.note_rights_since
         self.listener = DatagramListener(
             self.heartbeats,
             outside.permits,
@@ -141,6 +158,16 @@
             warm_digest=self.state.warm.digest,
         )
 
+    def export_settings(self, after: int) -> dict[str, Any]:
+        """Return what a peer lacks that knows a revision."""
+        store = self.state.store
+        return {
+            'revision': store.revision,
+            'values': encode_values(store.export_after(after)),
+            'valid': encode_values(store.export_valid()),
+            **encode_roster_age(self.rights_age.describe()),
+        }
+
     def announce_leaving(self) -> None:
         """Tell peers and neighbours of a planned stop at once."""
         self.state.announce_leaving()
@@ -155,6 +182,7 @@
             tasks.start_soon(self._watch.run_vm_list)
             await self._read_first()
             tasks.start_soon(self._watch.run)
+            tasks.start_soon(self.rights_age.run)
 
     def _create_puller(self) -> PeerPuller:
         puller = PeerPuller(
@@ -192,9 +220,14 @@
         self.gate.end_first_read()
 
     async def _read_seed(self, seed: Endpoint) -> None:
-        if await self._puller.pull_settings(seed):
+        settings = await self._puller.pull_settings(seed)
+        if settings is not None:
+            self.rights_age.take_peer('', settings.roster_age)
             await self._puller.pull_warm(seed)
 
+    def _apply_rights(self, view: SettingsView) -> None:
+        self.rights_age.apply_settings()
+
     def _take_member(self, member: Member) -> None:
         self.state.live.take_member(member)
         self._puller.offer(member)
--- a/jacinthcart/control/_permits.py
+++ b/jacinthcart/control/_permits.py
@@ -28,6 +28,14 @@
     def apply_settings(self, view: SettingsView) -> None:
         """Take the settings in force."""
 
+    @abc.abstractmethod
+    def note_rights_since(self, since: float) -> None:
+        """Take since when the roster is known to be in force, in seconds.
+
+        Other VMs have given up the shares of this one `handover_seconds`
+        later.
+        """
+
     @abc.abstractmethod
     async def run(self) -> None:
         """Borrow until cancelled."""
@@ -54,6 +62,9 @@
     def apply_settings(self, view: SettingsView) -> None:
         """Ignore the settings."""
 
+    def note_rights_since(self, since: float) -> None:
+        """Ignore the time."""
+
     async def run(self) -> None:
         """Do nothing."""
 
--- a/jacinthcart/control/_puller.py
+++ b/jacinthcart/control/_puller.py
@@ -61,8 +61,8 @@
             else:
                 await self._offered.wait(_IDLE_WAIT_S)
 
-    async def pull_settings(self, peer: Endpoint) -> bool:
-        """Pull settings once; return whether the peer answered."""
+    async def pull_settings(self, peer: Endpoint) -> PeerSettings | None:
+        """Pull settings once; return them, None without an answer."""
         try:
             settings = await self._client.pull_settings(
                 peer,
@@ -70,10 +70,10 @@
             )
         except (WireError, InvalidMessageError) as error:
             self._count_failure(peer, error)
-            return False
+            return None
         self._metrics.count('pull', 'settings')
         self.on_settings(settings)
-        return True
+        return settings
 
     async def pull_warm(self, peer: Endpoint) -> None:
         """Pull the warm table once."""
--- a/jacinthcart/control/_start.py
+++ b/jacinthcart/control/_start.py
@@ -1,10 +1,8 @@
 """When a starting VM may serve for the first time."""
 
-from jacinthcart.control._state import ControlState
+from jacinthcart.control._state import RIGHTS_PATHS, ControlState
 from jacinthcart.membership import Currency, HeartbeatPeers
 
-_NEEDED_PATHS = ('fleet/roster', 'fleet/policy')
-
 
 class StartGate:
     """Opens once and stays open.
@@ -44,7 +42,7 @@
             return ''
         if not self._is_first_read_done:
             return 'first read of the service and the seed peers'
-        for path in _NEEDED_PATHS:
+        for path in RIGHTS_PATHS:
             if not self._state.has_value(path):
                 return f'a valid {path}'
         if not self._currency.is_current:
--- a/jacinthcart/control/_state.py
+++ b/jacinthcart/control/_state.py
@@ -13,6 +13,9 @@
     encode_values,
 )
 
+#: Settings that all rights derive from.
+RIGHTS_PATHS = ('fleet/roster', 'fleet/policy')
+
 
 class ControlState:
     """Settings in force, live VMs and warm table with a version.
@@ -43,6 +46,15 @@
         """The version that a neighbour names in its next poll."""
         return f'{self.incarnation}:{self._number}'
 
+    @property
+    def rights_revision(self) -> int:
+        """Highest revision of what rights derive from, 0 for none."""
+        in_force = self._in_force
+        return max(
+            in_force[path].revision if path in in_force else 0
+            for path in RIGHTS_PATHS
+        )
+
     def has_value(self, path: str) -> bool:
         """Return whether a valid value of `path` is in force."""
         setting = self._in_force.get(path)
--- a/jacinthcart/control/_state_service.py
+++ b/jacinthcart/control/_state_service.py
@@ -7,6 +7,8 @@
 from jacinthcart.errors import InvalidMessageError
 
 _MS_PER_S = 1000
+#: Told in place of an infinite age, which JSON lacks.
+_LONGEST_AGE_S = 1e6
 _WAIT_SHARE_OF_LEASE = 3
 
 
@@ -39,6 +41,8 @@
             neighbours.end_poll(program)
         state = self._node.state.export_after(after)
         state['lease_ms'] = self._node.lease_ms
+        age_s = min(self._node.rights_age.age_s, _LONGEST_AGE_S)
+        state['roster_age_ms'] = int(age_s * _MS_PER_S)
         return state
 
     async def _wait(self, after: str, wait_ms: int) -> None:
--- a/jacinthcart/dispatch/_handover.py
+++ b/jacinthcart/dispatch/_handover.py
@@ -1,24 +1,28 @@
 """The wait before a right gained by a settings revision is used."""
 
 from jacinthcart.dispatch._replicas import ReplicaIndex
+from jacinthcart.feed import StateFeed
 
 
 class HandoverTracker:
     """Remembers when this VM gained the rights to each searcher.
 
-    Rights that the first view already grants, and rights to searchers that
-    are new, have no former holder and need no wait.
+    A process that starts sees only the present roster: none of its rights is
+    used before that roster is known to be in force for `handover_seconds`.
+    Rights to searchers that are new later have no former holder.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, feed: StateFeed) -> None:
         """Start without a view."""
+        self._feed = feed
         self._owned_by_id: dict[str, bool] = {}
         self._warmed_by_id: dict[str, bool] = {}
         self._owner_since: dict[str, float] = {}
         self._warmer_since: dict[str, float] = {}
 
-    def update(self, index: ReplicaIndex, now: float) -> None:
+    def update(self, index: ReplicaIndex) -> None:
         """Take a new view's rights."""
+        now = self._feed.clock()
         for searcher_id, replica in index.replicas_by_id.items():
             if self._owned_by_id.get(searcher_id) is False:
                 if replica.is_owner:
@@ -29,12 +33,17 @@
             self._owned_by_id[searcher_id] = replica.is_owner
             self._warmed_by_id[searcher_id] = replica.is_warmer
 
-    def may_own(self, searcher_id: str, now: float, wait_s: float) -> bool:
+    def may_own(self, searcher_id: str) -> bool:
         """Return whether the wait for connections is over."""
-        since = self._owner_since.get(searcher_id)
-        return since is None or now - since >= wait_s
+        return self._is_over(self._owner_since.get(searcher_id))
 
-    def may_warm(self, searcher_id: str, now: float, wait_s: float) -> bool:
+    def may_warm(self, searcher_id: str) -> bool:
         """Return whether the wait for warming is over."""
-        since = self._warmer_since.get(searcher_id)
-        return since is None or now - since >= wait_s
+        return self._is_over(self._warmer_since.get(searcher_id))
+
+    def _is_over(self, gained_at: float | None) -> bool:
+        since = self._feed.roster_since
+        if gained_at is not None:
+            since = max(since, gained_at)
+        wait_s = self._feed.view.policy.handover_seconds
+        return self._feed.clock() - since >= wait_s
--- a/jacinthcart/dispatch/_rights.py
+++ b/jacinthcart/dispatch/_rights.py
@@ -28,7 +28,7 @@
         """Start without evidence."""
         self.entries = EntryBook(feed, decisions)
         self._feed = feed
-        self._handover = HandoverTracker()
+        self._handover = HandoverTracker(feed)
         self._ramps = RampTable(feed, self.entries, decisions)
         self._responded_at_by_id: dict[str, float] = {}
         self._unanswered_by_id: Counter[str] = Counter()
@@ -36,7 +36,7 @@
 
     def take_index(self, index: ReplicaIndex) -> None:
         """Take the replicas of a new settings view."""
-        self._handover.update(index, self._feed.clock())
+        self._handover.update(index)
 
     def find_allowance(self, replica: Replica) -> int:
         """Return the most concurrent requests, 0 without a right.
@@ -136,18 +136,12 @@
             replica.is_owner
             and replica.is_in_service
             and not self._is_set_aside(replica)
-            and self._handover.may_own(
-                replica.searcher_id,
-                self._feed.clock(),
-                self._feed.view.policy.handover_seconds,
-            )
+            and self._handover.may_own(replica.searcher_id)
         )
 
     def _may_warm(self, replica: Replica) -> bool:
         return replica.is_warmer and self._handover.may_warm(
             replica.searcher_id,
-            self._feed.clock(),
-            self._feed.view.policy.handover_seconds,
         )
 
     def _is_set_aside(self, replica: Replica) -> bool:
--- a/jacinthcart/feed/_feed.py
+++ b/jacinthcart/feed/_feed.py
@@ -1,6 +1,7 @@
 """Long-polls control for the state that a neighbour serves with."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -50,6 +51,12 @@
     }
 
 
+def _read_durations_s(message: Mapping[str, Any]) -> tuple[float, float]:
+    """Return the lease and the age of the roster."""
+    age_ms = float(message.get('roster_age_ms', 0))
+    return float(message['lease_ms']) / _MS_PER_S, age_ms / _MS_PER_S
+
+
 class StateFeed:
     """Keeps the newest state from the VM's control process.
 
@@ -70,6 +77,8 @@
         self.live_vms: dict[str, str] = {}
         self.warm_by_searcher_id: dict[str, WarmEntry] = {}
         self.is_leaving = False
+        #: Time in seconds since which the first roster is in force, as known.
+        self.roster_since = math.inf
         self.is_ready = True
         self.listeners: list[Callable[[], None]] = []
         self._program = program
@@ -125,11 +134,13 @@
             )
             self.warm_by_searcher_id = decode_warm_entries(message['warm'])
             self.live_vms = dict(message['live_vms'])
-            lease_s = float(message['lease_ms']) / _MS_PER_S
+            lease_s, age_s = _read_durations_s(message)
         except (KeyError, TypeError, ValueError) as error:
             raise InvalidMessageError(f'state: {error!r}') from error
         self._version = str(message['version'])
         self.is_leaving = bool(message['leaving'])
+        roster_since = self.clock() - age_s * CLOCK_RATE_MARGIN
+        self.roster_since = min(self.roster_since, roster_since)
         self._lease_expires_at = sent_at + lease_s * CLOCK_RATE_MARGIN
         for listener in self.listeners:
             listener()
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -72,12 +72,13 @@
         self._decisions = decisions
         self._shares: dict[str, WorkspaceShare] = {}
         self._history = OwnershipHistory(clock)
+        self._rights_since = math.inf
 
     def apply_settings(self, view: SettingsView) -> None:
         """Take the settings in force; lower or lost shares apply at once.
 
-        The first roster of a process starts its shares at once with empty
-        buckets; a share gained later waits `handover_seconds`.
+        A process that starts waits `handover_seconds` for its shares unless
+        the roster is known to be older; a share gained later waits too.
         """
         self.policy = view.policy
         ownership = self._history.take(view)
@@ -94,6 +95,18 @@
                 self._shares[workspace_id] = share
             else:
                 self._change_share(workspace_id, share, terms, owners)
+        self.note_rights_since(self._clock())
+
+    def note_rights_since(self, since: float) -> None:
+        """Take since when the first roster is known to be in force.
+
+        Own tokens are used `handover_seconds` later. An earlier time that
+        is known stays.
+        """
+        self._rights_since = min(self._rights_since, since)
+        until = self._rights_since + self.policy.handover_seconds
+        for share in self._shares.values():
+            share.hold_start(until)
 
     def acquire(self, counts: Mapping[str, int]) -> AcquireResult:
         """Grant up to the requested permits from what this VM holds."""
@@ -257,7 +270,9 @@
     def _predict_need(self, workspace_id: str, share: WorkspaceShare) -> int:
         demand = share.meter.predict()
         exceeds = demand > share.own_rate * share.meter.interval_s
-        self._record_borrowing(workspace_id, share, exceeds)
+        if exceeds and not share.is_borrowing:
+            _record_borrowing(self._decisions, workspace_id, demand)
+        share.is_borrowing = exceeds
         if not exceeds:
             return 0
         horizon_s = share.terms.lifetime_s * _HORIZON_LIFETIME_SHARE
@@ -269,22 +284,6 @@
         target = expected + math.sqrt(expected)
         return math.ceil(target - own - usable)
 
-    def _record_borrowing(
-        self,
-        workspace_id: str,
-        share: WorkspaceShare,
-        exceeds: bool,
-    ) -> None:
-        if exceeds and not share.is_borrowing:
-            self._decisions.record(
-                'borrowing_started',
-                workspace_id,
-                reason='demand on this VM exceeds its own share',
-                observation=f'{share.meter.predict()} an interval',
-                setting='lending_enabled',
-            )
-        share.is_borrowing = exceeds
-
     def _estimate_retry_ms(self, share: WorkspaceShare) -> int:
         waits_ms = []
         if share.own_rate > 0:
@@ -296,6 +295,20 @@
         return max(1, math.ceil(min(waits_ms, default=_NO_SHARE_RETRY_MS)))
 
 
+def _record_borrowing(
+    decisions: DecisionLog,
+    workspace_id: str,
+    demand: float,
+) -> None:
+    decisions.record(
+        'borrowing_started',
+        workspace_id,
+        reason='demand on this VM exceeds its own share',
+        observation=f'{demand} an interval',
+        setting='lending_enabled',
+    )
+
+
 def _check_unexpired(metrics: Metrics, grant: Grant, now: float) -> None:
     metrics.check(
         'expired_permit_not_granted',
--- a/jacinthcart/limits/_share.py
+++ b/jacinthcart/limits/_share.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._fraction = 0.0
         self._former_fractions: list[Ceiling] = []
+        self._start_ceilings: list[Ceiling] = []
         self._former_rates = [Ceiling(clock() + quiet_s, 0.0)]
         self._target = (0.0, 0.0, terms.lifetime_s)
         self._bucket = TokenBucket(0.0, 0.0, clock, metrics)
@@ -91,10 +92,18 @@
         return self.terms.lifetime_s * _LEAST_LIFETIME_SHARE
 
     def start(self, vm_id: str, owners: Sequence[str]) -> None:
-        """Set the first owners, without a handover."""
+        """Set the first owners; `hold_start` sets the wait before use."""
         self.owners = owners
         self._fraction = find_fraction(vm_id, owners)
 
+    def hold_start(self, until: float) -> None:
+        """Use no own tokens until that time, in place of an earlier one."""
+        self.refresh()
+        now = self._clock()
+        ceilings = [Ceiling(until, 0.0)]
+        self._start_ceilings = _keep_alive(ceilings, now)
+        self.refresh()
+
     def hold_back(self, until: float, fraction: float) -> None:
         """Use at most `fraction` until that time."""
         self._former_fractions.append(Ceiling(until, fraction))
@@ -123,7 +132,11 @@
         now = self._clock()
         moment = float('-inf')
         while moment < now:
-            ceilings = (*self._former_fractions, *self._former_rates)
+            ceilings = (
+                *self._start_ceilings,
+                *self._former_fractions,
+                *self._former_rates,
+            )
             moment = min([now, *(ceiling.until for ceiling in ceilings)])
             self._apply_bounds(moment)
 
@@ -157,7 +170,10 @@
         """Return share, own tokens and loans, for operators."""
         level = self.level
         return {
-            'share': _find_least(self._fraction, self._former_fractions),
+            'share': _find_least(
+                self._fraction,
+                [*self._start_ceilings, *self._former_fractions],
+            ),
             'own_rate': self.own_rate,
             'own_capacity': self.own_capacity,
             'level': level,
@@ -167,7 +183,11 @@
 
     def _apply_bounds(self, now: float) -> None:
         self._former_fractions = _keep_alive(self._former_fractions, now)
-        fraction = _find_least(self._fraction, self._former_fractions)
+        self._start_ceilings = _keep_alive(self._start_ceilings, now)
+        fraction = _find_least(
+            self._fraction,
+            [*self._start_ceilings, *self._former_fractions],
+        )
         terms = self.terms
         target = (
             fraction * terms.rate,
--- a/jacinthcart/settings/_models.py
+++ b/jacinthcart/settings/_models.py
@@ -243,7 +243,7 @@
         description='requests a second over all VMs together',
     )
     burst: float = pydantic.Field(
-        ge=1,
+        ge=2,
         le=1e7,
         description='requests at once over all VMs together',
     )
--- a/jacinthcart/sync/__init__.py
+++ b/jacinthcart/sync/__init__.py
@@ -4,8 +4,10 @@
 from jacinthcart.sync._messages import (
     PeerSettings,
     WatchChanges,
+    RosterAge,
     decode_peer_settings,
     decode_watch_changes,
+    encode_roster_age,
 )
 from jacinthcart.sync._peers import BasePeerClient, PeerSettingsClient
 from jacinthcart.sync._platform import BasePlatform, PlatformClient
@@ -18,9 +20,11 @@
     'PeerSettings',
     'PeerSettingsClient',
     'PlatformClient',
+    'RosterAge',
     'WatchChanges',
     'WatchLoop',
     'compute_watch_interval',
     'decode_peer_settings',
     'decode_watch_changes',
+    'encode_roster_age',
 ]
--- a/jacinthcart/sync/_messages.py
+++ b/jacinthcart/sync/_messages.py
@@ -19,6 +19,18 @@
     rejected: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class RosterAge:
+    """How long a VM has known the roster that it has in force."""
+
+    #: Higher revision of `fleet/roster` and `fleet/policy`.
+    revision: int
+    #: Seconds since that revision took effect, at least.
+    age_s: float
+    #: Whether the VM knows of no process that used another roster.
+    is_first: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerSettings:
     """What a peer knows above a revision."""
@@ -27,6 +39,8 @@
     changes: WatchChanges
     #: The peer's last valid values of units whose newest are invalid.
     valid: dict[str, SettingsValue]
+    #: Age of the peer's roster; None when it has none.
+    roster_age: RosterAge | None = None
 
 
 def decode_watch_changes(message: Any) -> WatchChanges:
@@ -41,10 +55,33 @@
 
 
 def decode_peer_settings(message: Any) -> PeerSettings:
-    """Read `{revision, values, valid}`; raise InvalidMessageError."""
+    """Read the answer of a peer; raise InvalidMessageError.
+
+    An age of another shape counts as none, so that settings still spread.
+    """
     changes = decode_watch_changes(message)
     valid, _ = _read_values(message.get('valid', {}))
-    return PeerSettings(changes, valid)
+    return PeerSettings(changes, valid, _read_roster_age(message))
+
+
+def encode_roster_age(age: RosterAge | None) -> dict[str, Any]:
+    """Return the fields of a peer's answer that tell the age."""
+    if age is None:
+        return {}
+    return {
+        'roster_revision': age.revision,
+        'roster_age_s': age.age_s,
+        'roster_is_first': age.is_first,
+    }
+
+
+def _read_roster_age(message: dict[str, Any]) -> RosterAge | None:
+    revision = message.get('roster_revision')
+    age_s = message.get('roster_age_s')
+    if not _is_revision(revision) or not isinstance(age_s, int | float):
+        return None
+    is_first = message.get('roster_is_first') is True
+    return RosterAge(int(revision or 0), float(age_s), is_first)
 
 
 def _read_revision(message: Any) -> int:
--- a/jacinthcart_lab/limits_fleet.py
+++ b/jacinthcart_lab/limits_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of rate limiters over a simulated network, in virtual time."""
 
 import collections
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -136,9 +137,14 @@
         scope = self._entry_scope
         self._tasks.start_soon(self._run_entry, self._client, scope)
 
-    def start_control(self, view: SettingsView) -> None:
-        """Start control with empty memory."""
+    def start_control(
+        self,
+        view: SettingsView,
+        rights_since: float = -math.inf,
+    ) -> None:
+        """Start control with empty memory, on a roster of a known age."""
         self.control = SimulatedControl(self, self._rng.getrandbits(64))
+        self.control.ledger.note_rights_since(rights_since)
         self.control.ledger.apply_settings(view)
         self._tasks.start_soon(self.control.run)
 
--- a/tests/control/_fleet.py
+++ b/tests/control/_fleet.py
@@ -1,5 +1,6 @@
 """A fleet of control nodes in one trio run with virtual time."""
 
+import math
 import random
 
 import anyio
@@ -96,6 +97,18 @@
         self.lease_expires_at = sent_at + state['lease_ms'] / 1000 * 0.99
 
 
+class RecordingPermits(NoPermitService):
+    """Keeps since when the roster is known to be in force."""
+
+    def __init__(self):
+        """Start without evidence."""
+        self.rights_since = math.inf
+
+    def note_rights_since(self, since):
+        """Keep the earliest time."""
+        self.rights_since = min(self.rights_since, since)
+
+
 class FakeVm:
     """One VM: a node, its neighbours and its connections outside."""
 
@@ -111,13 +124,14 @@
         self.buffer = Buffer()
         self.platform = FakePlatform(fleet.service, self.gate)
         self.datagrams = FakeDatagrams(self, fleet.network)
+        self.permits = RecordingPermits()
         self.node = ControlNode(
             _create_process(self, seeds),
             Surroundings(
                 platform=self.platform,
                 peer_client=FakePeerClient(self, fleet.network),
                 datagrams=self.datagrams,
-                permits=NoPermitService(),
+                permits=self.permits,
                 merge_warm=keep_higher_incident,
                 clock=trio.current_time,
                 random=fleet.random,
--- a/tests/control/_stand_ins.py
+++ b/tests/control/_stand_ins.py
@@ -199,12 +199,7 @@
     async def pull_settings(self, peer: Endpoint, after: int):
         """Pull from a VM that is reachable and not paused."""
         receiver = await self._reach(peer)
-        store = receiver.node.state.store
-        message = {
-            'revision': store.revision,
-            'values': encode_values(store.export_after(after)),
-            'valid': encode_values(store.export_valid()),
-        }
+        message = receiver.node.export_settings(after)
         await self._vm.gate.pass_through()
         return decode_peer_settings(decode_json(encode_json(message)))
 
--- a/tests/control/test_spread.py
+++ b/tests/control/test_spread.py
@@ -85,8 +85,8 @@
                 self.assertEqual(len(fleet.serving()), 8)
                 for vm in fleet.vms:
                     self.assertFalse(vm.entry.has_key)
-            fleet.service.put({WORKSPACE: {'rate': 1, 'burst': 1}})
-            fleet.service.put({OTHER_TEAM: {'rate': 1, 'burst': 1}})
+            fleet.service.put({WORKSPACE: {'rate': 1, 'burst': 2}})
+            fleet.service.put({OTHER_TEAM: {'rate': 1, 'burst': 2}})
             await anyio.sleep(IN_FORCE_S)
             for vm in fleet.vms:
                 known = vm.entry.view.workspaces_by_id
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -1,6 +1,7 @@
 """A small fleet of dispatchers and stand-in searchers in virtual time."""
 
 import dataclasses
+import math
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
@@ -162,6 +163,11 @@
 
     is_lease_valid = True
 
+    def __init__(self, *arguments: Any) -> None:
+        """Start on a roster whose former holders have stopped."""
+        super().__init__(*arguments)
+        self.roster_since = -math.inf
+
     def is_serving(self) -> bool:
         """Return whether the lease is valid."""
         return self.is_lease_valid
--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -277,6 +277,21 @@
 
         run_virtual(scenario)
 
+    def test_started_process_waits_for_the_handover(self) -> None:
+        """Guards against a warmer that starts while the former one ramps."""
+
+        async def scenario() -> None:
+            fleet = Fleet(1, 1, is_warm=False)
+            feed = fleet.feeds[0]
+            feed.roster_since = anyio.current_time()
+            part = await fleet.dispatchers[0].run_part(make_call())
+            self.assertEqual(part.missing, {0: 'no_replica', 1: 'no_replica'})
+            feed.roster_since -= 30
+            part = await fleet.dispatchers[0].run_part(make_call())
+            self.assertEqual(part.missing, {})
+
+        run_virtual(scenario)
+
     def test_vm_outside_the_roster_sends_nothing(self) -> None:
         """Guards against connections above the searchers' limits."""
 
--- a/tests/limits/fixtures.py
+++ b/tests/limits/fixtures.py
@@ -1,5 +1,6 @@
 """Parts that the tests of the rate limiter share."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -62,6 +63,12 @@
 
 
 def create_ledger(clock: Callable[[], float]) -> Any:
+    ledger = create_waiting_ledger(clock)
+    ledger.note_rights_since(-math.inf)
+    return ledger
+
+
+def create_waiting_ledger(clock: Callable[[], float]) -> Any:
     return TokenLedger(
         VMS[0],
         clock,
--- a/tests/limits/test_ledger.py
+++ b/tests/limits/test_ledger.py
@@ -10,6 +10,7 @@
     count_granted,
     create_ledger,
     create_view,
+    create_waiting_ledger,
 )
 
 #: Seconds that fill a bucket of any test.
@@ -28,10 +29,29 @@
         self.ledger.apply_settings(create_view())
         self.clock.now += LONG
 
-    def test_started_process_owns_its_share_at_once(self) -> None:
+    def test_process_started_on_an_old_roster_does_not_wait(self) -> None:
         """Guards against a fleet that serves nothing after a restart."""
         self.assertEqual(count_granted(self.ledger), 45)
 
+    def test_started_process_waits_for_its_share(self) -> None:
+        """Guards against a restart within a handover that skips the wait."""
+        ledger = create_waiting_ledger(self.clock)
+        ledger.apply_settings(create_view())
+        self.clock.now += 29.9
+        self.assertEqual(count_granted(ledger), 0)
+        self.clock.now += LONG
+        self.assertEqual(count_granted(ledger), 45)
+
+    def test_started_process_waits_for_the_rest_of_a_handover(self) -> None:
+        """Guards against an age that ends the wait too early."""
+        ledger = create_waiting_ledger(self.clock)
+        ledger.apply_settings(create_view())
+        ledger.note_rights_since(self.clock.now - 20)
+        self.clock.now += 9.9
+        self.assertEqual(count_granted(ledger), 0)
+        self.clock.now += LONG
+        self.assertEqual(count_granted(ledger), 45)
+
     def test_larger_share_waits(self) -> None:
         """Guards against a new share used while its former owner has it."""
         self.ledger.apply_settings(create_view(vm_ids=VMS[:2]))
