--- a/jacinthcart_lab/_control_cost.py
+++ b/jacinthcart_lab/_control_cost.py
@@ -50,7 +50,9 @@
     # The searchers are part of the settings but need not run.
     fleet.searcher_specs.clear()
     try:
-        fleet.start(_choose_running(fleet))
+        fleet.start([_MEASURED_VM])
+        for vm_id in _choose_peers(fleet):
+            fleet.start_vm(vm_id, ('control',))
         time.sleep(_SETTLE_S + _MEASURE_S)
         status = _read_status(fleet.vms_by_id[_MEASURED_VM])
     finally:
@@ -58,8 +60,8 @@
     return dict(status['cost'])
 
 
-def _choose_running(fleet: Fleet) -> list[str]:
-    """Return the measured VM with its peers in both directions."""
+def _choose_peers(fleet: Fleet) -> list[str]:
+    """Return the measured VM's heartbeat peers in both directions."""
     roster = list(fleet.vms_by_id)
     peers = select_peers(_MEASURED_VM, roster, _HEARTBEAT_PEERS)
     senders = [
@@ -67,7 +69,7 @@
         for vm_id in roster
         if _MEASURED_VM in select_peers(vm_id, roster, _HEARTBEAT_PEERS)
     ]
-    return list(dict.fromkeys([_MEASURED_VM, *peers, *senders]))
+    return list(dict.fromkeys([*peers, *senders]))
 
 
 def _build_team(vm_count: int) -> TeamShape:
--- a/jacinthcart_lab/_fleet.py
+++ b/jacinthcart_lab/_fleet.py
@@ -95,11 +95,15 @@
         for vm_id in chosen:
             self.start_vm(vm_id)
 
-    def start_vm(self, vm_id: str) -> None:
-        """Start the three processes of one VM."""
+    def start_vm(
+        self,
+        vm_id: str,
+        programs: tuple[str, ...] = PROGRAMS,
+    ) -> None:
+        """Start the processes of one VM."""
         vm = self.vms_by_id[vm_id]
         vm.file.write_bytes(orjson.dumps(vm.settings))
-        for program in PROGRAMS:
+        for program in programs:
             vm.processes_by_program[program] = spawn(
                 self.folder / f'{vm_id}-{program}.log',
                 f'jacinthcart.{program}',
