--- a/jacinthcart_lab/_bench.py
+++ b/jacinthcart_lab/_bench.py
@@ -28,6 +28,11 @@
 from jacinthcart_lab._path_cost import measure_path_cost
 from jacinthcart_lab._tail import run_tail
 from jacinthcart_lab._wrongful_refusals import run_wrongful_refusals
+from jacinthcart_lab.limits_experiment import (
+    LimitsExperiment,
+    LimitsFigures,
+    run_limits_experiment,
+)
 
 _FOLDER = pathlib.Path('run/bench')
 _PATH_SEARCHERS = 30
@@ -45,7 +50,8 @@
         'data-centre': run_data_centre,
     },
 )
-COSTS = ('clients', 'path')
+#: Measurements without the load tool.
+COSTS = ('limits', 'clients', 'path')
 NAMES = (*EXPERIMENTS_BY_NAME, *COSTS)
 
 
@@ -80,7 +86,32 @@
             _publish(options.folder, report)
 
 
+def _simulate_limits(options: BenchOptions) -> ExperimentReport:
+    """Run the rate limiter of eight VMs in virtual time."""
+    rows: list[list[str]] = []
+    for load in (0.8, 0.99):
+        for lending in (True, False):
+            figures = run_limits_experiment(
+                LimitsExperiment(
+                    options.seed,
+                    load=load,
+                    lending_enabled=lending,
+                ),
+            )
+            row = list(map(_format_share, dataclasses.astuple(figures)))
+            rows.append([f'{load:.0%}', 'on' if lending else 'off', *row])
+    header = [field.name for field in dataclasses.fields(LimitsFigures)]
+    return ExperimentReport(
+        'limits in virtual time, 8 VMs',
+        ['load', 'lending', *header],
+        rows,
+        ['the columns named refused are shares of the requests'],
+    )
+
+
 def _measure_cost(options: BenchOptions, name: str) -> ExperimentReport:
+    if name == 'limits':
+        return _simulate_limits(options)
     queries = int(options.choose_s(200, 20))
     if name == 'clients':
         costs = measure_client_costs(options.folder / name, queries)
@@ -113,5 +144,9 @@
         file.write(text)
 
 
+def _format_share(figure: object) -> str:
+    return f'{figure:.4f}' if isinstance(figure, float) else str(figure)
+
+
 def _format(figure: object) -> str:
     return f'{figure:.2f}' if isinstance(figure, float) else str(figure)
