Add the capacity page and its bench

Slopes at four sizes each for ownership, settings, the warm table, gather and entry CPU by searchers, and control's CPU, memory and traffic by roster size. Measured while other work ran on the machine.

--- a/jacinthcart_lab/_bench.py
+++ b/jacinthcart_lab/_bench.py
@@ -16,6 +16,7 @@
     describe_load,
     open_fleet,
 )
+from jacinthcart_lab._capacity import measure_capacity, plot_points
 from jacinthcart_lab._client_cost import measure_client_costs
 from jacinthcart_lab._cold import run_cold
 from jacinthcart_lab._data_centre import run_data_centre
@@ -52,7 +53,9 @@
 )
 #: Measurements without the load tool.
 COSTS = ('limits', 'clients', 'path')
-NAMES = (*EXPERIMENTS_BY_NAME, *COSTS)
+#: Slopes of docs/CAPACITY.md; the short run leaves them out.
+CAPACITY = 'capacity'
+NAMES = (*EXPERIMENTS_BY_NAME, *COSTS, CAPACITY)
 
 
 def run_bench(seed: int, only: str | None, *, is_short: bool) -> None:
@@ -71,6 +74,18 @@
     for cost in COSTS:
         if cost in chosen:
             _publish(folder, _measure_cost(options, cost))
+    if CAPACITY in chosen and not is_short:
+        _publish_capacity(folder)
+
+
+def _publish_capacity(folder: pathlib.Path) -> None:
+    before = describe_load()
+    tables, points = measure_capacity(folder)
+    plot_points(points, folder / 'capacity.svg')
+    notes = f'load average: {before} before, {describe_load()} after'
+    text = f'## capacity\n\n{tables}\n\n{notes}\n'
+    sys.stdout.write(text)
+    (folder / 'capacity.md').write_text(text)
 
 
 def _run_on_fleet(
