--- a/jacinthcart_lab/limits_experiment.py
+++ b/jacinthcart_lab/limits_experiment.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -13,6 +14,7 @@
 
 WORKSPACE_ID = 'voskovka/praha'
 VM_COUNT = 8
+VM_IDS = tuple(f'vm-{number}' for number in range(VM_COUNT))
 _FIRST_PORT = 7000
 #: Seconds that the buckets fill before the first request.
 _FILL_S = 2.0
@@ -62,11 +64,12 @@
     rate: float,
     burst: float,
     revision: int = 1,
+    vm_ids: Sequence[str] = VM_IDS,
     **policy: Any,
 ) -> SettingsView:
-    """Return settings of eight VMs and one workspace."""
+    """Return settings of eight VMs, or fewer, and one workspace."""
     vms_by_id = {
-        f'vm-{number}': {
+        vm_id: {
             'address': '127.0.0.1',
             'data_centre': 'one',
             'entry_port': _FIRST_PORT,
@@ -74,7 +77,7 @@
             'control_port': _FIRST_PORT + 2,
             'admin_port': _FIRST_PORT + 3,
         }
-        for number in range(VM_COUNT)
+        for vm_id in vm_ids
     }
     team, name = WORKSPACE_ID.split('/')
     return build_view(
--- a/jacinthcart_lab/limits_fleet.py
+++ b/jacinthcart_lab/limits_fleet.py
@@ -37,6 +37,7 @@
         self.loss = 0.0
         self.duplication = 0.0
         self.delay_range_s = (0.0003, 0.0015)
+        self.local_delay_s = _LOCAL_DELAY_S
         self.side_by_vm: dict[str, int] = {}
         self.vms_by_id: dict[str, 'SimulatedVm'] = {}
         self.sent_by_kind: collections.Counter[str] = collections.Counter()
@@ -124,9 +125,13 @@
         self._entry_scope = anyio.CancelScope()
         self._client: PermitClient | None = None
 
-    def start(self, view: SettingsView) -> None:
+    def start(
+        self,
+        view: SettingsView,
+        rights_since: float = -math.inf,
+    ) -> None:
         """Start both programs with empty memory."""
-        self.start_control(view)
+        self.start_control(view, rights_since)
         self._client = PermitClient(
             self._post,
             lambda: view.policy.permit_batch_ms,
@@ -212,10 +217,10 @@
         control = self.control
         if control is None:
             raise NotSentError('control is down')
-        await anyio.sleep(_LOCAL_DELAY_S)
+        await anyio.sleep(self.network.local_delay_s)
         await self.wait_awake()
         reply = await control.service.handle(body)
-        await anyio.sleep(_LOCAL_DELAY_S)
+        await anyio.sleep(self.network.local_delay_s)
         await self.wait_awake()
         if self.control is not control:
             raise OutcomeUnknownError('control was killed')
--- a/jacinthcart_lab/limits_oracle.py
+++ b/jacinthcart_lab/limits_oracle.py
@@ -53,6 +53,32 @@
     return worst
 
 
+def find_exact_excess(
+    admitted_at: Sequence[float],
+    rate_changes: Sequence[tuple[float, float]],
+    burst: float,
+) -> float:
+    """Return the largest excess over every window at one burst.
+
+    A window may admit the burst and the sum of the rates over its length;
+    each change is the time in seconds from which a rate applies.
+    """
+    worst = 0.0
+    level = 0.0
+    rate = 0.0
+    previous = 0.0
+    events = [(at, -1.0) for at in admitted_at]
+    for at, change in sorted([*rate_changes, *events]):
+        level = max(0.0, level - (at - previous) * rate)
+        previous = at
+        if change < 0:
+            level += 1
+            worst = max(worst, level - burst)
+        else:
+            rate = change
+    return worst if worst > _TOLERANCE else 0.0
+
+
 def _find_excess(times: Sequence[float], rate: float, burst: float) -> float:
     """Return the largest excess over every window at one rate and burst."""
     worst = 0.0
--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -14,7 +14,12 @@
     LimitsExperiment,
     run_limits_experiment,
 )
-from jacinthcart_lab.limits_oracle import LimitInForce, find_excess
+from jacinthcart_lab.limits_oracle import (
+    LimitInForce,
+    find_exact_excess,
+    find_excess,
+)
+from jacinthcart_lab.limits_tight import TightFault, run_tight
 
 FAULTS = strategies.lists(
     strategies.builds(
@@ -50,6 +55,21 @@
         """Guards against tokens that are used twice or too late."""
         self.assertEqual(run_chaos(seed, faults).excess, 0)
 
+    def test_restarts_at_full_demand_keep_the_exact_bound(self) -> None:
+        """Guards against buckets that start full."""
+        figures = run_tight(1, [TightFault.RESTART_ALL])
+        self.assertEqual(figures.excess, 0)
+
+    def test_pauses_at_full_demand_keep_the_exact_bound(self) -> None:
+        """Guards against permits that are used after their lifetime."""
+        figures = run_tight(1, [TightFault.PAUSE_ALL] * 4)
+        self.assertEqual(figures.excess, 0)
+
+    def test_loans_at_full_demand_keep_the_exact_bound(self) -> None:
+        """Guards against a lender that does not debit its bucket."""
+        figures = run_tight(1, [TightFault.NONE] * 2)
+        self.assertEqual(figures.excess, 0)
+
     def test_refusals_within_the_rate_stay_below_the_target(self) -> None:
         """Guards against lending that does not reach skewed demand.
 
@@ -67,3 +87,7 @@
         limit = LimitInForce(0, 10, rate=1, burst=2)
         self.assertEqual(find_excess([1, 1, 2, 9], [limit], 0), 0)
         self.assertGreater(find_excess([1, 1, 1.9, 9], [limit], 0), 0)
+        rates = [(0.0, 1.0), (5.0, 2.0)]
+        self.assertEqual(find_exact_excess([1, 1, 2, 9], rates, 2), 0)
+        self.assertGreater(find_exact_excess([1, 1, 1.9], rates, 2), 0)
+        self.assertEqual(find_exact_excess([4.5, 4.5, 5.25], rates, 2), 0)
