Test failures of the whole system with real processes

The searcher stand-in lists the submits that it ran by id, so that a false not_run and a second run on another replica are seen; its count of submits run twice sees only runs on one replica.

--- a/jacinthcart_emulator/_searcher_http.py
+++ b/jacinthcart_emulator/_searcher_http.py
@@ -129,6 +129,13 @@
                     for searcher_id, searcher in self._searchers_by_id.items()
                 },
             )
+        if request.target == '/emulator/submits':
+            return _reply(
+                {
+                    searcher_id: searcher.runs_by_submit_id
+                    for searcher_id, searcher in self._searchers_by_id.items()
+                },
+            )
         if request.target != '/emulator/fault':
             return HttpReply(_NOT_FOUND, b'')
         fault = SearcherFault.model_validate_json(request.body)
--- a/jacinthcart_lab/_emulators.py
+++ b/jacinthcart_lab/_emulators.py
@@ -1,5 +1,6 @@
 """Starts the emulators and switches their faults."""
 
+import collections
 import contextlib
 import itertools
 import pathlib
@@ -70,11 +71,14 @@
 
     def read_searcher_counts(self) -> dict[str, dict[str, Any]]:
         """Return what every searcher recorded, by searcher id."""
-        replies = [
-            httpx.get(f'{url}/emulator/counts', timeout=CALL_TIMEOUT_S).json()
-            for url in self.fault_urls
-        ]
-        return dict(itertools.chain.from_iterable(map(dict.items, replies)))
+        return self._read_by_searcher('counts')
+
+    def count_submit_runs(self) -> collections.Counter[str]:
+        """Return how often each submit ran on any searcher, by id."""
+        runs: collections.Counter[str] = collections.Counter()
+        for runs_by_id in self._read_by_searcher('submits').values():
+            runs.update(runs_by_id)
+        return runs
 
     def read_config_calls(self) -> dict[str, int]:
         """Return the calls to the configuration service by kind."""
@@ -88,6 +92,13 @@
             process.kill()
             process.wait()
 
+    def _read_by_searcher(self, name: str) -> dict[str, dict[str, Any]]:
+        replies = [
+            httpx.get(f'{url}/emulator/{name}', timeout=CALL_TIMEOUT_S).json()
+            for url in self.fault_urls
+        ]
+        return dict(itertools.chain.from_iterable(map(dict.items, replies)))
+
     def _start_searchers(self, specs: tuple[SearcherSpec, ...]) -> None:
         control_port = next(self._ports)
         name = f'searchers-{control_port}'
--- a/jacinthcart_lab/_fleet.py
+++ b/jacinthcart_lab/_fleet.py
@@ -100,12 +100,17 @@
         vm = self.vms_by_id[vm_id]
         vm.file.write_bytes(orjson.dumps(vm.settings))
         for program in PROGRAMS:
-            vm.processes_by_program[program] = spawn(
-                self.folder / f'{vm_id}-{program}.log',
-                f'jacinthcart.{program}',
-                '--settings',
-                str(vm.file),
-            )
+            self.start_program(vm_id, program)
+
+    def start_program(self, vm_id: str, program: str) -> None:
+        """Start one program of a VM that was started before."""
+        vm = self.vms_by_id[vm_id]
+        vm.processes_by_program[program] = spawn(
+            self.folder / f'{vm_id}-{program}.log',
+            f'jacinthcart.{program}',
+            '--settings',
+            str(vm.file),
+        )
 
     def wait_until_ready(self, timeout_s: float = 30) -> None:
         """Wait until every VM serves; raise FleetError."""
@@ -129,6 +134,9 @@
         for vm_id in self.vms_by_id:
             self.send_signal(vm_id, signal.SIGCONT)
             self.send_signal(vm_id, signal.SIGKILL)
+        for vm in self.vms_by_id.values():
+            for process in vm.processes_by_program.values():
+                process.wait()
         self.emulators.close()
 
     def _plan_vm(
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests of the whole system with real processes."""
--- /dev/null
+++ b/tests/system/_traffic.py
@@ -0,0 +1,216 @@
+"""Traffic to every VM, what came back, and checks of it."""
+
+import contextlib
+import dataclasses
+import itertools
+import random
+import threading
+import unittest
+from types import TracebackType
+from typing import Any, Self
+
+import anyio
+import httpx
+
+from jacinthcart.caller import Answer
+from jacinthcart_emulator import compute_hits, merge_hits
+from tests.system._system import KEY, SEARCH, SUBMIT, System, wait_for
+
+_PAUSE_S = 0.05
+_DEADLINE_MS = 1000
+_TIMEOUT_S = 3
+_OK = 200
+_MORE_ANSWERS = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One request and what came back."""
+
+    #: VM that it was sent to.
+    vm_id: str
+    #: Route id.
+    route: str
+    #: Id that the request was sent with.
+    request_id: str
+    #: The query.
+    query: dict[str, Any]
+    #: Status and body, None when the connection broke.
+    reply: tuple[int, dict[str, Any]] | None
+
+    @property
+    def answer(self) -> dict[str, Any] | None:
+        """The answer, None unless it is one."""
+        if self.reply is None or self.reply[0] != _OK:
+            return None
+        return self.reply[1]
+
+    @property
+    def refusal(self) -> dict[str, Any] | None:
+        """The refusal, None unless it is one."""
+        if self.reply is None or self.reply[0] == _OK:
+            return None
+        return dict(self.reply[1]['refusal'])
+
+
+class Traffic:
+    """Searches and submits to each VM from a thread until the exit.
+
+    Each request is sent once, whatever becomes of it.
+    """
+
+    def __init__(self, system: System, seed: int) -> None:
+        """Prepare; nothing is sent before the context opens."""
+        self.records: list[Record] = []
+        self._system = system
+        self._random = random.Random(seed)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=anyio.run, args=[self._run])
+
+    def __enter__(self) -> Self:
+        """Start sending."""
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop sending and wait for what is under way."""
+        self._stopping.set()
+        self._thread.join()
+
+    def wait_for_answers(self, route: str, *vm_ids: str) -> None:
+        """Wait until each VM has answered some more requests."""
+        seen = len(self.records)
+        wait_for(
+            lambda: all(
+                self._count(seen, vm_id, route) >= _MORE_ANSWERS
+                for vm_id in vm_ids
+            ),
+            f'{vm_ids} answer {route}',
+        )
+
+    def _count(self, first: int, vm_id: str, route: str) -> int:
+        return sum(
+            record.answer is not None
+            for record in self.records[first:]
+            if record.vm_id == vm_id and record.route == route
+        )
+
+    async def _run(self) -> None:
+        async with (
+            httpx.AsyncClient(timeout=_TIMEOUT_S) as client,
+            anyio.create_task_group() as tasks,
+        ):
+            for vm_id in self._system.vm_ids:
+                for route in (SEARCH, SEARCH, SUBMIT):
+                    tasks.start_soon(self._send_many, client, vm_id, route)
+
+    async def _send_many(
+        self,
+        client: httpx.AsyncClient,
+        vm_id: str,
+        route: str,
+    ) -> None:
+        for number in itertools.count():
+            if self._stopping.is_set():
+                return
+            query = {'text': f'{vm_id} {number}', 'id': f'{number}'}
+            await self._send(client, vm_id, route, query)
+            await anyio.sleep(self._random.uniform(0, 2 * _PAUSE_S))
+
+    async def _send(
+        self,
+        client: httpx.AsyncClient,
+        vm_id: str,
+        route: str,
+        query: dict[str, Any],
+    ) -> None:
+        url = self._system.find_entry(vm_id)
+        request_id = f'test{self._random.getrandbits(64):x}'
+        with contextlib.suppress(httpx.TransportError):
+            if route == SUBMIT:
+                reply = await client.get(f'{url}/v1/addresses')
+                prefix = reply.json().get('request_id_prefix')
+                if prefix is None:
+                    return
+                request_id = f'{prefix}.{request_id}'
+        team, name = route.split('/')
+        came = None
+        with contextlib.suppress(httpx.TransportError):
+            response = await client.post(
+                f'{url}/v1/teams/{team}/routes/{name}',
+                json={
+                    'request_id': request_id,
+                    'query': query,
+                    'deadline_ms': _DEADLINE_MS,
+                },
+                headers={'authorization': f'Bearer {KEY}'},
+            )
+            came = (response.status_code, response.json())
+        self.records.append(Record(vm_id, route, request_id, query, came))
+
+
+class TrafficTestCase(unittest.TestCase):
+    """Checks of records that hold under every failure."""
+
+    def check_answers(self, records: list[Record]) -> None:
+        """Check ids, snapshot, hits and coverage of every answer."""
+        for record in records:
+            if record.answer is not None:
+                self.assertEqual(record.answer['request_id'], record.request_id)
+                self._check_hits(record.answer, record.query)
+
+    def check_caller_answers(
+        self,
+        answers: list[tuple[dict[str, Any], Answer]],
+    ) -> None:
+        """Check snapshot, hits and coverage of reference callers' answers."""
+        for query, answer in answers:
+            message = dataclasses.asdict(answer)
+            message['hits'] = list(answer.hits)
+            self._check_hits(message, query)
+
+    def check_submits(self, system: System, records: list[Record]) -> None:
+        """Check each submit's outcome against the searchers' records."""
+        runs = system.fleet.emulators.count_submit_runs()
+        self.assertEqual({count for count in runs.values() if count > 1}, set())
+        counts = system.fleet.emulators.read_searcher_counts().values()
+        self.assertEqual(sum(one['submits_run_twice'] for one in counts), 0)
+        self.assertEqual(
+            sum(one.get('caller_keys_seen', 0) for one in counts), 0
+        )
+        for record in records:
+            if record.route != SUBMIT:
+                continue
+            if record.answer is not None:
+                self.assertEqual(runs[record.request_id], 1, record)
+            elif record.refusal and record.refusal['ran'] == 'not_run':
+                self.assertEqual(runs[record.request_id], 0, record)
+
+    def _check_hits(
+        self,
+        answer: dict[str, Any],
+        query: dict[str, Any],
+    ) -> None:
+        coverage = answer['coverage']
+        missing = {one['shard'] for one in coverage['missing']}
+        shards = {hit['shard'] for hit in answer['hits']}
+        self.assertEqual(shards & missing, set())
+        self.assertEqual(len(shards), coverage['shards_answered'])
+        self.assertEqual(
+            coverage['shards_asked'],
+            coverage['shards_answered'] + len(missing),
+        )
+        self.assertEqual(coverage['complete'], not missing)
+        version = answer['snapshot']['index_version']
+        hits = itertools.chain.from_iterable(
+            compute_hits(query, shard, version) for shard in shards
+        )
+        self.assertEqual(
+            answer['hits'],
+            merge_hits(hits, len(answer['hits'])),
+        )
