Make submits, cold starts and pauses in system tests overlap

Submits and searches are slowed down, and the resumed VM stays cut off from peers and service for a while.

--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -1,5 +1,6 @@
 """Failures of processes, settings, searchers and data under traffic."""
 
+import contextlib
 import copy
 import itertools
 import signal
@@ -37,6 +38,11 @@
 _STOP_S = (LEASE_MS + ISOLATION_MS) / 1000
 #: Requests sent after the first refusal of a withdrawn key.
 _LATE_REQUESTS = 50
+#: Makes a submit of 3 ms take about 100 ms.
+_SUBMIT_FACTOR = 30
+#: Makes a search of 4 ms take about 40 ms, so that searches overlap while a
+#: searcher is cold, and it is still warm within one step of the ramp.
+_SEARCH_FACTOR = 10
 _SYSTEMS: list[System] = []
 
 
@@ -57,6 +63,20 @@
         self.system = _SYSTEMS[0]
         self.fleet = self.system.fleet
 
+    def slow_down(self, factor: float, *searchers: str) -> None:
+        """Make every request of searchers take `factor` times as long."""
+        for searcher in searchers:
+            self.addCleanup(
+                self.fleet.emulators.set_searcher_fault,
+                searcher,
+                straggle_fraction=0,
+            )
+            self.fleet.emulators.set_searcher_fault(
+                searcher,
+                straggle_fraction=1,
+                straggle_factor=factor,
+            )
+
     def check_records(self, traffic: Traffic) -> None:
         """Check what holds under every failure."""
         self.check_answers(traffic.records)
@@ -68,8 +88,12 @@
     """A program dies without notice."""
 
     def test_killed_program_of_one_vm(self) -> None:
-        """Guards against a second run, a false refusal, a lost fleet."""
+        """Guards against a second run, a false refusal, a lost fleet.
+
+        Submits are slow, so that one is running when its program dies.
+        """
         others = self.system.vm_ids[1:]
+        self.slow_down(_SUBMIT_FACTOR, 'objednavky-0-0', 'objednavky-0-1')
         with Traffic(self.system, seed=1) as traffic:
             traffic.wait_for_answers(SUBMIT, *self.system.vm_ids)
             for program in _ALL_PROGRAMS:
@@ -179,13 +203,19 @@
 
     def test_refused_by_a_vm_paused_over_the_change(self) -> None:
         """Guards against serving with the settings of before a pause."""
-        with self.system.paused('vm-4', *_ALL_PROGRAMS):
-            self.system.put(self._path, {'sha256_digests': []})
-            others = ('vm-1', 'vm-2', 'vm-3')
-            self._wait_for_status(_UNAUTHORIZED, others, IN_FORCE_S)
-            self.fleet.emulators.set_config_fault(down=True)
-            time.sleep(_STOP_S)
-        statuses = []
+        others = ('vm-1', 'vm-2', 'vm-3')
+        with contextlib.ExitStack() as cut_off:
+            with self.system.paused('vm-4', *_ALL_PROGRAMS):
+                self.system.put(self._path, {'sha256_digests': []})
+                self._wait_for_status(_UNAUTHORIZED, others, IN_FORCE_S)
+                self.fleet.emulators.set_config_fault(down=True)
+                time.sleep(_STOP_S)
+                for vm_id in others:
+                    paused = self.system.paused(vm_id, 'control')
+                    cut_off.enter_context(paused)
+            # The VM knows only what was in force before its pause.
+            time.sleep(_SETTLE_S)
+            statuses = [self._status('vm-4') for _ in range(_LATE_REQUESTS)]
         stop_at = time.monotonic() + PATIENCE_S
         while _UNAUTHORIZED not in statuses[:-_LATE_REQUESTS]:
             statuses.append(self._status('vm-4'))
@@ -292,6 +322,7 @@
         """Guards against load on cold searchers after evidence of it."""
         searchers = ('katalog-0-0', 'katalog-0-1', 'katalog-0-2')
         before = self._read_overruns(*searchers)
+        self.slow_down(_SEARCH_FACTOR, *searchers)
         with Traffic(self.system, seed=6) as traffic:
             traffic.wait_for_answers(SEARCH, *self.system.vm_ids)
             for searcher in searchers:
