Kill programs in system tests while a submit runs

Cause: with a lost gather connection reported as not_run in a scratch copy, the test of killed programs passed twice, as no submit of the VM was running when its gather died. The kill now waits for one.

--- a/tests/system/_traffic.py
+++ b/tests/system/_traffic.py
@@ -64,11 +64,14 @@
         self.records: list[Record] = []
         self._system = system
         self._random = random.Random(seed)
+        self._earlier_ids: set[str] = set()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=anyio.run, args=[self._run])
 
     def __enter__(self) -> Self:
         """Start sending."""
+        runs = self._system.fleet.emulators.count_submit_runs()
+        self._earlier_ids = set(runs)
         self._thread.start()
         return self
 
@@ -93,6 +96,19 @@
             f'{vm_ids} answer {route}',
         )
 
+    def wait_until_submit_runs(self, home_vm: str) -> None:
+        """Wait until a searcher runs a submit that is not answered yet."""
+        wait_for(
+            lambda: bool(self._find_running(home_vm)),
+            f'a submit of {home_vm} runs',
+        )
+
+    def _find_running(self, home_vm: str) -> set[str]:
+        runs = self._system.fleet.emulators.count_submit_runs()
+        started = {one for one in runs if one.startswith(f'{home_vm}.')}
+        ended = {record.request_id for record in self.records}
+        return started - self._earlier_ids - ended
+
     def _count(self, first: int, vm_id: str, route: str) -> int:
         return sum(
             record.answer is not None
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -38,8 +38,8 @@
 _STOP_S = (LEASE_MS + ISOLATION_MS) / 1000
 #: Requests sent after the first refusal of a withdrawn key.
 _LATE_REQUESTS = 50
-#: Makes a submit of 3 ms take about 100 ms.
-_SUBMIT_FACTOR = 30
+#: Makes a submit of 3 ms take about 200 ms.
+_SUBMIT_FACTOR = 60
 #: Makes a search of 4 ms take about 40 ms, so that searches overlap while a
 #: searcher is cold, and it is still warm within one step of the ramp.
 _SEARCH_FACTOR = 10
@@ -97,6 +97,7 @@
         with Traffic(self.system, seed=1) as traffic:
             traffic.wait_for_answers(SUBMIT, *self.system.vm_ids)
             for program in _ALL_PROGRAMS:
+                traffic.wait_until_submit_runs('vm-1')
                 self.system.send_signal('vm-1', program, signal.SIGKILL)
                 traffic.wait_for_answers(SEARCH, *others)
                 traffic.wait_for_answers(SUBMIT, *others)
