Refuse queries early on a gather whose core is busy

A gauge of CPU time for each request and of utilisation now refuses a query, not_run, when the requests in flight would take more than processor_wait_share of its deadline, so that callers move to another VM.

Seen failing: the refusal test with the check off, the idle test with the utilisation condition off. Ruled out as a cause: the connection gate, since no connection was opened in that phase.

--- a/jacinthcart/control/_rights_age.py
+++ b/jacinthcart/control/_rights_age.py
@@ -119,13 +119,19 @@
 
     def _select_peers(self) -> list[tuple[str, Endpoint]]:
         roster = self._state.view.roster
-        entries = roster.vms_by_id.items() if roster else ()
-        peers = [
-            (vm_id, Endpoint(address=entry.address, port=entry.control_port))
-            for vm_id, entry in entries
-            if vm_id not in {self._vm_id, *self._first_vms}
+        entries = roster.vms_by_id if roster else {}
+        others = sorted(set(entries) - {self._vm_id, *self._first_vms})
+        chosen = self._random.sample(others, min(_ROUND_SIZE, len(others)))
+        return [
+            (
+                vm_id,
+                Endpoint(
+                    address=entries[vm_id].address,
+                    port=entries[vm_id].control_port,
+                ),
+            )
+            for vm_id in chosen
         ]
-        return self._random.sample(peers, min(_ROUND_SIZE, len(peers)))
 
     def _is_over(self) -> bool:
         if self._ownership is None:
--- a/jacinthcart/gather/_program.py
+++ b/jacinthcart/gather/_program.py
@@ -11,6 +11,7 @@
 from jacinthcart.gather._context import GatherParts
 from jacinthcart.gather._peers import PeerSet, open_peer_pool
 from jacinthcart.gather._plan import OwnerTable
+from jacinthcart.gather._processor import ProcessorGauge
 from jacinthcart.gather._service import GatherService
 from jacinthcart.gather._submit import RequestIdMemory
 from jacinthcart.program import StopSignal
@@ -55,6 +56,7 @@
         GatherParts(feed, dispatcher, peers, OwnerTable(), metrics),
         RequestIdMemory(settings.vm_id, feed.clock, random.SystemRandom()),
         decisions,
+        ProcessorGauge(feed.clock),
     )
     server_stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -28,6 +28,7 @@
     create_missing_outcome,
     reply_from_outcomes,
 )
+from jacinthcart.gather._processor import ProcessorGauge
 from jacinthcart.gather._query import QueryRunner, compute_merge_deadline
 from jacinthcart.gather._submit import RequestIdMemory
 from jacinthcart.settings import RouteKind
@@ -53,9 +54,14 @@
         parts: GatherParts,
         memory: RequestIdMemory,
         decisions: DecisionLog,
+        processor: ProcessorGauge | None = None,
     ) -> None:
-        """Keep what the requests share."""
+        """Keep what the requests share.
+
+        Without `processor` no query is refused for a busy core.
+        """
         self.in_flight = 0
+        self._processor = processor
         self._parts = parts
         self._feed = parts.feed
         self._memory = memory
@@ -81,6 +87,7 @@
         """Answer `POST /v1/queries`; raise RefusalError."""
         message = _parse(QueryMessage, body)
         started = self._feed.clock()
+        self._check_processor(message.deadline_ms)
         with self._admitted(_LOCAL_NOTICES):
             answer = await self._runner.run(message)
         metrics = self._parts.metrics
@@ -131,6 +138,19 @@
         """Count a refusal by code and run state."""
         self._parts.metrics.count('refusal', refusal.code, refusal.ran)
 
+    def _check_processor(self, deadline_ms: float) -> None:
+        """Refuse a query that would wait too long for this core."""
+        if self._processor is None:
+            return
+        wait_s = self._processor.estimate_wait_s(self.in_flight)
+        share = self._feed.view.policy.processor_wait_share
+        if wait_s > deadline_ms / _MS_PER_S * share:
+            raise RefusalError(
+                RefusalCode.OVERLOADED,
+                detail='gather is busy',
+                retry_after_ms=int(wait_s * _MS_PER_S),
+            )
+
     def _has_announced(self, notices: int) -> bool:
         if self._leaving_since is None:
             return False
@@ -153,6 +173,8 @@
             ) from error
         finally:
             self.in_flight -= 1
+            if self._processor:
+                self._processor.note_finished()
 
 
 class _Subquery:
--- a/jacinthcart/settings/_policy.py
+++ b/jacinthcart/settings/_policy.py
@@ -96,6 +96,9 @@
     queue_limit: int = _count(
         200, 1, 100000, 'requests that wait for one searcher on one VM'
     )
+    processor_wait_share: float = _number(
+        0.5, 0.01, 1, 'part of a deadline that a query may wait for the core'
+    )
     drain_announce_ms: int = _count(
         1000, 0, 60000, 'time a leaving VM still accepts requests'
     )
--- /dev/null
+++ b/jacinthcart_lab/_virtual_time.py
@@ -0,0 +1,30 @@
+"""Runs an async function in trio's virtual time, the same for each seed."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+from trio._core import _run as trio_scheduler
+from trio.testing import MockClock
+
+_Result = TypeVar('_Result')
+
+
+def run_in_virtual_time(
+    function: Callable[..., Awaitable[_Result]],
+    *arguments: Any,
+    seed: int,
+) -> _Result:
+    """Run `function(*arguments)`; `seed` fixes the order of tasks.
+
+    Trio shuffles runnable tasks with a random source of its own. Its switch
+    for repeatable runs is meant for hypothesis and has no public name.
+    """
+    setattr(trio_scheduler, '_ALLOW_DETERMINISTIC_SCHEDULING', True)
+    trio_scheduler._r.seed(seed)
+    return anyio.run(
+        function,
+        *arguments,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
--- /dev/null
+++ b/tests/system/test_settings.py
@@ -0,0 +1,168 @@
+"""Withdrawn keys and outages of the configuration service."""
+
+import contextlib
+import time
+from collections.abc import Sequence
+
+import httpx
+
+from jacinthcart_lab import make_key
+from tests.system._case import SystemTestCase
+from tests.system._system import (
+    IN_FORCE_S,
+    ISOLATION_MS,
+    LEASE_MS,
+    PATIENCE_S,
+    SEARCH,
+    SUBMIT,
+    wait_for,
+)
+from tests.system._traffic import Traffic
+
+_ALL_PROGRAMS = ('entry', 'gather', 'control')
+_OK = 200
+_UNAUTHORIZED = 401
+#: Time after which no work may reach what was taken out.
+_SETTLE_S = 1
+#: Time in which a VM that lost contact stops serving.
+_STOP_S = (LEASE_MS + ISOLATION_MS) / 1000
+#: Requests sent after the first refusal of a withdrawn key.
+_LATE_REQUESTS = 50
+
+
+class WithdrawnKeyTest(SystemTestCase):
+    """A key is withdrawn while its caller stays connected."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self._path = 'teams/voskovka/keys/kavarna-2'
+        self._key = make_key('voskovka', 'kavarna-2')
+        self._granted = self.fleet.values[self._path]
+        self._client = httpx.Client()
+        self.addCleanup(self._client.close)
+        self._wait_for_status(_OK, self.system.vm_ids, PATIENCE_S)
+
+    def tearDown(self) -> None:
+        self.fleet.emulators.set_config_fault(down=False)
+        revision = self.system.put(self._path, self._granted)
+        self.system.wait_for_revision(revision)
+
+    def test_refused_on_every_vm(self) -> None:
+        """Guards against keys that live as long as their connection."""
+        self.system.put(self._path, {'sha256_digests': []})
+        self._wait_for_status(_UNAUTHORIZED, self.system.vm_ids, IN_FORCE_S)
+        for vm_id in self.system.vm_ids * 3:
+            self.assertEqual(self._status(vm_id), _UNAUTHORIZED)
+
+    def test_refused_by_a_vm_paused_over_the_change(self) -> None:
+        """Guards against serving with the settings of before a pause."""
+        others = ('vm-1', 'vm-2', 'vm-3')
+        with contextlib.ExitStack() as cut_off:
+            with self.system.paused('vm-4', *_ALL_PROGRAMS):
+                self.system.put(self._path, {'sha256_digests': []})
+                self._wait_for_status(_UNAUTHORIZED, others, IN_FORCE_S)
+                self.fleet.emulators.set_config_fault(down=True)
+                time.sleep(_STOP_S)
+                for vm_id in others:
+                    paused = self.system.paused(vm_id, 'control')
+                    cut_off.enter_context(paused)
+            # The VM knows only what was in force before its pause.
+            time.sleep(_SETTLE_S)
+            statuses = [self._status('vm-4') for _ in range(_LATE_REQUESTS)]
+        stop_at = time.monotonic() + PATIENCE_S
+        while _UNAUTHORIZED not in statuses[:-_LATE_REQUESTS]:
+            statuses.append(self._status('vm-4'))
+            self.assertLess(time.monotonic(), stop_at, statuses)
+        self.assertNotIn(_OK, statuses)
+
+    def _wait_for_status(
+        self,
+        status: int,
+        vm_ids: Sequence[str],
+        patience_s: float,
+    ) -> None:
+        wait_for(
+            lambda: {self._status(vm_id) for vm_id in vm_ids} == {status},
+            f'{vm_ids} answer with status {status}',
+            patience_s,
+        )
+
+    def _status(self, vm_id: str) -> int | None:
+        reply = self.system.ask(vm_id, key=self._key, client=self._client)
+        return None if reply is None else reply.status_code
+
+
+class ServiceOutageTest(SystemTestCase):
+    """The configuration service is down, or forgets changes."""
+
+    def tearDown(self) -> None:
+        self.fleet.emulators.set_config_fault(down=False)
+        self.system.wait_until_whole()
+
+    def test_outage_and_restart_at_an_older_revision(self) -> None:
+        """Guards against an outage that stops the fleet or reverts it."""
+        path = 'teams/voskovka/keys/kavarna-3'
+        old_key = make_key('voskovka', 'kavarna-3')
+        before = self.system.put(path, self.fleet.values[path])
+        revision = self.system.put(path, {'sha256_digests': []})
+        self.system.wait_for_revision(revision)
+        emulators = self.fleet.emulators
+        with Traffic(self.system, seed=4) as traffic:
+            emulators.set_config_fault(down=True)
+            time.sleep(1.5 * ISOLATION_MS / 1000)
+            traffic.wait_for_answers(SEARCH, *self.system.vm_ids)
+            traffic.wait_for_answers(SUBMIT, *self.system.vm_ids)
+            self.system.restart_killed('vm-4')
+            traffic.wait_for_answers(SEARCH, *self.system.vm_ids)
+            emulators.set_config_fault(restart_at=before, down=False)
+            self.system.restart_killed('vm-3')
+            statuses = self._ask_until_refused('vm-3', old_key)
+            self.assertNotIn(_OK, statuses)
+            traffic.wait_for_answers(SEARCH, *self.system.vm_ids)
+        self.check_records(traffic)
+        for vm_id in self.system.vm_ids:
+            status = self.system.read_admin(vm_id, f'status?path={path}')
+            self.assertEqual(status['path']['in_force'], revision)
+            self._ask_until_refused(vm_id, old_key)
+        # The revisions that the service forgot are not used again.
+        for _ in range(3):
+            revision = emulators.put(self.fleet.values)
+        self.system.wait_for_revision(revision)
+
+    def _ask_until_refused(self, vm_id: str, key: str) -> set[int]:
+        statuses: set[int] = set()
+
+        def is_refused() -> bool:
+            reply = self.system.ask(vm_id, key=key)
+            statuses.add(0 if reply is None else reply.status_code)
+            return _UNAUTHORIZED in statuses
+
+        wait_for(is_refused, f'{vm_id} refuses the withdrawn key')
+        return statuses
+
+    def test_invalid_subtree_beside_a_valid_change(self) -> None:
+        """Guards against one team's error holding back the other team."""
+        bad = 'teams/voskovka/services/katalog'
+        good = 'teams/fjordsom/routes/patterns'
+        valid = self.fleet.values[bad]
+        changed = self.fleet.values[good] | {'deadline_ms': 1500}
+        with Traffic(self.system, seed=5) as traffic:
+            revision = self.fleet.emulators.put(
+                {bad: {'parts_by_name': {}}, good: changed},
+            )
+            self.system.wait_for_revision(revision)
+            for vm_id in self.system.vm_ids:
+                status = self.system.read_admin(vm_id, f'status?path={good}')
+                self.assertEqual(status['path']['in_force'], revision)
+                errors = [error['path'] for error in status['errors']]
+                self.assertTrue(errors)
+                self.assertTrue(all(path.startswith(bad) for path in errors))
+                status = self.system.read_admin(vm_id, f'status?path={bad}')
+                self.assertLess(status['path']['in_force'], revision)
+            traffic.wait_for_answers(SEARCH, *self.system.vm_ids)
+            revision = self.system.put(bad, valid)
+            self.system.wait_for_revision(revision)
+            for vm_id in self.system.vm_ids:
+                status = self.system.read_admin(vm_id, f'status?path={bad}')
+                self.assertEqual(status['path']['in_force'], revision)
+        self.check_records(traffic)
