--- a/jacinthcart/control/_explain.py
+++ b/jacinthcart/control/_explain.py
@@ -3,13 +3,13 @@
 from typing import Any
 
 from jacinthcart.control._node import ControlNode
+from jacinthcart.errors import SettingsError
 from jacinthcart.ownership import (
     find_part_owners,
     find_token_owners,
     find_warmer,
     qualify_searcher,
 )
-from jacinthcart.errors import SettingsError
 from jacinthcart.settings import Part, Service, SettingsView
 
 
--- a/jacinthcart/control/_rights_age.py
+++ b/jacinthcart/control/_rights_age.py
@@ -8,12 +8,10 @@
 
 from jacinthcart.control._puller import PeerPuller
 from jacinthcart.control._state import ControlState
-from jacinthcart.program import Clock
+from jacinthcart.program import CLOCK_RATE_MARGIN, Clock
 from jacinthcart.settings import Endpoint
 from jacinthcart.sync import RosterAge
 
-#: Ages told by another VM's clock are shortened by the rate difference.
-_CLOCK_RATE_MARGIN = 0.99
 _ROUND_INTERVAL_S = 0.25
 #: Most VMs asked in one round.
 _ROUND_SIZE = 8
@@ -93,7 +91,7 @@
         """Take what a VM tells; another revision than the own is no news."""
         if told is None or told.revision != self._revision:
             return
-        age_s = told.age_s * _CLOCK_RATE_MARGIN
+        age_s = told.age_s * CLOCK_RATE_MARGIN
         self._since = min(self._since, self._clock() - age_s)
         if told.is_first:
             self._first_vms.add(vm_id)
--- a/jacinthcart/control/_status.py
+++ b/jacinthcart/control/_status.py
@@ -5,7 +5,6 @@
 from jacinthcart.control._costs import Costs
 from jacinthcart.control._node import ControlNode
 
-
 #: A VM sends nothing to the searchers of parts that other VMs own.
 _NOT_SET_ASIDE = frozenset(('', 'not_owner'))
 
--- a/jacinthcart/feed/_feed.py
+++ b/jacinthcart/feed/_feed.py
@@ -8,7 +8,7 @@
 import anyio
 
 from jacinthcart.errors import InvalidMessageError, WireError
-from jacinthcart.program import Clock, read_boot_clock
+from jacinthcart.program import CLOCK_RATE_MARGIN, Clock, read_boot_clock
 from jacinthcart.settings import (
     ProcessSettings,
     SettingsStore,
@@ -17,8 +17,6 @@
 )
 from jacinthcart.wire import ConnectionPool, decode_json
 
-#: Lifetimes from another clock are shortened by the rate difference.
-CLOCK_RATE_MARGIN = 0.99
 _WAIT_SHARE_OF_LEASE = 0.25
 _RETRY_PAUSE_S = 0.1
 _CALL_TIMEOUT_S = 2
--- a/jacinthcart/limits/_client.py
+++ b/jacinthcart/limits/_client.py
@@ -14,8 +14,8 @@
 )
 from jacinthcart.limits._account import Waiter, WorkspaceAccount
 from jacinthcart.limits._messages import PermitsReply, parse_message
-from jacinthcart.limits._permits import CLOCK_RATE_MARGIN, Permit
-from jacinthcart.program import Clock
+from jacinthcart.limits._permits import Permit
+from jacinthcart.program import CLOCK_RATE_MARGIN, Clock
 from jacinthcart.telemetry import Metrics
 
 #: Sends the body of `POST /v1/permits` and returns the reply's body.
--- a/jacinthcart/limits/_ledger.py
+++ b/jacinthcart/limits/_ledger.py
@@ -7,10 +7,10 @@
 
 from jacinthcart.limits._lenders import LenderBook
 from jacinthcart.limits._ownership import OwnershipHistory
-from jacinthcart.limits._permits import CLOCK_RATE_MARGIN, Grant
+from jacinthcart.limits._permits import Grant
 from jacinthcart.limits._share import WorkspaceShare, find_fraction
 from jacinthcart.limits._terms import LimitTerms, create_terms
-from jacinthcart.program import Clock
+from jacinthcart.program import CLOCK_RATE_MARGIN, Clock
 from jacinthcart.settings import Policy, SettingsView
 from jacinthcart.telemetry import DecisionLog, Metrics
 
--- a/jacinthcart/limits/_permits.py
+++ b/jacinthcart/limits/_permits.py
@@ -6,9 +6,6 @@
 from jacinthcart.program import Clock
 from jacinthcart.telemetry import Metrics
 
-#: Lifetimes from another clock are shortened by the rate difference.
-CLOCK_RATE_MARGIN = 0.99
-
 
 @dataclasses.dataclass(frozen=True)
 class Permit:
--- a/jacinthcart/program/_clock.py
+++ b/jacinthcart/program/_clock.py
@@ -7,6 +7,11 @@
 Clock = Callable[[], float]
 
 
+#: Leases and lifetimes counted on another VM's clock are shortened by this
+#: factor, as clock rates differ a little.
+CLOCK_RATE_MARGIN = 0.99
+
+
 def read_boot_clock() -> float:
     """Return seconds since boot, time of a suspended VM included.
 
--- a/jacinthcart/sync/__init__.py
+++ b/jacinthcart/sync/__init__.py
@@ -3,8 +3,8 @@
 from jacinthcart.sync._backoff import Backoff
 from jacinthcart.sync._messages import (
     PeerSettings,
-    WatchChanges,
     RosterAge,
+    WatchChanges,
     decode_peer_settings,
     decode_watch_changes,
     encode_roster_age,
