Remove the provisional merge rule and permit service of control

Control carried a second rule for merging warm entries, and a permit service that grants nothing, as defaults from the time when the real parts were not connected; the tests of control ran the provisional rule. The warm table now calls merge_warm_entry, run_control builds the real permit service, and the granting-nothing stand-in is in the tests that use it.

--- a/jacinthcart/control/__main__.py
+++ b/jacinthcart/control/__main__.py
@@ -1,16 +1,13 @@
 """Command line of control."""
 
 import dataclasses
-import functools
 import pathlib
 from typing import Annotated
 
 import cappa
 
-from jacinthcart.control._limits import create_permits
 from jacinthcart.control._program import run_control
 from jacinthcart.program import run_program
-from jacinthcart.warming import merge_warm_entry
 
 
 @cappa.command(name='jacinthcart-control')
@@ -23,14 +20,7 @@
 
     def __call__(self) -> None:
         """Run until a signal stops the program."""
-        run_program(
-            self.settings,
-            functools.partial(
-                run_control,
-                create_permits=create_permits,
-                merge_warm=merge_warm_entry,
-            ),
-        )
+        run_program(self.settings, run_control)
 
 
 def main() -> None:
--- a/jacinthcart/control/_node.py
+++ b/jacinthcart/control/_node.py
@@ -14,7 +14,7 @@
 from jacinthcart.control._sink import SettingsSink
 from jacinthcart.control._start import StartGate
 from jacinthcart.control._state import ControlState
-from jacinthcart.control._warm import MergeEntries, WarmTable
+from jacinthcart.control._warm import WarmTable
 from jacinthcart.control._warm_spread import WarmSpread
 from jacinthcart.membership import (
     BaseDatagrams,
@@ -56,8 +56,6 @@
     datagrams: BaseDatagrams
     #: Fleet-wide rate limits.
     permits: BasePermitService
-    #: Rule that merges warm entries.
-    merge_warm: MergeEntries
     #: Seconds that advance while the VM is suspended.
     clock: Clock
     #: Source of jitter and identities.
@@ -81,7 +79,7 @@
         self.outside = surroundings
         outside = surroundings
         incarnation = f'{outside.random.getrandbits(_INCARNATION_BITS):012x}'
-        self.state = ControlState(incarnation, WarmTable(outside.merge_warm))
+        self.state = ControlState(incarnation, WarmTable())
         self.neighbours = Neighbours(outside.clock)
         self.currency = Currency(
             process.vm_id,
--- a/jacinthcart/control/_permits.py
+++ b/jacinthcart/control/_permits.py
@@ -43,31 +43,3 @@
     @abc.abstractmethod
     def describe(self) -> dict[str, Any]:
         """Return the limits held, for the administration API."""
-
-
-class NoPermitService(BasePermitService):
-    """Grants nothing; stands in when no rate limits are connected."""
-
-    async def handle(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Grant nothing."""
-        return {'granted': {}, 'retry_after_ms': {}}
-
-    async def handle_datagram(
-        self,
-        message: dict[str, Any],
-        received_at: float,
-    ) -> None:
-        """Ignore the datagram."""
-
-    def apply_settings(self, view: SettingsView) -> None:
-        """Ignore the settings."""
-
-    def note_rights_since(self, since: float) -> None:
-        """Ignore the time."""
-
-    async def run(self) -> None:
-        """Do nothing."""
-
-    def describe(self) -> dict[str, Any]:
-        """Return that nothing is held."""
-        return {}
--- a/jacinthcart/control/_program.py
+++ b/jacinthcart/control/_program.py
@@ -1,7 +1,6 @@
 """Runs control: its sockets, loops and graceful stop."""
 
 import random
-from collections.abc import Callable
 
 import anyio
 
@@ -9,12 +8,11 @@
 from jacinthcart.control._costs import Costs
 from jacinthcart.control._http_bytes import HttpByteCounter
 from jacinthcart.control._internal_api import create_internal_application
+from jacinthcart.control._limits import create_permits
 from jacinthcart.control._node import ControlNode, Surroundings
-from jacinthcart.control._permits import BasePermitService, NoPermitService
 from jacinthcart.control._reports import Reports
 from jacinthcart.control._serving import ServingWatch
-from jacinthcart.control._warm import MergeEntries, keep_higher_incident
-from jacinthcart.membership import BaseDatagrams, DatagramEndpoint
+from jacinthcart.membership import DatagramEndpoint
 from jacinthcart.program import StopSignal, read_boot_clock
 from jacinthcart.settings import Endpoint, ProcessSettings
 from jacinthcart.sync import PeerSettingsClient, PlatformClient
@@ -25,28 +23,10 @@
 _MS_PER_S = 1000
 _STOP_CHECK_S = 0.05
 
-#: Creates the permit service; its automatic changes go to the log.
-PermitFactory = Callable[
-    [ProcessSettings, BaseDatagrams, Metrics, DecisionLog],
-    BasePermitService,
-]
-
-
-def create_no_permits(
-    process: ProcessSettings,
-    datagrams: BaseDatagrams,
-    metrics: Metrics,
-    decisions: DecisionLog,
-) -> BasePermitService:
-    """Return the permit service that grants nothing."""
-    return NoPermitService()
-
 
 async def run_control(
     process: ProcessSettings,
     stop: StopSignal,
-    create_permits: PermitFactory = create_no_permits,
-    merge_warm: MergeEntries = keep_higher_incident,
 ) -> None:
     """Run control until the stop signal and the neighbours' last poll."""
     metrics = Metrics()
@@ -62,7 +42,6 @@
             peer_client=peer_client,
             datagrams=datagrams,
             permits=create_permits(process, datagrams, metrics, decisions),
-            merge_warm=merge_warm,
             clock=read_boot_clock,
             random=random.Random(),
             metrics=metrics,
--- a/jacinthcart/control/_warm.py
+++ b/jacinthcart/control/_warm.py
@@ -1,30 +1,26 @@
 """The fleet's warm table as this VM knows it.
 
-The rule that merges two entries is a parameter; it belongs to the package
-that ramps searchers.
+The rule that merges two entries belongs to the package that ramps searchers.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import xxhash
 
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.feed import WarmEntry, decode_warm_entries
+from jacinthcart.warming import merge_warm_entry
 from jacinthcart.wire import encode_json
 
-#: Merges a known and a received entry of one searcher.
-MergeEntries = Callable[[WarmEntry, WarmEntry], WarmEntry]
-
 
 class WarmTable:
     """Warm entries by searcher id; entries only move forward."""
 
-    def __init__(self, merge: MergeEntries) -> None:
+    def __init__(self) -> None:
         """Start empty; `digest` is equal for equal tables."""
         self.entries_by_searcher_id: dict[str, WarmEntry] = {}
         self.digest = ''
-        self._merge = merge
         self._refresh_digest()
 
     def take(self, entries: Mapping[str, WarmEntry]) -> dict[str, WarmEntry]:
@@ -32,7 +28,14 @@
         changed: dict[str, WarmEntry] = {}
         for searcher_id, received in entries.items():
             known = self.entries_by_searcher_id.get(searcher_id)
-            merged = received if known is None else self._merge(known, received)
+            merged = (
+                received
+                if known is None
+                else merge_warm_entry(
+                    known,
+                    received,
+                )
+            )
             if merged != known:
                 changed[searcher_id] = merged
         self.entries_by_searcher_id.update(changed)
@@ -76,15 +79,3 @@
         return decode_warm_entries(message)
     except (KeyError, TypeError, ValueError) as error:
         raise InvalidMessageError(f'warm entries: {error!r}') from error
-
-
-def keep_higher_incident(known: WarmEntry, received: WarmEntry) -> WarmEntry:
-    """Return the entry of the higher incident; equal ones: the warm one.
-
-    Stands in until the rule of the warming package is connected.
-    """
-    ranks = [
-        (entry.incident, entry.warm, entry.generation)
-        for entry in (known, received)
-    ]
-    return known if ranks[0] >= ranks[1] else received
--- a/tests/control/_fleet.py
+++ b/tests/control/_fleet.py
@@ -8,10 +8,9 @@
 from trio.testing import MockClock
 
 from jacinthcart.control import (
+    BasePermitService,
     ControlNode,
-    NoPermitService,
     Surroundings,
-    keep_higher_incident,
 )
 from jacinthcart.control._state_service import StateService
 from jacinthcart.settings import (
@@ -22,12 +21,12 @@
 )
 from jacinthcart.telemetry import Logger, Metrics
 from tests.control._stand_ins import (
+    FIRST_PORT,
     Buffer,
     FakeDatagrams,
     FakePeerClient,
     FakePlatform,
     FakeService,
-    FIRST_PORT,
     Gate,
     Network,
 )
@@ -97,8 +96,8 @@
         self.lease_expires_at = sent_at + state['lease_ms'] / 1000 * 0.99
 
 
-class RecordingPermits(NoPermitService):
-    """Keeps since when the roster is known to be in force."""
+class RecordingPermits(BasePermitService):
+    """Grants nothing; keeps since when the roster is in force."""
 
     def __init__(self):
         """Start without evidence."""
@@ -108,6 +107,23 @@
         """Keep the earliest time."""
         self.rights_since = min(self.rights_since, since)
 
+    async def handle(self, body):
+        """Grant nothing."""
+        return {'granted': {}, 'retry_after_ms': {}}
+
+    async def handle_datagram(self, message, received_at):
+        """Ignore the datagram."""
+
+    def apply_settings(self, view):
+        """Ignore the settings."""
+
+    async def run(self):
+        """Do nothing."""
+
+    def describe(self):
+        """Return that nothing is held."""
+        return {}
+
 
 class FakeVm:
     """One VM: a node, its neighbours and its connections outside."""
@@ -132,7 +148,6 @@
                 peer_client=FakePeerClient(self, fleet.network),
                 datagrams=self.datagrams,
                 permits=self.permits,
-                merge_warm=keep_higher_incident,
                 clock=trio.current_time,
                 random=fleet.random,
                 metrics=Metrics(),
--- a/tests/control/_stand_ins.py
+++ b/tests/control/_stand_ins.py
@@ -9,8 +9,8 @@
 
 from jacinthcart.errors import WireError
 from jacinthcart.membership import (
-    BaseDatagrams,
     MAX_DATAGRAM_BYTES,
+    BaseDatagrams,
     decode_datagram,
 )
 from jacinthcart.settings import Endpoint, SettingsValue, encode_values
