Build calls of parts in one place

The root of a query and a subquery each copied the fields of their message into a PartCall. The message class that both share now does it.

--- a/jacinthcart/gather/_fanout.py
+++ b/jacinthcart/gather/_fanout.py
@@ -79,20 +79,13 @@
             self.merge.add(self._create_missing(work, RefusalCode.NO_REPLICA))
 
     async def _run_local(self, tasks: TaskGroup, work: PartWork) -> None:
-        message = self._query.message
         outcome = await run_local_part(
             self._parts,
-            PartCall(
-                message.request_id,
-                message.service_id,
+            self._query.message.create_part_call(
                 work.part,
                 work.shards,
                 self._snapshot,
-                message.query,
-                message.workspace_id,
-                message.request_class,
                 self._query.merge_deadline,
-                self._query.is_submit,
             ),
         )
         own_vm = self._parts.feed.process.vm_id
--- a/jacinthcart/gather/_messages.py
+++ b/jacinthcart/gather/_messages.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from jacinthcart.dispatch import PartCall, Snapshot
 from jacinthcart.errors import InvalidMessageError, Ran, RefusalCode
 from jacinthcart.settings import RequestClass, RouteKind
 
@@ -32,6 +33,27 @@
     deadline_ms: float = pydantic.Field(le=_MAX_DEADLINE_MS)
     query: dict[str, Any]
 
+    def create_part_call(
+        self,
+        part: str,
+        shards: tuple[int, ...],
+        snapshot: Snapshot,
+        deadline: float,
+    ) -> PartCall:
+        """Return the call of one part; `deadline` in seconds, own clock."""
+        return PartCall(
+            request_id=self.request_id,
+            service_id=self.service_id,
+            part=part,
+            shards=shards,
+            snapshot=snapshot,
+            query=self.query,
+            workspace_id=self.workspace_id,
+            request_class=self.request_class,
+            deadline=deadline,
+            is_submit=self.route_kind is RouteKind.SUBMIT,
+        )
+
 
 def _is_hit_limit(limit: object) -> bool:
     if not isinstance(limit, int) or isinstance(limit, bool):
--- a/jacinthcart/gather/_service.py
+++ b/jacinthcart/gather/_service.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from jacinthcart.dispatch import PartCall, Snapshot
+from jacinthcart.dispatch import Snapshot
 from jacinthcart.errors import (
     InvalidMessageError,
     InvariantViolationError,
@@ -31,7 +31,6 @@
 from jacinthcart.gather._processor import ProcessorGauge
 from jacinthcart.gather._query import QueryRunner, compute_merge_deadline
 from jacinthcart.gather._submit import RequestIdMemory
-from jacinthcart.settings import RouteKind
 from jacinthcart.telemetry import DecisionLog
 
 Message = dict[str, Any]
@@ -215,20 +214,13 @@
         )
 
     async def _run_part(self, work: PartWork) -> None:
-        message = self._message
         self._outcome_by_part[work.part] = await run_local_part(
             self._parts,
-            PartCall(
-                message.request_id,
-                message.service_id,
+            self._message.create_part_call(
                 work.part,
                 work.shards,
                 self._snapshot,
-                message.query,
-                message.workspace_id,
-                message.request_class,
                 self._deadline,
-                message.route_kind is RouteKind.SUBMIT,
             ),
         )
 
