Fix connections that two requests got at once; place callers by shards

Change: lists are in order before anything is awaited; a fault in one send or one request is logged and ends only that one. A member that missed a ping is asked again each round. The directory names VMs next to the shards of a host.

--- a/jacinthcart/catalogue/_book.py
+++ b/jacinthcart/catalogue/_book.py
@@ -1,5 +1,6 @@
 """The configuration and the searchers that this VM may use now."""
 
+import collections
 import dataclasses
 from collections.abc import Callable, Mapping
 
@@ -50,6 +51,31 @@
         """Return the searchers of a service that may get new requests."""
         return self._by_service.get(service, ())
 
+    def find_coverage(self, host: str) -> dict[str, float]:
+        """Return the share of a host's services with a searcher, by zone.
+
+        Services count once for each route; shards of a route that is asked
+        often count as much as those of another.
+        """
+        routes = (
+            self.catalogue.routes_by_host.get(host, ())
+            if (self.catalogue)
+            else ()
+        )
+        services = [
+            service
+            for route in routes
+            for service in (
+                *route.shards,
+                *(share.service for share in route.shares),
+            )
+        ]
+        counts: collections.Counter[str] = collections.Counter()
+        for service in services:
+            searchers = self.list_searchers(service)
+            counts.update({one.data_centre for one in searchers})
+        return {zone: count / len(services) for zone, count in counts.items()}
+
     def put_catalogue(self, catalogue: Catalogue) -> None:
         """Take a configuration unless a newer one is in force."""
         current = self.catalogue
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -1,14 +1,13 @@
 """Pings between VMs: liveness, new records and the age of readings."""
 
 import dataclasses
+import math
 import random
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
-from jacinthcart.errors import InvalidMessageError
 from jacinthcart.fleet._members import MemberTable
 from jacinthcart.fleet._messages import (
     FleetMessage,
@@ -37,7 +36,7 @@
     #: Seconds until an acknowledgement is overdue.
     timeout_s: float = 0.35
     #: Unanswered pings in a row that make a member suspect.
-    misses: int = 3
+    misses: int = 2
     #: VMs that read the store for all.
     readers: int = 2
     #: VMs of a data centre that pass readings on to the others of it.
@@ -169,12 +168,19 @@
             'sender': self._members.own.pack(),
             'table': self._incarnation,
             'serial': self._table.serial,
-            'age_s': round(age_s, 4) if age_s < float('inf') else None,
+            'age_s': round(age_s, 4) if math.isfinite(age_s) else None,
             'records': [record.pack() for record in records],
         }
 
     def _choose_targets(self) -> set[str]:
-        targets = set(self._list_sources())
+        # A member that missed a ping is asked again in each round, so that
+        # its loss is certain within two of them.
+        targets = {
+            record.address
+            for record in self._members.list_alive()
+            if self._has_missed(record.address)
+        }
+        targets.update(self._list_sources())
         if not self._round:
             self._round = [
                 record.address for record in self._members.list_others()
@@ -208,6 +214,10 @@
             sources = [*sources, *readers]
         return [address for address in sources if address != own.address]
 
+    def _has_missed(self, address: str) -> bool:
+        peer = self._peer_by_address.get(address)
+        return peer is not None and peer.misses > 0
+
     def _check_overdue(self) -> None:
         overdue_at = self._clock() - self._terms.timeout_s
         for address, peer in self._peer_by_address.items():
--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -24,6 +24,7 @@
 _TIMEOUT = 408
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+_INTERNAL_ERROR = 500
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -226,7 +227,7 @@
             self._handling = scope
             if self._is_left:
                 return False
-            response = await self._handler.handle(request)
+            response = await self._handle(request)
         self._handling = None
         if response is None:
             return False
@@ -239,6 +240,14 @@
         )
         return is_written and keeps
 
+    async def _handle(self, request: RawRequest) -> RawResponse:
+        try:
+            return await self._handler.handle(request)
+        except Exception as error:
+            # A fault of this program in one request must not end the others.
+            self._logger.error('request failed', error=repr(error))
+            return RawResponse(_INTERNAL_ERROR)
+
     async def _read(self) -> None:
         try:
             while not self._error_status:
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -284,6 +284,7 @@
             codec,
             clock,
             self.metrics,
+            self.logger,
         )
         self._server = RequestServer(
             self._calls,
--- a/jacinthcart/platform/_handlers.py
+++ b/jacinthcart/platform/_handlers.py
@@ -88,6 +88,7 @@
         addresses = choose_addresses(
             self._node.members.list_alive(),
             fields.get('zone', ''),
+            self._node.book.find_coverage(fields.get('name', '').lower()),
             self._random,
             terms,
         )
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -19,7 +19,7 @@
 from jacinthcart.routing._outcome import Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._table import RoutingTable
-from jacinthcart.telemetry import Metrics
+from jacinthcart.telemetry import Logger, Metrics
 
 #: Seconds for which an attempt that lost may still end by itself, so that
 #: its connection and its latency are kept.
@@ -86,6 +86,7 @@
         codec: BaseSearcherCodec,
         clock: Clock,
         metrics: Metrics,
+        logger: Logger,
     ) -> None:
         """Keep the collaborators; `run` must be running."""
         self.delays = delays
@@ -95,6 +96,7 @@
         self._evidence = evidence
         self._codec = codec
         self._metrics = metrics
+        self._logger = logger
         self._tasks: TaskGroup | None = None
         self._attempts = 0
 
@@ -163,6 +165,15 @@
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, context)
+        except Exception as error:
+            # A fault of this program in one send must not end the others.
+            self._metrics.count('searcher', 'internal_error')
+            self._logger.error('send failed', error=repr(error))
+            outcome = Outcome(
+                OutcomeKind.UNKNOWN,
+                'internal error',
+                is_evidence=False,
+            )
         finally:
             evidence.started_at_by_attempt.pop(attempt.number, None)
         self._learn(attempt, context, evidence, outcome)
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -242,22 +242,24 @@
     async def close_idle(self) -> None:
         """Close connections that were idle for long."""
         now = self._clock()
+        expired = []
         for key, idle in list(self._idle_by_process.items()):
-            kept = [one for one in idle if one.idle_until > now]
-            for connection in idle:
-                if connection.idle_until <= now:
-                    await connection.close()
-            if kept:
-                self._idle_by_process[key] = kept
-            else:
-                self._idle_by_process.pop(key, None)
+            # Nothing is awaited until all lists are in order: another task
+            # may take a connection from them meanwhile.
+            expired.extend(one for one in idle if one.idle_until <= now)
+            idle[:] = [one for one in idle if one.idle_until > now]
+            if not idle:
+                self._idle_by_process.pop(key)
+        for connection in expired:
+            await connection.close()
 
     async def close(self) -> None:
         """Close every idle connection."""
-        for idle in self._idle_by_process.values():
-            for connection in idle:
-                await connection.close()
+        lists = list(self._idle_by_process.values())
         self._idle_by_process.clear()
+        for idle in lists:
+            while idle:
+                await idle.pop().close()
 
     async def _open(self, searcher: Searcher) -> SearcherConnection:
         self.opened += 1
--- /dev/null
+++ b/tests/fleet/test_gossip.py
@@ -0,0 +1,208 @@
+"""Tests of pings between VMs, over a network that tests control."""
+
+import random
+import unittest
+from typing import Any
+
+import anyio
+
+from jacinthcart.fleet import (
+    FleetGossip,
+    GossipTerms,
+    MemberRecord,
+    MemberState,
+    MemberTable,
+    MemberTerms,
+)
+from jacinthcart.membership import BaseDatagrams
+from jacinthcart.readings import Item, ItemTable, ReadingLease
+from jacinthcart.settings import Endpoint
+from jacinthcart.telemetry import create_logger
+from tests.support import run_in_virtual_time
+
+_SEEDS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+_PORT = 7740
+
+
+class FakeNetwork:
+    """Delivers datagrams between fake VMs unless they are cut off."""
+
+    def __init__(self) -> None:
+        """Start without VMs."""
+        self.vms: dict[str, FakeVm] = {}
+        self.cut: set[str] = set()
+        self.sent = 0
+
+    async def deliver(
+        self,
+        source: str,
+        target: str,
+        message: dict[str, Any],
+    ) -> None:
+        """Hand a message over."""
+        self.sent += 1
+        is_cut = bool(self.cut & {source, target})
+        vm = self.vms.get(target)
+        if vm is not None and not is_cut:
+            endpoint = Endpoint(address=source, port=_PORT)
+            await vm.gossip.handle(message, endpoint)
+
+
+class FakeDatagrams(BaseDatagrams):
+    """Sends through the fake network."""
+
+    def __init__(self, network: FakeNetwork, address: str) -> None:
+        """Keep the sender's address."""
+        self._network = network
+        self._address = address
+
+    async def send(self, message: dict[str, Any], peer: Endpoint) -> None:
+        """Send one message."""
+        await self._network.deliver(self._address, peer.address, message)
+
+
+class FakePuller:
+    """Copies a peer's table at once."""
+
+    def __init__(self, network: FakeNetwork, vm: 'FakeVm') -> None:
+        """Keep both sides."""
+        self._network = network
+        self._vm = vm
+        self._known: dict[str, int] = {}
+
+    def is_behind(self, peer_id: str, incarnation: int, serial: int) -> bool:
+        """Return whether the peer has changes."""
+        return self._known.get(peer_id, 0) != serial
+
+    async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
+        """Merge the peer's table."""
+        peer = self._network.vms[peer_id]
+        changes = peer.table.list_changes(0)
+        self._vm.table.merge(changes.items)
+        self._known[peer_id] = changes.serial
+
+
+class FakeVm:
+    """The membership part of one VM."""
+
+    def __init__(self, network: FakeNetwork, address: str, zone: str) -> None:
+        """Join the network."""
+        network.vms[address] = self
+        self.table = ItemTable()
+        self.lease = ReadingLease(anyio.current_time)
+        self.members = MemberTable(
+            MemberRecord(
+                address=address,
+                zone=zone,
+                incarnation=1,
+                state=MemberState.ALIVE,
+            ),
+            anyio.current_time,
+            create_logger('test'),
+            MemberTerms(),
+        )
+        self.gossip = FleetGossip(
+            self.members,
+            FakeDatagrams(network, address),
+            self.table,
+            self.lease,
+            FakePuller(network, self),  # type: ignore[arg-type]
+            seeds=_SEEDS,
+            port=_PORT,
+            table_incarnation=1,
+            clock=anyio.current_time,
+            random_source=random.Random(address),
+            terms=GossipTerms(),
+        )
+
+
+class FleetGossipTests(unittest.TestCase):
+    """VMs find each other from seeds and notice losses."""
+
+    def test_all_vms_find_each_other(self) -> None:
+        """Each VM knows nothing but the seeds at first."""
+        self.assertEqual(run_in_virtual_time(self._join, 30, 6), {30})
+
+    def test_seed_that_is_down_does_not_hinder_joining(self) -> None:
+        """Seeds may be stale."""
+        known = run_in_virtual_time(self._join, 12, 4, _SEEDS[:1])
+        self.assertEqual(known, {11})
+
+    def test_silent_vm_is_left_out_within_two_seconds(self) -> None:
+        """Callers must not be sent to a VM that is gone."""
+        known = run_in_virtual_time(self._lose, 8, 2.0)
+        self.assertEqual(known, {7})
+
+    def test_pings_of_a_vm_do_not_grow_with_the_fleet(self) -> None:
+        """Control must cost the same on each VM of a large fleet."""
+        small = run_in_virtual_time(self._count_sent, 10)
+        large = run_in_virtual_time(self._count_sent, 60)
+        self.assertLess(large / 60, 1.6 * small / 10)
+
+    def test_news_of_a_reader_reaches_every_vm(self) -> None:
+        """A configuration is in force everywhere within seconds."""
+        self.assertEqual(run_in_virtual_time(self._spread, 24, 1.5), 24)
+
+    async def _join(
+        self,
+        count: int,
+        seconds: float,
+        dead: tuple[str, ...] = (),
+    ) -> set[int]:
+        network = _create_network(count)
+        network.cut.update(dead)
+        live = [vm for key, vm in network.vms.items() if key not in dead]
+        async with anyio.create_task_group() as tasks:
+            for vm in live:
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+        return {len(vm.members.list_alive()) for vm in live}
+
+    async def _lose(self, count: int, seconds: float) -> set[int]:
+        network = _create_network(count)
+        lost = '10.0.0.2'
+        async with anyio.create_task_group() as tasks:
+            for vm in network.vms.values():
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(4)
+            network.cut.add(lost)
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+        return {
+            len(vm.members.list_alive())
+            for address, vm in network.vms.items()
+            if address != lost
+        }
+
+    async def _count_sent(self, count: int) -> int:
+        network = _create_network(count)
+        async with anyio.create_task_group() as tasks:
+            for vm in network.vms.values():
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(8)
+            before = network.sent
+            await anyio.sleep(4)
+            tasks.cancel_scope.cancel()
+        return network.sent - before
+
+    async def _spread(self, count: int, seconds: float) -> int:
+        network = _create_network(count)
+        async with anyio.create_task_group() as tasks:
+            for vm in network.vms.values():
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(6)
+            reader = network.vms['10.0.0.1'].members.rank('readers')[0]
+            network.vms[reader].table.merge([Item('op/config', 2, b'{}')])
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+        return sum(
+            bool(vm.table.list_present('op/')) for vm in network.vms.values()
+        )
+
+
+def _create_network(count: int) -> FakeNetwork:
+    network = FakeNetwork()
+    for number in range(1, count + 1):
+        FakeVm(network, f'10.0.0.{number}', f'zone-{number % 3}')
+    return network
--- /dev/null
+++ b/tests/quota/test_home.py
@@ -0,0 +1,160 @@
+"""Tests of allotments, counted over all VMs."""
+
+import random
+import unittest
+from typing import Any
+
+import anyio
+
+from jacinthcart.catalogue import CatalogueBook
+from jacinthcart.fleet import (
+    MemberRecord,
+    MemberState,
+    MemberTable,
+    MemberTerms,
+)
+from jacinthcart.membership import BaseDatagrams
+from jacinthcart.quota import QuotaClient, QuotaHome, QuotaTerms
+from jacinthcart.settings import Endpoint
+from jacinthcart.telemetry import Metrics, create_logger
+from tests.support import create_catalogue, create_route, run_in_virtual_time
+
+_RATE = 40.0
+_WINDOW_S = 5.0
+#: The users' bound: a quarter over rate and burst, and 20 requests.
+_BOUND = (_RATE * _WINDOW_S + _RATE) * 1.25 + 20
+
+
+class _Net:
+    """Delivers datagrams between VMs of one side of a split."""
+
+    def __init__(self) -> None:
+        self.vms: dict[str, _Vm] = {}
+        self.side_by_address: dict[str, int] = {}
+
+    def connects(self, one: str, other: str) -> bool:
+        sides = self.side_by_address
+        return sides.get(one, 0) == sides.get(other, 0)
+
+
+class _Datagrams(BaseDatagrams):
+    """Sends through the fake network with a delay."""
+
+    def __init__(self, net: _Net, address: str) -> None:
+        self._net = net
+        self._address = address
+
+    async def send(self, message: dict[str, Any], peer: Endpoint) -> None:
+        await anyio.sleep(0.0005)
+        if self._net.connects(self._address, peer.address):
+            source = Endpoint(address=self._address, port=1)
+            await self._net.vms[peer.address].client.handle(message, source)
+
+
+class _Vm:
+    """The allotment part of one VM."""
+
+    def __init__(self, net: _Net, address: str, count: int) -> None:
+        net.vms[address] = self
+        clock = anyio.current_time
+        logger = create_logger('test')
+        metrics = Metrics()
+        book = CatalogueBook(clock, logger)
+        records = [
+            MemberRecord(
+                address=f'10.0.0.{number}',
+                zone='near',
+                incarnation=1,
+                state=MemberState.ALIVE,
+            )
+            for number in range(count)
+        ]
+        own = next(one for one in records if one.address == address)
+        self.members = MemberTable(own, clock, logger, MemberTerms(settle_s=0))
+        for record in records:
+            self.members.merge(record)
+        home = QuotaHome(book, self.members, clock, metrics, QuotaTerms())
+        self.client = QuotaClient(
+            self.members,
+            home,
+            _Datagrams(net, address),
+            1,
+            clock,
+            metrics,
+        )
+        book.put_catalogue(create_catalogue(create_route('a'), rate=_RATE))
+
+
+class AllotmentTests(unittest.TestCase):
+    """Counted at the callers, over every window."""
+
+    def test_fleet_grants_the_rate_under_any_skew(self) -> None:
+        """One VM may get all requests of a workspace."""
+        granted = run_in_virtual_time(_play, 8, 4 * _RATE, 1, ())
+        self.assertLessEqual(_find_most(granted), _BOUND)
+        self.assertGreaterEqual(len(granted), 0.95 * _RATE * 20)
+
+    def test_requests_below_the_rate_are_not_refused(self) -> None:
+        """A refusal below the rate is a wrong one."""
+        granted = run_in_virtual_time(_play, 8, 0.6 * _RATE, 8, ())
+        self.assertGreaterEqual(len(granted), 0.99 * 0.6 * _RATE * 20)
+
+    def test_split_fleet_stays_within_the_rate(self) -> None:
+        """Both sides of a split have a home."""
+        granted = run_in_virtual_time(_play, 8, 6 * _RATE, 8, (0, 1, 2))
+        self.assertLessEqual(_find_most(granted), _BOUND)
+
+    def test_vms_cut_off_one_by_one_stay_within_the_rate(self) -> None:
+        """A VM alone uses its own part of the rate."""
+        granted = run_in_virtual_time(_play, 8, 6 * _RATE, 8, tuple(range(8)))
+        self.assertLessEqual(_find_most(granted), _BOUND)
+
+
+async def _play(
+    count: int,
+    rate: float,
+    entries: int,
+    cut: tuple[int, ...],
+) -> list[float]:
+    source = random.Random(3)
+    net = _Net()
+    for number in range(count):
+        _Vm(net, f'10.0.0.{number}', count)
+    granted: list[float] = []
+    await anyio.sleep(1)
+
+    async def ask(vm: _Vm) -> None:
+        if await vm.client.take('mill'):
+            granted.append(anyio.current_time())
+
+    async with anyio.create_task_group() as tasks:
+        start = anyio.current_time()
+        is_split = False
+        while anyio.current_time() < start + 20:
+            if cut and not is_split and anyio.current_time() > start + 5:
+                is_split = True
+                _split(net, cut, is_single=len(cut) == count)
+            vm = net.vms[f'10.0.0.{source.randrange(entries)}']
+            tasks.start_soon(ask, vm)
+            await anyio.sleep(source.expovariate(rate))
+    return granted
+
+
+def _split(net: _Net, cut: tuple[int, ...], *, is_single: bool) -> None:
+    for number in cut:
+        side = number + 1 if is_single else 1
+        net.side_by_address[f'10.0.0.{number}'] = side
+    for address, vm in net.vms.items():
+        for other in net.vms:
+            if not net.connects(address, other):
+                vm.members.suspect(other)
+
+
+def _find_most(granted: list[float]) -> int:
+    most = 0
+    first = 0
+    for last, moment in enumerate(granted):
+        while granted[first] < moment - _WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- /dev/null
+++ b/tests/readings/test_reader.py
@@ -0,0 +1,143 @@
+"""Tests of who reads the store."""
+
+import random
+import unittest
+
+import anyio
+
+from jacinthcart.readings import (
+    BaseStore,
+    Item,
+    ItemPage,
+    ItemTable,
+    ReaderTerms,
+    ReadingLease,
+    StoreError,
+    StoreHistoryLostError,
+    StoreReader,
+    WatchResult,
+)
+from jacinthcart.telemetry import Metrics, create_logger
+from tests.support import run_in_virtual_time
+
+
+class FakeStore(BaseStore):
+    """A store whose failures tests choose."""
+
+    def __init__(self) -> None:
+        """Start with one item."""
+        self.items = {'op/config': Item('op/config', 3, b'{}')}
+        self.revision = 3
+        self.is_down = False
+        self.is_history_lost = False
+        self.calls = 0
+
+    async def read(self, prefix: str, timeout_s: float) -> ItemPage:
+        """Return the items."""
+        self.calls += 1
+        await anyio.sleep(0.004)
+        if self.is_down:
+            raise StoreError('down')
+        found = [
+            item for key, item in self.items.items() if key.startswith(prefix)
+        ]
+        return ItemPage(tuple(found), self.revision)
+
+    async def watch(self, after: int, wait_s: float) -> WatchResult:
+        """Return nothing after the wait."""
+        self.calls += 1
+        if self.is_history_lost:
+            self.is_history_lost = False
+            raise StoreHistoryLostError('gone')
+        await anyio.sleep(wait_s)
+        if self.is_down:
+            raise StoreError('down')
+        return WatchResult((), self.revision)
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+
+class StoreReaderTests(unittest.TestCase):
+    """Few VMs read, and another takes over within seconds."""
+
+    def test_second_reader_of_the_rank_reads(self) -> None:
+        """The first two of the rank read without waiting."""
+        run_in_virtual_time(self._read, 1, 0.1)
+        self.assertLess(self.lease.age_s, 1.5)
+
+    def test_later_rank_does_not_read_while_peers_prove(self) -> None:
+        """On a large fleet a reading of each VM would cost too much."""
+        run_in_virtual_time(self._read, 5, 0.1)
+        self.assertEqual(self.store.calls, 0)
+
+    def test_later_rank_takes_over_when_peers_prove_nothing(self) -> None:
+        """Readers that are cut off must be replaced."""
+        run_in_virtual_time(self._read, 5, None)
+        self.assertLess(self.lease.age_s, 1.5)
+
+    def test_watch_without_history_reads_everything_again(self) -> None:
+        """Changes behind the lost history must not be missed."""
+        run_in_virtual_time(self._read_after_history_is_lost)
+        self.assertEqual(len(self.table.list_present('servers/')), 1)
+
+    def test_store_that_is_down_is_not_asked_in_a_tight_loop(self) -> None:
+        """Calls that are refused are priced too."""
+        run_in_virtual_time(self._read_while_down)
+        self.assertLess(self.store.calls, 40)
+
+    async def _read(self, rank: int, peer_age_s: float | None) -> None:
+        self._create(rank)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.reader.run)
+            for _ in range(40):
+                if peer_age_s is not None:
+                    self.lease.note_peer_reading(
+                        anyio.current_time(),
+                        peer_age_s,
+                    )
+                await anyio.sleep(0.1)
+            self.lease = _freeze(self.lease)
+            tasks.cancel_scope.cancel()
+
+    async def _read_after_history_is_lost(self) -> None:
+        self._create(0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.reader.run)
+            await anyio.sleep(1)
+            self.store.items['servers/a'] = Item('servers/a', 8, b'{}')
+            self.store.revision = 8
+            self.store.is_history_lost = True
+            await anyio.sleep(4)
+            tasks.cancel_scope.cancel()
+
+    async def _read_while_down(self) -> None:
+        self._create(0)
+        self.store.is_down = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.reader.run)
+            await anyio.sleep(10)
+            tasks.cancel_scope.cancel()
+
+    def _create(self, rank: int) -> None:
+        self.store = FakeStore()
+        self.table = ItemTable()
+        self.lease = ReadingLease(anyio.current_time)
+        self.reader = StoreReader(
+            self.store,
+            self.table,
+            self.lease,
+            lambda: rank,
+            anyio.current_time,
+            terms=ReaderTerms(proof_prefix='op/'),
+            logger=create_logger('test'),
+            metrics=Metrics(),
+            random_source=random.Random(1),
+        )
+
+
+def _freeze(lease: ReadingLease) -> ReadingLease:
+    now = anyio.current_time()
+    frozen = ReadingLease(lambda: now)
+    frozen.note_own_reading(lease.proof_at)
+    return frozen
--- /dev/null
+++ b/tests/readings/test_table.py
@@ -0,0 +1,56 @@
+"""Tests of the copy of the store."""
+
+import unittest
+
+from jacinthcart.readings import Item, ItemTable
+
+
+class ItemTableTests(unittest.TestCase):
+    """Merging in any order gives the newest revision of each key."""
+
+    def test_older_revision_does_not_replace_newer(self) -> None:
+        """A late reading must not bring back a withdrawn key."""
+        table = ItemTable()
+        table.merge([Item('op/config', 7, b'new')])
+        table.merge([Item('op/config', 5, b'old')])
+        self.assertEqual(table.list_present('op/')[0].content, b'new')
+
+    def test_removed_key_stays_removed_for_older_copies(self) -> None:
+        """A peer that lags must not bring back a searcher that is gone."""
+        table = ItemTable()
+        table.merge([Item('servers/a', 5, b'a')])
+        table.merge([Item('servers/a', 8, None)])
+        table.merge([Item('servers/a', 5, b'a')])
+        self.assertEqual(table.list_present('servers/'), [])
+
+    def test_complete_reading_removes_missing_keys(self) -> None:
+        """Removals that no watch told of are found by a full reading."""
+        table = ItemTable()
+        table.merge([Item('servers/a', 5, b'a'), Item('servers/b', 6, b'b')])
+        table.replace_below('servers/', [Item('servers/b', 6, b'b')], 9)
+        present = [item.key for item in table.list_present('servers/')]
+        self.assertEqual(present, ['servers/b'])
+
+    def test_complete_reading_keeps_keys_that_changed_later(self) -> None:
+        """A reading that waited must not remove what came after it."""
+        table = ItemTable()
+        table.merge([Item('servers/a', 12, b'a')])
+        table.replace_below('servers/', [], 9)
+        self.assertEqual(len(table.list_present('servers/')), 1)
+
+    def test_reading_below_a_prefix_leaves_other_keys(self) -> None:
+        """The proof of the configuration says nothing about searchers."""
+        table = ItemTable()
+        table.merge([Item('servers/a', 5, b'a')])
+        table.replace_below('op/', [], 9)
+        self.assertEqual(len(table.list_present('servers/')), 1)
+
+    def test_peer_gets_only_what_changed_since_its_serial(self) -> None:
+        """The traffic between VMs must not grow with the table."""
+        table = ItemTable()
+        table.merge([Item('servers/a', 5, b'a')])
+        known = table.serial
+        table.merge([Item('servers/b', 6, b'b')])
+        changes = table.list_changes(known)
+        self.assertEqual([item.key for item in changes.items], ['servers/b'])
+        self.assertEqual(changes.serial, table.serial)
--- /dev/null
+++ b/tests/routing/test_budget.py
@@ -0,0 +1,62 @@
+"""Tests of the budget of extra sends."""
+
+import unittest
+
+from hypothesis import given, settings, strategies
+
+from jacinthcart.routing import BudgetTerms, ExtraSendBudget
+
+_WINDOW = 100
+_TERMS = BudgetTerms(ratio=0.2, slack=56)
+
+
+class ExtraSendBudgetTests(unittest.TestCase):
+    """Extra sends of all VMs stay within the budget in every window."""
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(
+        strategies.integers(1, 20),
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 19), strategies.booleans()
+            ),
+            min_size=1,
+            max_size=600,
+        ),
+    )
+    def test_no_window_exceeds_the_budget(
+        self,
+        members: int,
+        events: list[tuple[int, bool]],
+    ) -> None:
+        """Each VM counts alone; the sum must hold for the fleet."""
+        budgets = [ExtraSendBudget(_TERMS) for _ in range(members)]
+        history = []
+        for member, is_first in events:
+            budget = budgets[member % members]
+            if is_first:
+                budget.earn('shard-0', members)
+                history.append((1, 0))
+            else:
+                taken = budget.take('shard-0', members)
+                history.append((0, int(taken)))
+        for start in range(0, max(1, len(history) - _WINDOW)):
+            window = history[start : start + _WINDOW]
+            first = sum(one for one, _ in window)
+            extra = sum(one for _, one in window)
+            least = max(_TERMS.slack, members)
+            self.assertLessEqual(extra, _TERMS.ratio * first + least)
+
+    def test_hedges_leave_a_reserve_to_resends(self) -> None:
+        """A refused request is more urgent than a slow one."""
+        budget = ExtraSendBudget(_TERMS)
+        while budget.take('shard-0', 8, reserve=0.5):
+            continue
+        self.assertTrue(budget.take('shard-0', 8))
+
+    def test_services_have_budgets_of_their_own(self) -> None:
+        """The budget is counted for each shard."""
+        budget = ExtraSendBudget(_TERMS)
+        while budget.take('shard-0', 8):
+            continue
+        self.assertTrue(budget.take('shard-1', 8))
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,126 @@
+"""Tests of which searcher a request goes to."""
+
+import random
+import unittest
+
+from jacinthcart.catalogue import CatalogueBook
+from jacinthcart.fleet import (
+    MemberRecord,
+    MemberState,
+    MemberTable,
+    MemberTerms,
+)
+from jacinthcart.routing import ChoiceTerms, Evidence, RoutingTable
+from jacinthcart.telemetry import create_logger
+from tests.support import (
+    ManualClock,
+    create_catalogue,
+    create_route,
+    create_searcher,
+)
+
+_USUAL_S = 0.02
+
+
+class RoutingTableTests(unittest.TestCase):
+    """The choice weighs data centre, load, slowness and failures."""
+
+    def setUp(self) -> None:
+        """Create a table with a near and a far searcher."""
+        self.clock = ManualClock()
+        logger = create_logger('test')
+        self.book = CatalogueBook(self.clock, logger)
+        self.evidence = Evidence(self.clock)
+        own = MemberRecord(
+            address='10.0.0.1',
+            zone='near',
+            incarnation=1,
+            state=MemberState.ALIVE,
+        )
+        self.members = MemberTable(own, self.clock, logger, MemberTerms())
+        self.table = RoutingTable(
+            self.book,
+            self.members,
+            self.evidence,
+            self.clock,
+            random.Random(1),
+            ChoiceTerms(),
+        )
+        self.near = create_searcher('near')
+        self.far = create_searcher('far', data_centre='far')
+        self.book.put_searchers({'near': self.near, 'far': self.far})
+
+    def test_near_searcher_is_preferred(self) -> None:
+        """Traffic between data centres is priced."""
+        self.assertEqual(self._choose(), 'near')
+
+    def test_busy_near_searcher_is_left(self) -> None:
+        """A queue costs more than the way to another data centre."""
+        found = self.table.find_evidence(self.near)
+        for number in range(4):
+            found.started_at_by_attempt[number] = self.clock()
+        self.assertEqual(self._choose(), 'far')
+
+    def test_paused_searcher_is_left_while_it_is_silent(self) -> None:
+        """One overdue send shows a pause before any response does."""
+        found = self.table.find_evidence(self.near)
+        found.started_at_by_attempt[1] = self.clock()
+        self.clock.move(0.08)
+        self.assertEqual(self._choose(), 'far')
+
+    def test_slow_searcher_is_left_and_tried_again_later(self) -> None:
+        """Evidence of slowness fades, so that a recovery is found."""
+        found = self.table.find_evidence(self.near)
+        for _ in range(4):
+            self.evidence.note_latency(found, 0.2, _USUAL_S)
+        self.assertEqual(self._choose(), 'far')
+        self.clock.move(30)
+        self.assertEqual(self._choose(), 'near')
+
+    def test_failing_searcher_is_the_last_resort(self) -> None:
+        """A failed searcher is used only when no other is left."""
+        self.evidence.note_failure(self.table.find_evidence(self.near))
+        self.assertEqual(self._choose(), 'far')
+        chosen = self.table.choose('shard-0', {'far'}, _USUAL_S)
+        assert chosen is not None
+        self.assertEqual(chosen.searcher_id, 'near')
+
+    def test_new_process_of_a_failed_searcher_is_not_blamed(self) -> None:
+        """Evidence belongs to a process, not to an id."""
+        self.evidence.note_failure(self.table.find_evidence(self.near))
+        again = create_searcher('near', born=2)
+        self.book.put_searchers({'near': again})
+        self.assertEqual(self._choose(), 'near')
+
+    def test_cold_searcher_with_a_rate_has_one_sender(self) -> None:
+        """All VMs together must stay within what it bears."""
+        self.book.put_catalogue(
+            create_catalogue(create_route('a'), cold_rate=2),
+        )
+        cold = create_searcher('cold', service='shard-1', cold_left_ms=3000)
+        self.book.put_searchers({'cold': cold})
+        self.members.merge(
+            MemberRecord(
+                address='10.0.0.2',
+                zone='near',
+                incarnation=1,
+                state=MemberState.ALIVE,
+            ),
+        )
+        self.book.put_catalogue(
+            create_catalogue(
+                create_route('a', shards=('shard-1',), shares=()),
+                version=2,
+                cold_rate=2,
+            ),
+        )
+        sent = 0
+        for _ in range(100):
+            if self.table.choose('shard-1', (), _USUAL_S) is not None:
+                sent += 1
+            self.clock.move(0.01)
+        self.assertLessEqual(sent, 2)
+
+    def _choose(self) -> str | None:
+        chosen = self.table.choose('shard-0', (), _USUAL_S)
+        return chosen.searcher_id if chosen else None
--- /dev/null
+++ b/tests/routing/test_pool.py
@@ -0,0 +1,57 @@
+"""Tests of kept connections to searchers."""
+
+import unittest
+
+import anyio
+
+from jacinthcart.routing import ConnectionTerms, SearcherPools
+from tests.support import create_searcher, run_in_virtual_time
+
+
+class FakeConnection:
+    """A connection whose closing takes a while."""
+
+    def __init__(self) -> None:
+        """Start usable."""
+        self.is_usable = True
+        self.used_at = 0.0
+        self.idle_until = 0.0
+
+    def is_quiet(self) -> bool:
+        """Return that nothing arrived."""
+        return True
+
+    async def close(self) -> None:
+        """Take a moment."""
+        await anyio.sleep(0.1)
+
+
+class SearcherPoolsTests(unittest.TestCase):
+    """A connection carries one request at a time."""
+
+    def test_connection_taken_during_clean_up_is_not_given_twice(self) -> None:
+        """Two requests on one connection ended the whole process."""
+        taken = run_in_virtual_time(self._take_during_clean_up)
+        self.assertEqual(len(taken), len(set(taken)))
+
+    async def _take_during_clean_up(self) -> list[int]:
+        searcher = create_searcher('a')
+        pools = SearcherPools(
+            None,  # type: ignore[arg-type]
+            anyio.current_time,
+            ConnectionTerms(connect_timeout_s=0.01, idle_s=1),
+        )
+        old, *recent = [FakeConnection() for _ in range(3)]
+        await pools.release(searcher, old, None)  # type: ignore[arg-type]
+        await anyio.sleep(0.9)
+        for one in recent:
+            await pools.release(searcher, one, None)  # type: ignore[arg-type]
+        await anyio.sleep(0.2)
+        taken = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pools.close_idle)
+            await anyio.sleep(0.05)
+            taken.append(await pools.acquire(searcher, runs_once=False))
+            await anyio.sleep(0.2)
+        taken.append(await pools.acquire(searcher, runs_once=False))
+        return [id(one) for one in taken]
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,103 @@
+"""Helpers shared by the tests of the node's slices."""
+
+import functools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from trio.testing import MockClock
+
+from jacinthcart.catalogue import (
+    Catalogue,
+    FrontLimits,
+    Route,
+    Searcher,
+    SearcherState,
+    ServiceTerms,
+    TrafficShare,
+    WorkspaceTerms,
+)
+
+
+class ManualClock:
+    """A clock that tests move."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        """Start at `now` seconds."""
+        self.now = now
+
+    def __call__(self) -> float:
+        """Return the present second."""
+        return self.now
+
+    def move(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now += seconds
+
+
+def run_in_virtual_time(
+    function: Callable[..., Awaitable[Any]],
+    *arguments: Any,
+) -> Any:
+    """Run an async test; waiting takes no time."""
+    return anyio.run(
+        functools.partial(function, *arguments),
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
+
+
+def create_searcher(searcher_id: str, **changes: Any) -> Searcher:
+    """Return a ready searcher of the service `shard-0`."""
+    fields: dict[str, Any] = {
+        'searcher_id': searcher_id,
+        'service': 'shard-0',
+        'address': '127.0.0.1',
+        'port': 9,
+        'data_centre': 'near',
+        'slots': 2,
+        'state': SearcherState.READY,
+        'cold_left_ms': 0,
+        'born': 1,
+        'sequence': 1,
+    }
+    return Searcher(**{**fields, **changes})
+
+
+def create_route(name: str, **changes: Any) -> Route:
+    """Return an idempotent route of one service."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'host': 'shop.example',
+        'prefix': f'/{name}/',
+        'is_idempotent': True,
+        'timeout_s': 1.0,
+        'target_s': 0.1,
+        'priority': 1,
+        'attempts': 2,
+        'is_public': False,
+        'shares': (TrafficShare('shard-0', 1),),
+        'shards': (),
+    }
+    return Route(**{**fields, **changes})
+
+
+def create_catalogue(
+    *routes: Route,
+    version: int = 1,
+    rate: float = 40,
+    cold_rate: float = 0,
+) -> Catalogue:
+    """Return a configuration with one workspace, `mill`, and its key."""
+    services = {share.service for one in routes for share in one.shares}
+    services |= {shard for one in routes for shard in one.shards}
+    return Catalogue(
+        version=version,
+        routes_by_host={'shop.example': routes},
+        services_by_name={
+            name: ServiceTerms(name, 26, 3, cold_rate) for name in services
+        },
+        workspaces_by_name={'mill': WorkspaceTerms('mill', None, rate, rate)},
+        workspace_name_by_key={'key-1': 'mill'},
+        limits=FrontLimits(),
+    )
