Close listeners without ending the process; log each request

Cause: closing a listener raises in its accept loop, which ended the whole process in the middle of a planned stop. A request over the limits was still handled when it arrived in one piece.

Change: the accept loop ends quietly when its listener is closed; limits are checked while a request is read. One bounded log line a request, written by a thread that drops lines when the reader of standard output is slow.

Tests: tests/front and tests/node failed first on both faults.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import http
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -87,14 +88,20 @@
 class _RequestParser:
     """Collects complete requests from the bytes of a connection."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        find_terms: Callable[[], FrontTerms],
+    ) -> None:
         """Start between two requests."""
+        self.violation = 0
         self.complete: list[RawRequest] = []
         self.is_inside = False
         self.header_bytes = 0
         self.body_bytes = 0
         self.expects_continue = False
         self._clock = clock
+        self._find_terms = find_terms
         self._parser: Any = httptools.HttpRequestParser(self)
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
@@ -123,6 +130,8 @@
         lowered = name.lower()
         self.header_bytes += len(name) + len(content) + 4
         self._headers.append((lowered, content))
+        if self.header_bytes > self._find_terms().max_header_bytes:
+            self.violation = _HEADERS_TOO_LARGE
         if lowered == b'expect' and content.lower() == b'100-continue':
             self.expects_continue = True
 
@@ -130,10 +139,14 @@
         """Take part of the body."""
         self.body_bytes += len(chunk)
         self._chunks.append(chunk)
+        if self.body_bytes > self._find_terms().max_body_bytes:
+            self.violation = _BODY_TOO_LARGE
 
     def on_message_complete(self) -> None:
         """End a request."""
         self.is_inside = False
+        if self.violation:
+            return
         self.complete.append(
             RawRequest(
                 self._parser.get_method().decode(),
@@ -166,7 +179,7 @@
         self._stream = stream
         self._handler = handler
         self._logger = logger
-        self._parser = _RequestParser(clock)
+        self._parser = _RequestParser(clock, handler.find_terms)
         self._changed = anyio.Event()
         self._is_left = False
         self._error_status = 0
@@ -253,7 +266,7 @@
             while not self._error_status:
                 received = await self._stream.receive(_RECEIVE_BYTES)
                 self._parser.feed(received)
-                self._check_limits()
+                self._error_status = self._parser.violation
                 if self._parser.expects_continue:
                     self._parser.expects_continue = False
                     await self._stream.send(_CONTINUE)
@@ -266,13 +279,6 @@
                 self._handling.cancel()
         self._changed.set()
 
-    def _check_limits(self) -> None:
-        terms = self._handler.find_terms()
-        if self._parser.header_bytes > terms.max_header_bytes:
-            self._error_status = _HEADERS_TOO_LARGE
-        elif self._parser.body_bytes > terms.max_body_bytes:
-            self._error_status = _BODY_TOO_LARGE
-
     async def _write(
         self,
         response: RawResponse,
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -1,7 +1,7 @@
 """Accepts connections and ends them gracefully."""
 
 import anyio
-from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.abc import Listener, SocketStream, TaskGroup
 
 from jacinthcart.front._connection import BaseRequestHandler, CallerConnection
 from jacinthcart.program import Clock
@@ -28,7 +28,7 @@
         self._clock = clock
         self._logger = logger
         self._connections: set[CallerConnection] = set()
-        self._listener: SocketListener | None = None
+        self._listener: Listener[SocketStream] | None = None
         self._is_draining = False
 
     @property
@@ -44,7 +44,7 @@
             backlog=_BACKLOG,
         )
         self._listener = listener.listeners[0]
-        tasks.start_soon(self._listener.serve, self._run_connection)
+        tasks.start_soon(self._accept, self._listener, tasks)
 
     def drain(self) -> None:
         """Let each connection end with its next response."""
@@ -61,6 +61,16 @@
                 connection.close_if_idle()
             await anyio.sleep(_CLOSE_LOOK_S)
 
+    async def _accept(
+        self,
+        listener: Listener[SocketStream],
+        tasks: TaskGroup,
+    ) -> None:
+        try:
+            await listener.serve(self._run_connection, tasks)
+        except anyio.ClosedResourceError:
+            self._logger.debug('listener closed', port=self._endpoint.port)
+
     async def _run_connection(self, stream: SocketStream) -> None:
         connection = CallerConnection(
             stream,
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -20,6 +20,7 @@
 )
 from jacinthcart.front import FrontTerms
 from jacinthcart.membership import DatagramEndpoint
+from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
 from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.quota import QuotaClient, QuotaHome, QuotaTerms
@@ -56,7 +57,6 @@
 from jacinthcart.settings import Endpoint
 from jacinthcart.telemetry import Metrics, create_logger
 
-_MS_PER_S = 1000
 _READERS_KEY = 'readers'
 #: Part of the bound on withdrawn keys that a proof is used for: the rest
 #: covers a request's way to the searcher.
@@ -111,6 +111,13 @@
             ttl_s=min(_DIRECTORY_TTL_S, bounds.directory_ttl_s),
         )
         self.readings = ReadingServer(self.table, self.lease, self.incarnation)
+        self._request_log = RequestLog(
+            self.book,
+            self.lease,
+            clock,
+            self.logger,
+            self.metrics,
+        )
         self._store = store
         self._is_stopping = False
         self._datagrams = DatagramEndpoint(
@@ -205,36 +212,14 @@
             admitted = await self._admission.admit(request)
             answer = await self._server.serve(request, admitted)
         except RefusalError as refusal:
-            self._note_refusal(request, refusal)
+            self._request_log.note_refusal(request, refusal)
             raise
-        elapsed_s = self.clock() - request.received_at
-        workspace = admitted.workspace or ''
-        self.metrics.count('request', 'served')
-        self.metrics.record_seconds(
-            ('request', workspace, admitted.route.name),
-            elapsed_s,
-        )
+        except anyio.get_cancelled_exc_class():
+            self._request_log.note_left(request)
+            raise
+        self._request_log.note_answer(request, admitted, answer)
         return answer
 
-    def _note_refusal(
-        self,
-        request: CallerRequest,
-        refusal: RefusalError,
-    ) -> None:
-        self.metrics.count('refused', refusal.code.value)
-        self.logger.warning(
-            'request refused',
-            limit_key=None,
-            request_id=request.request_id,
-            path=request.path,
-            code=refusal.code.value,
-            ran=refusal.ran.value,
-            detail=refusal.detail,
-            proof_age_s=round(self.lease.age_s, 3),
-            waited_ms=round((self.clock() - request.received_at) * _MS_PER_S),
-            members=self.members.count_members(),
-        )
-
     def _create_serving(
         self,
         codec: BaseSearcherCodec,
--- /dev/null
+++ b/jacinthcart/node/_request_log.py
@@ -0,0 +1,124 @@
+"""One log line for each request, bounded in volume."""
+
+from typing import Any
+
+from jacinthcart.catalogue import CatalogueBook
+from jacinthcart.errors import RefusalError
+from jacinthcart.program import Clock
+from jacinthcart.readings import ReadingLease
+from jacinthcart.routing import CallerRequest
+from jacinthcart.serving import Admitted, MergedAnswer, ServedAnswer
+from jacinthcart.telemetry import LineBudget, Logger, Metrics
+
+_MS_PER_S = 1000
+#: Lines a second for complete answers; they matter least.
+_SERVED_LINES_PER_S = 5.0
+#: Lines a second for answers with missing parts or failures.
+_PARTIAL_LINES_PER_S = 20.0
+#: Lines a second for refusals.
+_REFUSED_LINES_PER_S = 60.0
+_STATUS_FAILED = 400
+
+
+class RequestLog:
+    """Tells how each request ended and what decided it."""
+
+    def __init__(
+        self,
+        book: CatalogueBook,
+        lease: ReadingLease,
+        clock: Clock,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
+        """Keep what the lines quote."""
+        self._book = book
+        self._lease = lease
+        self._clock = clock
+        self._logger = logger
+        self._metrics = metrics
+        self._served = LineBudget(clock, _SERVED_LINES_PER_S)
+        self._partial = LineBudget(clock, _PARTIAL_LINES_PER_S)
+        self._refused = LineBudget(clock, _REFUSED_LINES_PER_S)
+
+    def note_answer(
+        self,
+        request: CallerRequest,
+        admitted: Admitted,
+        answer: ServedAnswer | MergedAnswer,
+    ) -> None:
+        """Count an answer and log it."""
+        elapsed_s = self._clock() - request.received_at
+        route = admitted.route
+        self._metrics.count('request', 'served')
+        self._metrics.record_seconds(
+            ('request', admitted.workspace or '', route.name),
+            elapsed_s,
+        )
+        is_partial = _is_partial(answer)
+        budget = self._partial if is_partial else self._served
+        suppressed = budget.take()
+        if suppressed is None:
+            return
+        status = 0
+        if isinstance(answer, ServedAnswer):
+            status = answer.response.head.status
+        self._logger.info(
+            'request answered',
+            **self._describe(request),
+            route=route.name,
+            workspace=admitted.workspace,
+            status=status or None,
+            missing=answer.report.missing,
+            sends=answer.report.sends if is_partial else None,
+            suppressed=suppressed,
+        )
+
+    def note_refusal(
+        self,
+        request: CallerRequest,
+        refusal: RefusalError,
+    ) -> None:
+        """Count a refusal and log it."""
+        self._metrics.count('refused', refusal.code.value)
+        suppressed = self._refused.take()
+        if suppressed is None:
+            return
+        self._logger.warning(
+            'request refused',
+            **self._describe(request),
+            path=request.path,
+            code=refusal.code.value,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+            retry_after_ms=refusal.retry_after_ms,
+            suppressed=suppressed,
+        )
+
+    def note_left(self, request: CallerRequest) -> None:
+        """Count a caller that left before its answer."""
+        self._metrics.count('request', 'caller_left')
+        suppressed = self._refused.take()
+        if suppressed is not None:
+            self._logger.info(
+                'caller left',
+                **self._describe(request),
+                suppressed=suppressed,
+            )
+
+    def _describe(self, request: CallerRequest) -> dict[str, Any]:
+        now = self._clock()
+        catalogue = self._book.catalogue
+        return {
+            'request_id': request.request_id,
+            'version': catalogue.version if catalogue else None,
+            'proof_age_s': round(self._lease.age_s, 3),
+            'elapsed_ms': round((now - request.received_at) * _MS_PER_S, 1),
+            'time_left_ms': round((request.deadline - now) * _MS_PER_S),
+        }
+
+
+def _is_partial(answer: ServedAnswer | MergedAnswer) -> bool:
+    if isinstance(answer, MergedAnswer):
+        return answer.missing > 0
+    return answer.response.head.status >= _STATUS_FAILED
--- a/jacinthcart/node/_run.py
+++ b/jacinthcart/node/_run.py
@@ -18,8 +18,16 @@
 _CLOSING_SHARE = 0.92
 
 
-async def run_node(node: Node, servers: Sequence[FrontServer]) -> None:
-    """Serve until SIGTERM or SIGINT and then end gracefully."""
+async def run_node(
+    node: Node,
+    servers: Sequence[FrontServer],
+    *,
+    has_signals: bool = True,
+) -> None:
+    """Serve until SIGTERM or SIGINT and then end gracefully.
+
+    Without signals, as in tests, serve until cancelled.
+    """
     settings = node.settings
     peer_server = FrontServer(
         Endpoint(address=settings.address, port=settings.peer_port),
@@ -29,7 +37,8 @@
     )
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, node, stop)
+        if has_signals:
+            tasks.start_soon(_watch_signals, node, stop)
         for server in (*servers, peer_server):
             await server.start(tasks)
         await node.start(tasks)
--- a/jacinthcart/platform/__main__.py
+++ b/jacinthcart/platform/__main__.py
@@ -1,56 +1,37 @@
 """Runs one VM of the system on the users' platform."""
 
-import random
 import sys
 
 import anyio
 
 from jacinthcart.errors import SettingsError
-from jacinthcart.front import FrontServer
-from jacinthcart.node import Node, run_node
-from jacinthcart.platform._handlers import (
-    CallerHandler,
-    DirectoryHandler,
-    ReadinessHandler,
+from jacinthcart.node import run_node
+from jacinthcart.platform.assembly import create_node
+from jacinthcart.platform.settings_file import load_settings
+from jacinthcart.telemetry import (
+    NonBlockingOutput,
+    create_logger,
+    start_logging,
 )
-from jacinthcart.platform._headers import PlatformSearcherCodec
-from jacinthcart.platform._items import OPERATOR_PREFIX, ItemDecoder
-from jacinthcart.platform._settings import load_settings
-from jacinthcart.platform._store import PlatformStore
-from jacinthcart.telemetry import create_logger, start_logging
 
 _EXIT_SETTINGS = 2
+#: Seconds for which the last log lines may be written.
+_LAST_LINES_S = 0.3
 
 
 def main() -> None:
     """Run until a stop signal; exit with 2 for invalid settings."""
-    start_logging()
+    output = NonBlockingOutput(sys.stdout)
+    start_logging(output=output)
     try:
         settings = load_settings()
     except SettingsError as error:
         create_logger('node').error('invalid settings', error=str(error))
+        output.close(_LAST_LINES_S)
         sys.exit(_EXIT_SETTINGS)
-    node = Node(
-        settings,
-        PlatformStore(settings.store),
-        PlatformSearcherCodec(),
-        proof_prefix=OPERATOR_PREFIX,
-    )
-    ItemDecoder(node.table, node.book, node.logger)
-    directory = DirectoryHandler(node, random.Random())
-    servers = [
-        (settings.callers, CallerHandler(node)),
-        (settings.readiness, ReadinessHandler(node)),
-        (settings.directory, directory),
-    ]
-    anyio.run(
-        run_node,
-        node,
-        [
-            FrontServer(endpoint, handler, node.clock, node.logger)
-            for endpoint, handler in servers
-        ],
-    )
+    node, servers = create_node(settings)
+    anyio.run(run_node, node, servers)
+    output.close(_LAST_LINES_S)
 
 
 if __name__ == '__main__':
--- a/jacinthcart/platform/_documents.py
+++ b/jacinthcart/platform/_documents.py
@@ -13,7 +13,7 @@
     WorkspaceTerms,
 )
 from jacinthcart.errors import InvalidMessageError, SettingsError
-from jacinthcart.platform._settings import parse_endpoint
+from jacinthcart.platform.settings_file import parse_endpoint
 from jacinthcart.wire import decode_json
 
 _MS_PER_S = 1000
--- a/jacinthcart/routing/_evidence.py
+++ b/jacinthcart/routing/_evidence.py
@@ -61,7 +61,7 @@
     def find_slowness(self, now: float) -> float:
         """Return the slowness, less the older its evidence is."""
         age_s = now - self.slowness_at
-        kept = 0.5 ** (age_s / _SLOWNESS_HALF_LIFE_S)
+        kept = math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
         return 1 + (self.slowness - 1) * kept
 
     def find_excess(self, now: float, slots: int) -> int:
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -242,7 +242,7 @@
     async def close_idle(self) -> None:
         """Close connections that were idle for long."""
         now = self._clock()
-        expired = []
+        expired: list[SearcherConnection] = []
         for key, idle in list(self._idle_by_process.items()):
             # Nothing is awaited until all lists are in order: another task
             # may take a connection from them meanwhile.
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -18,7 +18,11 @@
 from jacinthcart.serving._admission import Admission, Admitted
 from jacinthcart.serving._policy import AnswerPolicy, AnswerTerms
 from jacinthcart.serving._records import merge_records
-from jacinthcart.serving._results import MergedAnswer, ServedAnswer
+from jacinthcart.serving._results import (
+    MergedAnswer,
+    SendReport,
+    ServedAnswer,
+)
 from jacinthcart.serving._service_run import SendTerms, ServiceRun
 
 _RETRY_MS = 100
@@ -120,10 +124,10 @@
         finally:
             run.cancel()
         if run.response is not None:
-            return ServedAnswer(run.response)
+            return ServedAnswer(run.response, _report([run]))
         failure = run.failure
         if failure and failure.response and not failure.response.is_not_run:
-            return ServedAnswer(failure.response)
+            return ServedAnswer(failure.response, _report([run]))
         raise self._create_refusal([run])
 
     async def _scatter(self, context: CallContext) -> MergedAnswer:
@@ -148,9 +152,10 @@
             for run in runs:
                 run.cancel()
             raise
+        answer = _merge(route, runs)
         for run in runs:
             run.abandon()
-        return _merge(route, runs)
+        return answer
 
     async def _collect(
         self,
@@ -205,15 +210,16 @@
 
     def _create_timeout(self, runs: list[ServiceRun]) -> RefusalError:
         ran = _find_ran(runs)
-        return RefusalError(RefusalCode.DEADLINE_PASSED, ran, detail='timeout')
+        reasons = sorted(run.describe() for run in runs if not run.response)
+        return RefusalError(
+            RefusalCode.DEADLINE_PASSED,
+            ran,
+            detail='; '.join(reasons),
+        )
 
     def _create_refusal(self, runs: list[ServiceRun]) -> RefusalError:
         ran = _find_ran(runs)
-        reasons = {
-            f'{run.service}: {run.failure.reason}'
-            for run in runs
-            if run.failure is not None
-        }
+        reasons = {run.describe() for run in runs if run.failure is not None}
         code = RefusalCode.OVERLOADED
         if ran is Ran.UNKNOWN:
             code = RefusalCode.BACKEND_FAILED
@@ -243,6 +249,14 @@
         stamps,
         len(runs) - len(responses),
         merge_records((one.body for one in responses), route.top_k),
+        _report(runs),
+    )
+
+
+def _report(runs: list[ServiceRun]) -> SendReport:
+    return SendReport(
+        tuple(send for run in runs for send in run.ended_sends),
+        tuple(run.describe() for run in runs if run.response is None),
     )
 
 
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -64,6 +64,7 @@
         self._count_members = count_members
         self._terms = terms
         self._on_change = on_change
+        self.ended_sends: list[str] = []
         self._pending: list[Attempt] = []
         self._excluded: set[str] = set()
         self._runs = 0
@@ -81,6 +82,13 @@
         """Return the start (s) of the oldest send that is unanswered."""
         return self._pending[0].started_at if self._pending else None
 
+    def describe(self) -> str:
+        """Return why there is no answer, for logs."""
+        if self.failure is not None:
+            return f'{self.service}: {self.failure.reason}'
+        waiting = [attempt.searcher.searcher_id for attempt in self._pending]
+        return f'{self.service}: no answer of {", ".join(waiting)}'
+
     def start(self) -> None:
         """Send to the first searcher."""
         self._budget.earn(self.service, self._count_members())
@@ -139,6 +147,9 @@
             self._pending.remove(attempt)
         if self.is_done or outcome is None:
             return
+        self.ended_sends.append(
+            f'{attempt.searcher.searcher_id} {outcome.reason}',
+        )
         if outcome.was_sent:
             self._arrivals += 1
         if outcome.is_success:
--- a/jacinthcart/telemetry/__init__.py
+++ b/jacinthcart/telemetry/__init__.py
@@ -12,13 +12,17 @@
     Metrics,
     create_histogram,
 )
+from jacinthcart.telemetry._output import NonBlockingOutput
+from jacinthcart.telemetry._volume import LineBudget
 
 __all__ = [
     'Decision',
     'DecisionLog',
     'HistogramKey',
+    'LineBudget',
     'Logger',
     'Metrics',
+    'NonBlockingOutput',
     'create_histogram',
     'create_logger',
     'set_log_level',
--- a/jacinthcart/telemetry/_logs.py
+++ b/jacinthcart/telemetry/_logs.py
@@ -3,11 +3,13 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import IO, Any
 
 import logbook
 import orjson
 
+from jacinthcart.telemetry._output import NonBlockingOutput
+
 _REPEAT_INTERVAL_S = 10.0
 
 
@@ -88,9 +90,12 @@
 _handlers: list[_JsonLinesHandler] = []
 
 
-def start_logging(level: str = 'INFO') -> None:
-    """Send every log line of this process to standard error."""
-    handler = _JsonLinesHandler(sys.stderr, level=level)
+def start_logging(
+    level: str = 'INFO',
+    output: IO[str] | NonBlockingOutput | None = None,
+) -> None:
+    """Send every log line of this process to standard error or `output`."""
+    handler = _JsonLinesHandler(output or sys.stderr, level=level)
     handler.push_application()
     _handlers.append(handler)
 
--- /dev/null
+++ b/jacinthcart/telemetry/_output.py
@@ -0,0 +1,65 @@
+"""Writing log lines without ever waiting for their reader."""
+
+import collections
+import threading
+from typing import IO
+
+#: Lines kept while the reader is slow; later ones are dropped and counted.
+_MOST_LINES = 2000
+
+
+class NonBlockingOutput:
+    """A stream whose `write` only queues; a thread writes.
+
+    A reader of standard output that stalls must not delay a request. The
+    thread is a daemon: lines that are still queued when the process ends are
+    written by `close` as far as the reader takes them.
+    """
+
+    def __init__(self, stream: IO[str], most_lines: int = _MOST_LINES) -> None:
+        """Start the writing thread."""
+        self.dropped = 0
+        self._stream = stream
+        self._most_lines = most_lines
+        self._lines: collections.deque[str] = collections.deque()
+        self._has_lines = threading.Condition()
+        self._is_closed = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def write(self, text: str) -> int:
+        """Queue text, or drop and count it when the queue is full."""
+        with self._has_lines:
+            if len(self._lines) >= self._most_lines:
+                self.dropped += 1
+            else:
+                self._lines.append(text)
+                self._has_lines.notify()
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing; the thread writes as soon as it can."""
+
+    def close(self, timeout_s: float) -> None:
+        """Wait at most `timeout_s` until the queue is written."""
+        with self._has_lines:
+            self._is_closed = True
+            self._has_lines.notify()
+        self._thread.join(timeout_s)
+
+    def _run(self) -> None:
+        while True:
+            with self._has_lines:
+                while not self._lines and not self._is_closed:
+                    self._has_lines.wait()
+                if not self._lines:
+                    return
+                batch = ''.join(self._lines)
+                self._lines.clear()
+                dropped, self.dropped = self.dropped, 0
+            if dropped:
+                batch = (
+                    f'{batch}{{"event":"lines dropped","count":{dropped}}}\n'
+                )
+            self._stream.write(batch)
+            self._stream.flush()
--- /dev/null
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -0,0 +1,232 @@
+"""Stand-in for a searcher of the users' platform, with faults on demand."""
+
+import dataclasses
+import hashlib
+import random
+import time
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+
+_RECEIVE_BYTES = 65536
+_RECORD_BYTES = 16
+_PREFIX = 'x-jacinthcart-'
+_GONE = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    h11.RemoteProtocolError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Execution:
+    """One request that a searcher began to run."""
+
+    request_id: str
+    searcher_id: str
+    service: str
+    workspace: str | None
+    target: str
+    at: float
+
+
+@dataclasses.dataclass
+class SearcherFaults:
+    """Shares of requests that go wrong, and times in seconds."""
+
+    reset_share: float = 0
+    garble_share: float = 0
+    extra_share: float = 0
+    failure_share: float = 0
+    shed_share: float = 0
+    work_s: float = 0.004
+    is_silent: bool = False
+
+
+class SearcherEmulator:
+    """Runs requests in slots and writes each run to a list."""
+
+    def __init__(
+        self,
+        searcher_id: str,
+        service: str,
+        *,
+        executions: list[Execution],
+        random_source: random.Random,
+        slots: int = 4,
+        records: int = 6,
+    ) -> None:
+        """Prepare; `start` listens."""
+        self.searcher_id = searcher_id
+        self.service = service
+        self.port = 0
+        self.faults = SearcherFaults()
+        self.executions = executions
+        self._random = random_source
+        self._slots = slots
+        self._records = records
+        self._limiter: anyio.CapacityLimiter | None = None
+        self._listener: SocketListener | None = None
+        self._streams: set[SocketStream] = set()
+
+    async def start(self, address: str, tasks: TaskGroup) -> None:
+        """Listen on a free port."""
+        self._limiter = anyio.CapacityLimiter(self._slots)
+        group = await anyio.create_tcp_listener(local_host=address)
+        listener = group.listeners[0]
+        assert isinstance(listener, SocketListener)
+        self._listener = listener
+        self.port = listener.extra(SocketAttribute.local_port)
+        tasks.start_soon(self._accept, listener, tasks)
+
+    async def close(self) -> None:
+        """Stop listening and cut every connection, as a crash does."""
+        if self._listener is not None:
+            await self._listener.aclose()
+        for stream in list(self._streams):
+            await anyio.aclose_forcefully(stream)
+
+    async def _accept(self, listener: SocketListener, tasks: TaskGroup) -> None:
+        try:
+            await listener.serve(self._run_connection, tasks)
+        except anyio.ClosedResourceError:
+            # The searcher was closed.
+            return
+
+    async def _run_connection(self, stream: SocketStream) -> None:
+        self._streams.add(stream)
+        try:
+            await self._serve(stream)
+        except _GONE:
+            # The caller left or a fault cut the connection.
+            await anyio.aclose_forcefully(stream)
+        finally:
+            self._streams.discard(stream)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        codec = h11.Connection(h11.SERVER)
+        while True:
+            request = await self._read(stream, codec)
+            answer = await self._answer(stream, codec, request)
+            if not answer or codec.our_state is h11.MUST_CLOSE:
+                await stream.aclose()
+                return
+            codec.start_next_cycle()
+
+    async def _read(
+        self,
+        stream: SocketStream,
+        codec: h11.Connection,
+    ) -> h11.Request:
+        request: h11.Request | None = None
+        while True:
+            event = codec.next_event()
+            if event is h11.NEED_DATA:
+                codec.receive_data(await stream.receive(_RECEIVE_BYTES))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return request
+
+    async def _answer(
+        self,
+        stream: SocketStream,
+        codec: h11.Connection,
+        request: h11.Request,
+    ) -> bool:
+        headers = {
+            name.decode(): content.decode() for name, content in request.headers
+        }
+        request_id = headers.get(f'{_PREFIX}request-id', '')
+        if headers.get(f'{_PREFIX}expected-instance') != self.searcher_id:
+            refusal = _encode(codec, 421, request_id, b'', stamp=None)
+            await stream.send(refusal)
+            return True
+        faults = self.faults
+        if faults.is_silent:
+            await anyio.sleep(60)
+        if self._hits(faults.shed_share):
+            await stream.send(_encode(codec, 503, request_id, b'', stamp=None))
+            return True
+        assert self._limiter is not None
+        async with self._limiter:
+            self.executions.append(
+                Execution(
+                    request_id,
+                    self.searcher_id,
+                    self.service,
+                    headers.get(f'{_PREFIX}tenant'),
+                    request.target.decode(),
+                    time.monotonic(),
+                ),
+            )
+            await anyio.sleep(faults.work_s)
+        return await self._finish(stream, codec, request_id)
+
+    async def _finish(
+        self,
+        stream: SocketStream,
+        codec: h11.Connection,
+        request_id: str,
+    ) -> bool:
+        faults = self.faults
+        if self._hits(faults.reset_share):
+            return False
+        is_failure = self._hits(faults.failure_share)
+        stamp = f'{self.service}.{request_id}'
+        body = create_part(self.service, request_id, self._records)
+        message = _encode(
+            codec,
+            500 if is_failure else 200,
+            request_id,
+            body,
+            stamp=stamp,
+        )
+        if self._hits(faults.garble_share):
+            await stream.send(message[: len(message) // 2])
+            return False
+        await stream.send(message)
+        if self._hits(faults.extra_share):
+            await anyio.sleep(0.002)
+            await stream.send(message)
+        return True
+
+    def _hits(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
+
+
+def create_part(service: str, request_id: str, records: int) -> bytes:
+    """Return the records that a service answers a request with."""
+    return b''.join(
+        hashlib.blake2b(
+            f'{service} {request_id} {number}'.encode(),
+            digest_size=_RECORD_BYTES,
+        ).digest()
+        for number in range(records)
+    )
+
+
+def _encode(
+    codec: h11.Connection,
+    status: int,
+    request_id: str,
+    body: bytes,
+    *,
+    stamp: str | None,
+) -> bytes:
+    headers = [
+        (f'{_PREFIX}request-id', request_id),
+        ('content-length', str(len(body))),
+    ]
+    if stamp is None:
+        headers.append((f'{_PREFIX}not-executed', '1'))
+    else:
+        headers.append((f'{_PREFIX}server-stamp', stamp))
+    response = h11.Response(status_code=status, headers=headers)
+    return b''.join(
+        codec.send(event) or b''
+        for event in (response, h11.Data(body), h11.EndOfMessage())
+    )
--- /dev/null
+++ b/jacinthcart_lab/platform_deployment.py
@@ -0,0 +1,220 @@
+"""A small deployment in the platform's words, for demo, soak and tests."""
+
+import dataclasses
+import json
+import pathlib
+import random
+import socket
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from jacinthcart.settings import Endpoint
+from jacinthcart_emulator.platform_searcher import (
+    Execution,
+    SearcherEmulator,
+)
+from jacinthcart_emulator.platform_store import StoreEmulator, start_store
+
+_STORE_ADDRESS = '127.0.2.1'
+_SEARCHER_ADDRESS = '127.0.3.1'
+_ZONES = ('zone-a', 'zone-b', 'zone-c')
+_SEEDS = 3
+_PORTS = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class DeploymentTerms:
+    """Size of the deployment."""
+
+    #: VMs of the system.
+    vms: int = 3
+    #: Shards of the index.
+    shards: int = 4
+    #: Searchers of each shard and of the single service.
+    replicas: int = 2
+    #: Requests a second of the workspace `mill`; 0 sets no limit.
+    rate_per_s: float = 0
+
+
+class PlatformDeployment:
+    """Store and searchers that run in this process."""
+
+    def __init__(
+        self,
+        terms: DeploymentTerms,
+        random_source: random.Random,
+    ) -> None:
+        """Prepare; `start` listens."""
+        self.terms = terms
+        self.store = StoreEmulator()
+        self.executions: list[Execution] = []
+        self.searchers_by_id: dict[str, SearcherEmulator] = {}
+        self.version = 0
+        self.keys = ['key-1']
+        self._random = random_source
+        self._sequence = 0
+        self._store_port = 0
+        self._ports: list[int] = []
+
+    @property
+    def addresses(self) -> list[str]:
+        """Return the addresses of the VMs."""
+        return [f'127.0.1.{number + 1}' for number in range(self.terms.vms)]
+
+    @property
+    def callers_port(self) -> int:
+        """Return the port for callers, the same on all VMs."""
+        return self._ports[0]
+
+    @property
+    def directory_port(self) -> int:
+        """Return the port where callers ask for addresses."""
+        return self._ports[2]
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Start the store and every searcher and publish them."""
+        self._ports = _find_ports(self.addresses[0], _PORTS)
+        self._store_port = _find_ports(_STORE_ADDRESS, 1)[0]
+        endpoint = Endpoint(address=_STORE_ADDRESS, port=self._store_port)
+        await start_store(self.store, endpoint, tasks)
+        for service in self.list_services():
+            for number in range(self.terms.replicas):
+                await self.start_searcher(f'{service}-{number}', service, tasks)
+        self.publish_config()
+
+    def list_services(self) -> list[str]:
+        """Return the names of all services."""
+        shards = [f'shard{number}' for number in range(self.terms.shards)]
+        return [*shards, 'orders']
+
+    async def start_searcher(
+        self,
+        searcher_id: str,
+        service: str,
+        tasks: TaskGroup,
+    ) -> None:
+        """Start one searcher and publish it."""
+        searcher = SearcherEmulator(
+            searcher_id,
+            service,
+            executions=self.executions,
+            random_source=self._random,
+        )
+        await searcher.start(_SEARCHER_ADDRESS, tasks)
+        self.searchers_by_id[searcher_id] = searcher
+        self.announce(searcher_id)
+
+    def announce(self, searcher_id: str, state: str = 'ready') -> None:
+        """Publish what a searcher says of itself."""
+        searcher = self.searchers_by_id[searcher_id]
+        self._sequence += 1
+        zone = _ZONES[hash(searcher_id) % len(_ZONES)]
+        self.store.put(
+            f'servers/{searcher_id}',
+            {
+                'service': searcher.service,
+                'address': f'{_SEARCHER_ADDRESS}:{searcher.port}',
+                'zone': zone,
+                'version': 'v1',
+                'concurrency_limit': 4,
+                'state': state,
+                'warmup_left_ms': 0,
+                'sequence': self._sequence,
+                'born': 1,
+            },
+        )
+
+    def publish_config(self) -> None:
+        """Publish a new version with the present keys."""
+        self.version += 3
+        shards = [one for one in self.list_services() if one != 'orders']
+        common = {
+            'host': 'shop.example',
+            'timeout_ms': 2000,
+            'target_latency_ms': 150,
+            'priority': 1,
+            'attempts': 2,
+            'public': False,
+        }
+        self.store.put(
+            'op/config',
+            {
+                'version': self.version,
+                'routes': [
+                    {
+                        **common,
+                        'name': 'search',
+                        'prefix': '/search/',
+                        'route_type': 'idempotent',
+                        'gather': shards,
+                        'top_k': 5,
+                        'min_shard_ratio': 0.7,
+                    },
+                    {
+                        **common,
+                        'name': 'order',
+                        'prefix': '/order/',
+                        'route_type': 'non_idempotent',
+                        'service': 'orders',
+                    },
+                ],
+                'services': [
+                    {'name': one, 'max_connections': 26}
+                    for one in self.list_services()
+                ],
+                'tenants': [
+                    {
+                        'name': 'mill',
+                        'api_keys': self.keys,
+                        'rate_per_s': self.terms.rate_per_s,
+                        'burst': self.terms.rate_per_s,
+                    },
+                ],
+            },
+        )
+
+    def create_settings(self, number: int) -> dict[str, Any]:
+        """Return the settings file of one VM."""
+        address = self.addresses[number]
+        callers, ready, directory, control, peers = self._ports
+        return {
+            'node_name': f'vm-{number}',
+            'ip': address,
+            'zone': _ZONES[number % len(_ZONES)],
+            'listen_addrs': {
+                'frontend_addr': f'{address}:{callers}',
+                'ready': f'{address}:{ready}',
+                'directory': f'{address}:{directory}',
+                'control': f'{address}:{control}',
+            },
+            'port_range': [peers, peers],
+            'seeds': [f'{seed}:{control}' for seed in self.addresses[:_SEEDS]],
+            'bounds': {'revoke_ms': 3000, 'grace_s': 3},
+            'platform': {'address': f'{_STORE_ADDRESS}:{self._store_port}'},
+        }
+
+    def write_settings(self, number: int, folder: pathlib.Path) -> pathlib.Path:
+        """Write the settings file of one VM and return its path."""
+        path = folder / f'vm-{number}.json'
+        path.write_text(json.dumps(self.create_settings(number)))
+        return path
+
+    async def close(self) -> None:
+        """Cut every searcher."""
+        for searcher in self.searchers_by_id.values():
+            with anyio.CancelScope(shield=True):
+                await searcher.close()
+
+
+def _find_ports(address: str, count: int) -> list[int]:
+    sockets = []
+    for _ in range(count):
+        probe = socket.socket()
+        probe.bind((address, 0))
+        sockets.append(probe)
+    ports = [int(probe.getsockname()[1]) for probe in sockets]
+    for probe in sockets:
+        probe.close()
+    return ports
--- /dev/null
+++ b/tests/front/test_server.py
@@ -0,0 +1,225 @@
+"""Tests of the server that callers connect to, over loopback sockets."""
+
+import functools
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketStream
+
+from jacinthcart.front import (
+    BaseRequestHandler,
+    FrontServer,
+    FrontTerms,
+    RawRequest,
+    RawResponse,
+)
+from jacinthcart.program import read_boot_clock
+from jacinthcart.settings import Endpoint
+from jacinthcart.telemetry import create_logger
+
+_GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+_ADDRESS = '127.0.0.1'
+
+
+class FakeHandler(BaseRequestHandler):
+    """Answers when the test lets it."""
+
+    def __init__(self) -> None:
+        """Let requests pass."""
+        self.gate = anyio.Event()
+        self.gate.set()
+        self.started = anyio.Event()
+        self.bodies: list[bytes] = []
+        self.left = 0
+
+    def find_terms(self) -> FrontTerms:
+        """Return small limits."""
+        return FrontTerms(1024, 2048, 0.3, 5)
+
+    async def handle(self, request: RawRequest) -> RawResponse:
+        """Wait for the gate and answer with the target."""
+        self.bodies.append(request.body)
+        self.started.set()
+        try:
+            await self.gate.wait()
+        except anyio.get_cancelled_exc_class():
+            self.left += 1
+            raise
+        if request.target == b'/fault':
+            raise ValueError('fault of this program')
+        return RawResponse(200, (), request.target)
+
+
+Scenario = Callable[[FakeHandler, FrontServer, int], Awaitable[None]]
+
+
+async def _run(scenario: Scenario) -> None:
+    handler = FakeHandler()
+    with socket.socket() as probe:
+        probe.bind((_ADDRESS, 0))
+        port = probe.getsockname()[1]
+    server = FrontServer(
+        Endpoint(address=_ADDRESS, port=port),
+        handler,
+        read_boot_clock,
+        create_logger('test'),
+    )
+    with anyio.fail_after(20):
+        async with anyio.create_task_group() as tasks:
+            await server.start(tasks)
+            await scenario(handler, server, port)
+            tasks.cancel_scope.cancel()
+
+
+def _play(scenario: Scenario) -> None:
+    anyio.run(functools.partial(_run, scenario))
+
+
+async def _read_all(stream: SocketStream) -> bytes:
+    received = b''
+    try:
+        while True:
+            received += await stream.receive()
+    except anyio.EndOfStream:
+        return received
+
+
+class FrontServerTests(unittest.TestCase):
+    """Requests are read whole and answered in order."""
+
+    def test_requests_of_one_connection_are_answered_in_order(self) -> None:
+        """A caller may send the next request before the answer."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            close = b'GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+            await stream.send(_GET + close)
+            received = await _read_all(stream)
+            self.assertLess(received.index(b'/a'), received.index(b'/b'))
+
+        _play(scenario)
+
+    def test_caller_that_leaves_cancels_its_request(self) -> None:
+        """Searchers must not work for a caller that is gone."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            handler.gate = anyio.Event()
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            await stream.send(_GET)
+            await handler.started.wait()
+            await stream.aclose()
+            while not handler.left:
+                await anyio.sleep(0.01)
+
+        _play(scenario)
+
+    def test_planned_stop_finishes_requests_in_flight(self) -> None:
+        """Closing the listener ended the process and cut every request."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            handler.gate = anyio.Event()
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            await stream.send(_GET)
+            await handler.started.wait()
+            server.drain()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.close)
+                await anyio.sleep(0.1)
+                handler.gate.set()
+                received = await _read_all(stream)
+            self.assertTrue(received.endswith(b'/a'))
+            self.assertIn(b'Connection: close', received)
+
+        _play(scenario)
+
+    def test_fault_in_one_request_leaves_the_others(self) -> None:
+        """An unexpected error is answered and must not end the process."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            for target, status in ((b'/fault', b'500'), (b'/a', b'200')):
+                stream = await anyio.connect_tcp(_ADDRESS, port)
+                await stream.send(_GET.replace(b'/a', target))
+                received = await stream.receive()
+                self.assertIn(status, received.split(b'\r\n')[0])
+
+        _play(scenario)
+
+    def test_malformed_and_oversized_requests_are_refused(self) -> None:
+        """Bad input gets a clear status and harms nobody else."""
+        big_header = b'X: ' + b'x' * 2000
+        cases = {
+            b'NONSENSE\r\n\r\n': b'400',
+            b'GET /a HTTP/1.1\r\nHost: h\r\n' + big_header + b'\r\n\r\n': (
+                b'431'
+            ),
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n'
+            + b'x' * 4000: b'413',
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n': b'400',
+        }
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            for message, status in cases.items():
+                stream = await anyio.connect_tcp(_ADDRESS, port)
+                await stream.send(message)
+                received = await stream.receive()
+                self.assertIn(status, received.split(b'\r\n')[0])
+            self.assertEqual(handler.bodies, [])
+
+        _play(scenario)
+
+    def test_request_that_is_never_finished_is_ended(self) -> None:
+        """A caller that stalls must not hold a connection for long."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            await stream.send(b'GET /a HTTP/1.1\r\nHo')
+            received = await _read_all(stream)
+            self.assertIn(b' 408 ', received)
+
+        _play(scenario)
+
+    def test_chunked_body_arrives_whole(self) -> None:
+        """Bodies come with a length or in chunks."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: FrontServer,
+            port: int,
+        ) -> None:
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            await stream.send(
+                b'POST /a HTTP/1.1\r\nHost: h\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+            )
+            await stream.send(b'2\r\nde\r\n0\r\n\r\n')
+            await stream.receive()
+            self.assertEqual(handler.bodies, [b'abcde'])
+
+        _play(scenario)
--- /dev/null
+++ b/tests/node/test_path.py
@@ -0,0 +1,236 @@
+"""Tests of the whole path in one process, over real sockets.
+
+Waiting here is only for a state to come; no verdict depends on a time.
+"""
+
+import functools
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpx
+
+from jacinthcart.platform.assembly import create_node
+from jacinthcart.platform.settings_file import decode_settings
+from jacinthcart.node import run_node
+from jacinthcart.serving import merge_records
+from jacinthcart_emulator.platform_store import StoreFault
+from jacinthcart_emulator.platform_searcher import create_part
+from jacinthcart_lab.platform_deployment import (
+    DeploymentTerms,
+    PlatformDeployment,
+)
+
+_READY_S = 20
+_HOST = {'Host': 'shop.example'}
+
+
+class PathCase:
+    """A deployment, its nodes and a caller."""
+
+    def __init__(self, terms: DeploymentTerms) -> None:
+        """Prepare a deployment."""
+        self.deployment = PlatformDeployment(terms, random.Random(5))
+        self.client = httpx.AsyncClient(timeout=5)
+        self._requests = 0
+
+    async def run(
+        self, scenario: Callable[['PathCase'], Awaitable[None]]
+    ) -> None:
+        """Start everything, play the scenario and stop."""
+        async with anyio.create_task_group() as tasks:
+            await self.deployment.start(tasks)
+            for number in range(self.deployment.terms.vms):
+                settings = decode_settings(
+                    self.deployment.create_settings(number),
+                )
+                node, servers = create_node(settings)
+                tasks.start_soon(
+                    functools.partial(
+                        run_node, node, servers, has_signals=False
+                    ),
+                )
+            await self._wait_until_ready()
+            await scenario(self)
+            await self.client.aclose()
+            await self.deployment.close()
+            tasks.cancel_scope.cancel()
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        vm: int = 0,
+        key: str = 'key-1',
+        method: str = 'GET',
+        body: bytes = b'',
+    ) -> tuple[str, httpx.Response]:
+        """Send one request and return its id and the response."""
+        self._requests += 1
+        request_id = f'{self._requests:016x}'
+        address = self.deployment.addresses[vm]
+        response = await self.client.request(
+            method,
+            f'http://{address}:{self.deployment.callers_port}{path}',
+            content=body,
+            headers={
+                **_HOST,
+                'X-Jacinthcart-Request-Id': request_id,
+                'X-Jacinthcart-Deadline-Ms': '2000',
+                'X-Jacinthcart-Credential': key,
+            },
+        )
+        return request_id, response
+
+    async def _wait_until_ready(self) -> None:
+        with anyio.fail_after(_READY_S):
+            for vm in range(self.deployment.terms.vms):
+                status = 0
+                while status != 200:
+                    await anyio.sleep(0.05)
+                    status = await self._try(vm)
+
+    async def _try(self, vm: int) -> int:
+        try:
+            _, response = await self.ask('/search/x', vm=vm)
+        except httpx.HTTPError:
+            return 0
+        return response.status_code
+
+
+def _play(
+    scenario: Callable[[PathCase], Awaitable[None]],
+    terms: DeploymentTerms | None = None,
+) -> None:
+    case = PathCase(terms or DeploymentTerms())
+    anyio.run(case.run, scenario)
+
+
+class WholePathTests(unittest.TestCase):
+    """Callers get their own, whole and true answers."""
+
+    def test_answer_holds_the_greatest_records_of_all_shards(self) -> None:
+        """A merged answer must be exactly that of its parts."""
+
+        async def scenario(case: PathCase) -> None:
+            request_id, response = await case.ask('/search/q?x=1')
+            shards = case.deployment.list_services()[:-1]
+            parts = [create_part(one, request_id, 6) for one in shards]
+            self.assertEqual(response.content, merge_records(parts, 5))
+            self.assertEqual(
+                response.headers['X-Jacinthcart-Missing-Parts'],
+                '0',
+            )
+
+        _play(scenario)
+
+    def test_extra_answers_never_reach_another_request(self) -> None:
+        """A searcher may answer twice on a kept connection."""
+
+        async def scenario(case: PathCase) -> None:
+            for searcher in case.deployment.searchers_by_id.values():
+                searcher.faults.extra_share = 0.5
+            for _ in range(60):
+                request_id, response = await case.ask('/search/q')
+                if response.status_code != 200:
+                    continue
+                stamps = response.headers['X-Jacinthcart-Part-Stamps']
+                for stamp in stamps.split(', '):
+                    self.assertTrue(stamp.endswith(request_id), stamp)
+
+        _play(scenario, DeploymentTerms(vms=1))
+
+    def test_non_idempotent_request_never_runs_twice(self) -> None:
+        """A lost answer leaves the outcome unknown; it isn't sent again."""
+
+        async def scenario(case: PathCase) -> None:
+            for searcher in case.deployment.searchers_by_id.values():
+                searcher.faults.reset_share = 0.5
+                searcher.faults.shed_share = 0.3
+            statuses = {}
+            for _ in range(60):
+                request_id, response = await case.ask(
+                    '/order/o',
+                    method='POST',
+                    body=b'wrap',
+                )
+                statuses[request_id] = response.status_code
+            runs = [
+                one.request_id
+                for one in case.deployment.executions
+                if one.service == 'orders'
+            ]
+            self.assertEqual(len(runs), len(set(runs)))
+            refused = {key for key, one in statuses.items() if one == 503}
+            self.assertFalse(refused & set(runs))
+
+        _play(scenario, DeploymentTerms(vms=1))
+
+    def test_searchers_see_the_workspace_and_not_the_key(self) -> None:
+        """The key stays at the VM."""
+
+        async def scenario(case: PathCase) -> None:
+            await case.ask('/search/q')
+            workspaces = {one.workspace for one in case.deployment.executions}
+            self.assertEqual(workspaces, {'mill'})
+
+        _play(scenario, DeploymentTerms(vms=1))
+
+    def test_unknown_key_and_route_are_denied(self) -> None:
+        """A denial needs a fresh reading and gives a final status."""
+
+        async def scenario(case: PathCase) -> None:
+            _, denied = await case.ask('/search/q', key='other')
+            self.assertEqual(denied.status_code, 401)
+            _, unknown = await case.ask('/nothing/q')
+            self.assertEqual(unknown.status_code, 404)
+
+        _play(scenario, DeploymentTerms(vms=1))
+
+    def test_withdrawn_key_stops_on_every_vm(self) -> None:
+        """VMs that do not read the store learn it from those that do."""
+
+        async def scenario(case: PathCase) -> None:
+            case.deployment.keys = ['key-2']
+            case.deployment.publish_config()
+            for vm in range(case.deployment.terms.vms):
+                status = 200
+                while status == 200:
+                    _, response = await case.ask('/search/q', vm=vm)
+                    status = response.status_code
+                    await anyio.sleep(0.02)
+                self.assertEqual(status, 401)
+
+        _play(scenario, DeploymentTerms(vms=4))
+
+    def test_silent_store_stops_keyed_requests(self) -> None:
+        """Without a proof a key may have been withdrawn."""
+
+        async def scenario(case: PathCase) -> None:
+            case.deployment.store.fault = StoreFault.SILENT
+            status = 200
+            while status == 200:
+                _, response = await case.ask('/search/q')
+                status = response.status_code
+                await anyio.sleep(0.05)
+            self.assertEqual(status, 503)
+            self.assertIn('Retry-After', response.headers)
+
+        _play(scenario, DeploymentTerms(vms=1))
+
+    def test_draining_searcher_gets_nothing_more(self) -> None:
+        """All VMs stop sending to a searcher that leaves."""
+
+        async def scenario(case: PathCase) -> None:
+            leaving = 'shard0-0'
+            case.deployment.announce(leaving, 'draining')
+            await anyio.sleep(2)
+            case.deployment.executions.clear()
+            for vm in range(2):
+                for _ in range(10):
+                    await case.ask('/search/q', vm=vm)
+            users = {one.searcher_id for one in case.deployment.executions}
+            self.assertNotIn(leaving, users)
+
+        _play(scenario, DeploymentTerms(vms=2))
