--- a/jacinthcart/platform/_documents.py
+++ b/jacinthcart/platform/_documents.py
@@ -102,7 +102,9 @@
 
 
 class _ServerBody(pydantic.BaseModel):
-    """A searcher's entry."""
+    """A searcher's entry; a field of another type makes it unusable."""
+
+    model_config = pydantic.ConfigDict(strict=True)
 
     service: str
     address: str
@@ -110,8 +112,8 @@
     concurrency_limit: int = pydantic.Field(ge=1)
     state: SearcherState
     #: Milliseconds that the searcher stays cold.
-    warmup_left_ms: float = 0
-    sequence: int = 0
+    warmup_left_ms: float = pydantic.Field(ge=0)
+    sequence: int
     #: Unix milliseconds of the searcher's start.
     born: int = 0
 
@@ -165,7 +167,7 @@
 def decode_searcher(searcher_id: str, content: bytes) -> Searcher:
     """Return a searcher's entry; raise InvalidMessageError."""
     try:
-        body = _ServerBody.model_validate(decode_json(content), strict=False)
+        body = _ServerBody.model_validate_json(content)
         endpoint = parse_endpoint(body.address)
     except (pydantic.ValidationError, SettingsError) as error:
         raise InvalidMessageError(f'{searcher_id}: {error}') from error
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,135 @@
+"""Tests of decoding what operators and searchers publish."""
+
+import unittest
+from typing import Any
+
+from jacinthcart.catalogue import CatalogueBook, find_route
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.platform._documents import decode_catalogue, decode_searcher
+from jacinthcart.platform._items import ItemDecoder
+from jacinthcart.readings import Item, ItemTable
+from jacinthcart.telemetry import create_logger
+from jacinthcart.wire import encode_json
+from tests.support import ManualClock
+
+
+def create_document(**changes: Any) -> dict[str, Any]:
+    """Return a configuration with two routes of one host."""
+    route = {
+        'name': 'r1',
+        'host': 'Shop.example',
+        'prefix': '/a/',
+        'route_type': 'idempotent',
+        'timeout_ms': 500,
+        'target_latency_ms': 56,
+        'service': 's1',
+    }
+    longer = {
+        **route,
+        'name': 'r2',
+        'prefix': '/a/b/',
+        'route_type': 'non_idempotent',
+        'service': None,
+        'gather': ['s1', 's2'],
+    }
+    return {'version': 4, 'routes': [route, longer], **changes}
+
+
+def create_entry(**changes: Any) -> bytes:
+    """Return the entry of a searcher."""
+    entry = {
+        'service': 's1',
+        'address': '10.0.0.9:80',
+        'zone': 'a',
+        'concurrency_limit': 2,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+        'sequence': 4,
+        'born': 9,
+    }
+    return encode_json({**entry, **changes})
+
+
+class DecodeCatalogueTests(unittest.TestCase):
+    """The document becomes routes that are found by host and prefix."""
+
+    def test_longest_prefix_is_found_first(self) -> None:
+        """Routes of a host are ordered once, when they are decoded."""
+        catalogue = decode_catalogue(encode_json(create_document()))
+        route = find_route(catalogue, 'shop.example', '/a/b/c')
+        assert route is not None
+        self.assertEqual(route.shards, ('s1', 's2'))
+        self.assertFalse(route.is_idempotent)
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        """New fields may come with any version."""
+        document = create_document(new_field={'a': 1})
+        self.assertEqual(decode_catalogue(encode_json(document)).version, 4)
+
+    def test_unreadable_documents_are_errors(self) -> None:
+        """Nothing is guessed from a document of another form."""
+        for content in (b'', b'\xff', b'[]', b'{"version": "x"}'):
+            with self.assertRaises(InvalidMessageError):
+                decode_catalogue(content)
+
+
+class DecodeSearcherTests(unittest.TestCase):
+    """Entries of other writers name no searcher."""
+
+    def test_entry_is_decoded(self) -> None:
+        """Address and port are separated once."""
+        searcher = decode_searcher('i-1', create_entry())
+        self.assertEqual((searcher.address, searcher.port), ('10.0.0.9', 80))
+
+    def test_malformed_entries_are_errors(self) -> None:
+        """Missing fields, other types and unknown states."""
+        cases = (
+            create_entry(state='asleep'),
+            create_entry(address='nowhere'),
+            create_entry(address=7),
+            create_entry(sequence='4'),
+            create_entry(born=1.5),
+            create_entry(concurrency_limit=0),
+            encode_json({'service': 's1'}),
+            encode_json([1]),
+            b'\x00\x01',
+        )
+        for content in cases:
+            with self.assertRaises(InvalidMessageError):
+                decode_searcher('i-1', content)
+
+
+class ItemDecoderTests(unittest.TestCase):
+    """One bad item harms no other one."""
+
+    def setUp(self) -> None:
+        """Connect a table and a book."""
+        logger = create_logger('test')
+        self.table = ItemTable()
+        self.book = CatalogueBook(ManualClock(), logger)
+        ItemDecoder(self.table, self.book, logger)
+
+    def test_bad_entry_leaves_the_others(self) -> None:
+        """Both come in one change of the table."""
+        self.table.merge(
+            [
+                Item('servers/bad', 5, b'{}'),
+                Item('servers/good', 6, create_entry()),
+            ],
+        )
+        self.assertEqual(set(self.book.searchers_by_id), {'good'})
+
+    def test_unreadable_configuration_keeps_the_last_good_one(self) -> None:
+        """The system must go on with what was in force."""
+        document = encode_json(create_document())
+        self.table.merge([Item('op/config', 5, document)])
+        self.table.merge([Item('op/config', 6, b'{"version": 9}')])
+        assert self.book.catalogue is not None
+        self.assertEqual(self.book.catalogue.version, 4)
+
+    def test_evacuation_is_taken_back_when_its_key_goes(self) -> None:
+        """An evacuation holds as long as its key is there."""
+        self.table.merge([Item('op/evacuate/a', 5, b'{}')])
+        self.assertEqual(self.book.evacuated_zones, {'a'})
+        self.table.merge([Item('op/evacuate/a', 7, None)])
+        self.assertEqual(self.book.evacuated_zones, frozenset())
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,135 @@
+"""Tests of the translation of requests and answers."""
+
+import unittest
+
+from jacinthcart.errors import (
+    InvalidMessageError,
+    Ran,
+    RefusalCode,
+    RefusalError,
+)
+from jacinthcart.front import RawRequest
+from jacinthcart.platform._headers import (
+    PlatformSearcherCodec,
+    decode_request,
+    encode_refusal,
+)
+from jacinthcart.routing import ResponseHead
+
+
+def create_raw(*extra: tuple[bytes, bytes]) -> RawRequest:
+    """Return a caller's request."""
+    headers = (
+        (b'host', b'Shop.example:80'),
+        (b'x-jacinthcart-request-id', b'9c41'),
+        (b'x-jacinthcart-deadline-ms', b'500'),
+        (b'x-jacinthcart-credential', b'secret'),
+    )
+    return RawRequest('GET', b'/a/b?c=1', (*headers, *extra), b'', 10.0, True)
+
+
+class DecodeRequestTests(unittest.TestCase):
+    """Headers become fields once."""
+
+    def test_fields_are_decoded(self) -> None:
+        """The deadline is a moment, the path has no query."""
+        request = decode_request(create_raw())
+        self.assertEqual(request.deadline, 10.5)
+        self.assertEqual(request.path, '/a/b')
+        self.assertEqual(request.target, '/a/b?c=1')
+        self.assertEqual(request.host, 'shop.example')
+
+    def test_headers_of_one_connection_are_not_passed_on(self) -> None:
+        """Also those that the caller names in Connection."""
+        request = decode_request(
+            create_raw((b'connection', b'x-own, close'), (b'x-own', b'1')),
+        )
+        names = {name for name, _ in request.headers}
+        self.assertEqual(names, {b'host', b'x-jacinthcart-request-id'})
+
+    def test_callers_can_not_set_the_workspace(self) -> None:
+        """The header to searchers is the system's own."""
+        request = decode_request(create_raw((b'x-jacinthcart-tenant', b'evil')))
+        names = {name for name, _ in request.headers}
+        self.assertNotIn(b'x-jacinthcart-tenant', names)
+
+    def test_repeated_identity_headers_are_errors(self) -> None:
+        """Two hosts or ids could be read differently by a searcher."""
+        for name in (b'host', b'x-jacinthcart-request-id'):
+            with self.assertRaises(InvalidMessageError):
+                decode_request(create_raw((name, b'other')))
+
+    def test_unreadable_deadline_is_an_error(self) -> None:
+        """Nothing is guessed from a malformed number."""
+        raw = create_raw()
+        headers = tuple(
+            (name, b'soon' if name.endswith(b'-ms') else content)
+            for name, content in raw.headers
+        )
+        with self.assertRaises(InvalidMessageError):
+            decode_request(RawRequest('GET', b'/', headers, b'', 0, True))
+
+
+class SearcherCodecTests(unittest.TestCase):
+    """Searchers get what the caller asked and nothing secret."""
+
+    def setUp(self) -> None:
+        """Create a codec."""
+        self.codec = PlatformSearcherCodec()
+
+    def test_request_names_searcher_and_workspace_but_no_key(self) -> None:
+        """A searcher at a used address must be able to refuse."""
+        message = self.codec.encode_request(
+            decode_request(create_raw()),
+            'i-7',
+            0.25,
+            'mill',
+        ).lower()
+        self.assertIn(b'x-jacinthcart-expected-instance: i-7', message)
+        self.assertIn(b'x-jacinthcart-tenant: mill', message)
+        self.assertIn(b'x-jacinthcart-deadline-ms: 250', message)
+        self.assertNotIn(b'secret', message)
+
+    def test_misdirected_request_has_not_run(self) -> None:
+        """Another searcher has the address."""
+        response = self.codec.decode_response(ResponseHead(421, ()), b'')
+        self.assertTrue(response.is_not_run)
+
+    def test_success_without_a_stamp_is_none(self) -> None:
+        """Only a signed response is the searcher's."""
+        response = self.codec.decode_response(ResponseHead(200, ()), b'')
+        self.assertFalse(response.is_success)
+
+    def test_load_and_idle_timeout_are_decoded(self) -> None:
+        """Malformed hints count as none."""
+        head = ResponseHead(
+            200,
+            (
+                (b'x-jacinthcart-server-load', b'3,0,8'),
+                (b'keep-alive', b'timeout=7'),
+            ),
+        )
+        response = self.codec.decode_response(head, b'')
+        self.assertEqual(response.load, (3, 0, 8))
+        self.assertEqual(response.idle_timeout_s, 7)
+        broken = ResponseHead(200, ((b'x-jacinthcart-server-load', b'3,a'),))
+        self.assertIsNone(self.codec.decode_response(broken, b'').load)
+
+
+class EncodeRefusalTests(unittest.TestCase):
+    """A status that promises `not run` is used only when it is true."""
+
+    def test_unknown_outcome_never_promises(self) -> None:
+        """Callers repeat requests after a promise."""
+        for code in RefusalCode:
+            if code in {RefusalCode.OVER_RATE}:
+                continue
+            response = encode_refusal(RefusalError(code, Ran.UNKNOWN))
+            self.assertNotIn(response.status, {408, 421, 429, 503}, code)
+
+    def test_refusal_before_any_send_tells_when_to_return(self) -> None:
+        """Retry-After is given in seconds."""
+        refusal = RefusalError(RefusalCode.NOT_READY, retry_after_ms=300)
+        response = encode_refusal(refusal)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.headers, ((b'Retry-After', b'0.300'),))
--- /dev/null
+++ b/tests/platform/test_settings_file.py
@@ -0,0 +1,49 @@
+"""Tests of the platform's settings file."""
+
+import unittest
+from typing import Any
+
+from jacinthcart.errors import SettingsError
+from jacinthcart.platform.settings_file import decode_settings
+
+
+def create_fields(**changes: Any) -> dict[str, Any]:
+    """Return the least fields of a settings file."""
+    fields = {
+        'node_name': 'frontend-a-1',
+        'ip': '10.1.0.17',
+        'zone': 'a',
+        'listen_addrs': {
+            'frontend_addr': '10.1.0.17:8363',
+            'ready': '10.1.0.17:8364',
+            'directory': '10.1.0.17:8365',
+        },
+        'port_range': [7740, 7755],
+        'seeds': ['10.1.0.17:8360', '10.2.0.28:8360'],
+        'platform': {'address': '10.200.1.7:8361', 'form': 'read'},
+        'bounds': {'revoke_ms': 4000, 'unknown': 1},
+    }
+    return {**fields, **changes}
+
+
+class DecodeSettingsTests(unittest.TestCase):
+    """Fields become the project's settings; errors name the place."""
+
+    def test_fields_are_decoded(self) -> None:
+        """Times are in seconds, seeds are addresses."""
+        settings = decode_settings(create_fields())
+        self.assertEqual(settings.bounds.key_s, 4)
+        self.assertEqual(settings.seeds, ('10.1.0.17', '10.2.0.28'))
+        self.assertEqual(settings.peer_port, 7740)
+
+    def test_error_names_path_and_value(self) -> None:
+        """An operator must see what to change."""
+        with self.assertRaises(SettingsError) as caught:
+            decode_settings(create_fields(bounds={'revoke_ms': 'soon'}))
+        self.assertEqual(caught.exception.path, 'bounds.revoke_ms')
+        self.assertIn('soon', str(caught.exception))
+
+    def test_missing_store_is_an_error(self) -> None:
+        """Without the store nothing can be served."""
+        with self.assertRaises(SettingsError):
+            decode_settings(create_fields(platform={}))
