Cut traffic between data centres: compact pings, near searchers

Pings carried names and member lists each time; searchers of other data centres were chosen when the near one had one request waiting.

Change: pings are lists and name members only after the start or a change; one relay and one random member a round; a far searcher costs a fifth of the route's target more; reported load fades with the work behind it. A VM whose proof is old copies from any member that has a newer one.

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -13,7 +13,6 @@
     FleetMessage,
     MemberRecord,
     decode_fleet_message,
-    unpack_record,
 )
 from jacinthcart.membership import BaseDatagrams
 from jacinthcart.program import Clock
@@ -32,7 +31,11 @@
     #: Seconds between two rounds.
     interval_s: float = 0.3
     #: Members pinged at random in a round, beside the sources of readings.
-    probes: int = 2
+    probes: int = 1
+    #: Seconds after the start for which records of any members are wanted.
+    join_s: float = 6.0
+    #: Share of later pings that want them too.
+    refresh_share: float = 0.02
     #: Seconds until an acknowledgement is overdue.
     timeout_s: float = 0.35
     #: Unanswered pings in a row that make a member suspect.
@@ -40,11 +43,15 @@
     #: VMs that read the store for all.
     readers: int = 2
     #: VMs of a data centre that pass readings on to the others of it.
-    relays: int = 2
+    relays: int = 1
     #: Records in one datagram; it stays below the usual MTU.
     records: int = 10
     #: Age in seconds of the proof at which the readers are asked directly.
-    direct_age_s: float = 1.2
+    direct_age_s: float = 1.0
+    #: Seconds by which any member's proof must be newer to be copied then.
+    fresher_s: float = 0.3
+    #: Further members pinged at random then.
+    stale_probes: int = 2
 
 
 @dataclasses.dataclass
@@ -85,6 +92,7 @@
         self._clock = clock
         self._random = random_source
         self._terms = terms
+        self._started_at = clock()
         self._seq = 0
         self._peer_by_address: dict[str, _Peer] = {}
         self._round: list[str] = []
@@ -110,13 +118,17 @@
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
         """Take a ping or acknowledgement; raise InvalidMessageError."""
         heard = decode_fleet_message(message)
-        sender = unpack_record(heard.sender)
-        for fields in heard.records:
-            self._members.merge(unpack_record(fields))
+        sender = heard.sender
+        for record in heard.records:
+            self._members.merge(record)
         self._members.merge(sender)
         if heard.kind == KIND_PING:
-            reply = self._create(KIND_ACK, heard.seq, heard.wants_all)
-            await self._datagrams.send(reply, source)
+            reply = self._create(
+                KIND_ACK,
+                heard.seq,
+                has_any=heard.wants_records,
+            )
+            await self._datagrams.send(reply.to_message(), source)
         else:
             self._take_ack(heard, sender)
         self._pull_if_behind(heard, sender)
@@ -138,39 +150,61 @@
     def _pull_if_behind(
         self, heard: FleetMessage, sender: MemberRecord
     ) -> None:
-        if self._tasks is None or sender.address not in self._list_sources():
-            return
         address = sender.address
+        is_source = self._is_fresher(heard) or address in self._list_sources()
+        if self._tasks is None or not is_source:
+            return
         if self._puller.is_behind(address, heard.table, heard.serial):
             endpoint = Endpoint(address=address, port=self._port)
             self._tasks.start_soon(self._puller.pull, address, endpoint)
 
+    def _is_fresher(self, heard: FleetMessage) -> bool:
+        # The readers may be cut off from the store while another VM reads.
+        own_age_s = self._lease.age_s
+        return (
+            heard.age_s is not None
+            and own_age_s > self._terms.direct_age_s
+            and heard.age_s + self._terms.fresher_s < own_age_s
+        )
+
     async def _ping(self, address: str) -> None:
         self._seq += 1
         peer = self._peer_by_address.setdefault(address, _Peer())
         peer.sent_at_by_seq[self._seq] = self._clock()
-        wants_all = len(self._members.list_others()) < len(self._seeds)
-        message = self._create(KIND_PING, self._seq, wants_all=False)
-        message['wants_all'] = wants_all or address in self._seeds
+        message = self._create(KIND_PING, self._seq, has_any=False)
+        message = dataclasses.replace(
+            message,
+            wants_records=self._wants_records(),
+        )
         endpoint = Endpoint.model_construct(address=address, port=self._port)
-        await self._datagrams.send(message, endpoint)
+        await self._datagrams.send(message.to_message(), endpoint)
 
-    def _create(self, kind: str, seq: int, wants_all: bool) -> dict[str, Any]:
+    def _wants_records(self) -> bool:
+        # Records of all members are spread at random for a while after the
+        # start, and now and then later in case that news was lost.
+        age_s = self._clock() - self._started_at
+        return (
+            age_s < self._terms.join_s
+            or self._random.random() < self._terms.refresh_share
+        )
+
+    def _create(self, kind: str, seq: int, *, has_any: bool) -> FleetMessage:
         records = self._members.list_recent()[: self._terms.records]
-        if wants_all:
+        if has_any:
             others = self._members.list_others()
             count = min(len(others), self._terms.records)
             records = self._random.sample(others, count)
         age_s = self._lease.age_s
-        return {
-            'kind': kind,
-            'seq': seq,
-            'sender': self._members.own.pack(),
-            'table': self._incarnation,
-            'serial': self._table.serial,
-            'age_s': round(age_s, 4) if math.isfinite(age_s) else None,
-            'records': [record.pack() for record in records],
-        }
+        return FleetMessage(
+            kind=kind,
+            seq=seq,
+            sender=self._members.own,
+            table=self._incarnation,
+            serial=self._table.serial,
+            age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+            wants_records=False,
+            records=tuple(records),
+        )
 
     def _choose_targets(self) -> set[str]:
         # A member that missed a ping is asked again in each round, so that
@@ -186,11 +220,14 @@
                 record.address for record in self._members.list_others()
             ]
             self._random.shuffle(self._round)
-        for _ in range(min(self._terms.probes, len(self._round))):
+        probes = self._terms.probes
+        if self._lease.age_s > self._terms.direct_age_s:
+            probes += self._terms.stale_probes
+        for _ in range(min(probes, len(self._round))):
             targets.add(self._round.pop())
         if len(self._members.list_others()) < len(self._seeds):
             targets.update(self._seeds)
-        elif self._seeds and self._random.random() < 0.1:
+        elif self._random.random() < self._terms.refresh_share:
             targets.add(self._random.choice(self._seeds))
         targets.discard(self._members.own.address)
         return targets
@@ -198,18 +235,16 @@
     def _list_sources(self) -> list[str]:
         terms = self._terms
         own = self._members.own
-        readers = self._members.rank(_READERS_KEY)[: terms.readers]
+        ranked = self._members.rank(_READERS_KEY)
+        readers = ranked[: terms.readers]
         in_zone = [
             record.address
             for record in self._members.list_alive()
             if record.zone == own.zone
         ]
-        relays = [
-            address
-            for address in self._members.rank(_READERS_KEY)
-            if address in in_zone
-        ][: terms.relays]
-        sources = readers if own.address in relays else relays
+        relays = [address for address in ranked if address in in_zone]
+        relays = relays[: terms.relays]
+        sources = readers[:1] if own.address in relays else relays
         if self._lease.age_s > terms.direct_age_s:
             sources = [*sources, *readers]
         return [address for address in sources if address != own.address]
--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -1,6 +1,8 @@
 """Messages that VMs exchange about each other."""
 
+import dataclasses
 import enum
+import types
 from typing import Any
 
 import pydantic
@@ -19,6 +21,19 @@
     LEAVING = 'leaving'
 
 
+#: Short forms of the states in datagrams.
+_CODE_BY_STATE = types.MappingProxyType(
+    {
+        MemberState.ALIVE: 0,
+        MemberState.SUSPECT: 1,
+        MemberState.LEAVING: 2,
+    },
+)
+_STATE_BY_CODE = types.MappingProxyType(
+    {code: state for state, code in _CODE_BY_STATE.items()},
+)
+
+
 class MemberRecord(pydantic.BaseModel):
     """One VM as its peers know it."""
 
@@ -40,38 +55,75 @@
             self.address,
             self.zone,
             self.incarnation,
-            self.state.value,
+            _CODE_BY_STATE[self.state],
             self.capacity,
         ]
 
 
-class FleetMessage(pydantic.BaseModel):
-    """A ping or its acknowledgement."""
+@dataclasses.dataclass(frozen=True)
+class FleetMessage:
+    """A ping or its acknowledgement.
+
+    Datagrams between data centres are priced, so the wire form is a list.
+    """
 
     #: `ping` or `ack`.
     kind: str
     #: Number of the ping.
     seq: int
     #: The sender.
-    sender: list[Any]
+    sender: MemberRecord
     #: Incarnation of the sender's table of readings.
     table: int
     #: Serial number of the sender's table of readings.
     serial: int
     #: Age in seconds of the sender's proof; None without one.
-    age_s: float | None = None
-    #: Records that changed lately or that a new VM lacks.
-    records: list[list[Any]] = []
-    #: Whether the sender knows few members and wants all records.
-    wants_all: bool = False
+    age_s: float | None
+    #: Whether the sender wants records of any members.
+    wants_records: bool
+    #: Records that changed lately or that were wanted.
+    records: tuple[MemberRecord, ...]
+
+    def to_message(self) -> dict[str, Any]:
+        """Return the form on the wire."""
+        return {
+            'kind': self.kind,
+            'b': [
+                self.seq,
+                self.sender.pack(),
+                self.table,
+                self.serial,
+                self.age_s,
+                int(self.wants_records),
+                [record.pack() for record in self.records],
+            ],
+        }
+
+
+_BODY: pydantic.TypeAdapter[
+    tuple[int, list[Any], int, int, float | None, bool, list[list[Any]]]
+] = pydantic.TypeAdapter(
+    tuple[int, list[Any], int, int, float | None, bool, list[list[Any]]],
+)
 
 
 def decode_fleet_message(message: dict[str, Any]) -> FleetMessage:
     """Read a ping or acknowledgement; raise InvalidMessageError."""
     try:
-        return FleetMessage.model_validate(message)
+        body = _BODY.validate_python(message.get('b'))
     except pydantic.ValidationError as error:
         raise InvalidMessageError(str(error)) from error
+    seq, sender, table, serial, age_s, wants_records, records = body
+    return FleetMessage(
+        kind=str(message.get('kind')),
+        seq=seq,
+        sender=unpack_record(sender),
+        table=table,
+        serial=serial,
+        age_s=age_s,
+        wants_records=wants_records,
+        records=tuple(unpack_record(record) for record in records),
+    )
 
 
 def unpack_record(fields: list[Any]) -> MemberRecord:
@@ -82,8 +134,8 @@
             address=address,
             zone=zone,
             incarnation=incarnation,
-            state=state,
+            state=_STATE_BY_CODE[state],
             capacity=capacity,
         )
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, LookupError) as error:
         raise InvalidMessageError(f'malformed record: {error}') from error
--- a/jacinthcart/routing/_choice.py
+++ b/jacinthcart/routing/_choice.py
@@ -11,11 +11,10 @@
 class ChoiceTerms:
     """What a choice weighs beside latency."""
 
-    #: Part of the usual latency that a searcher of another data centre
-    #: costs more: traffic between data centres is priced.
-    far_share: float = 0.35
-    #: Seconds that a searcher of another data centre costs more.
-    far_s: float = 0.003
+    #: Part of the route's target that a searcher of another data centre
+    #: costs more. Traffic between data centres is priced, and a request
+    #: that waits shortly for a near searcher is still within its target.
+    far_target_share: float = 0.2
     #: Part of the usual latency that a cold searcher costs more.
     cold_share: float = 0.6
     #: Slots that a request for which the choice is made needs beyond
@@ -28,6 +27,7 @@
     *,
     now: float,
     usual_s: float,
+    target_s: float,
     slots: int,
     is_far: bool,
     is_cold: bool,
@@ -41,13 +41,13 @@
     slowness = evidence.find_slowness(now)
     expected_s = usual_s * slowness
     usable_slots = max(slots, terms.slots_floor)
-    waiting = evidence.find_excess(now, usable_slots)
+    waiting = evidence.find_excess(now, usable_slots, expected_s)
     cost_s = expected_s * (1 + waiting / usable_slots)
     overdue_s = evidence.find_oldest_age_s(now) - 1.5 * expected_s
     if overdue_s > 0:
         cost_s += overdue_s + expected_s
     if is_far:
-        cost_s += usual_s * terms.far_share + terms.far_s
+        cost_s += target_s * terms.far_target_share
     if is_cold:
         cost_s += usual_s * terms.cold_share
     if evidence.paused_until > now:
--- a/jacinthcart/routing/_evidence.py
+++ b/jacinthcart/routing/_evidence.py
@@ -17,8 +17,8 @@
 #: First pause after a refusal for load.
 _SHED_PAUSE_S = 0.03
 _SHED_PAUSE_MOST_S = 0.5
-#: A reported load is used for this long.
-_LOAD_AGE_S = 0.5
+#: Turns of the slots after which a reported load says nothing more.
+_LOAD_TURNS = 3.0
 _MAX_DOUBLINGS = 8
 
 
@@ -64,13 +64,20 @@
         kept = math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
         return 1 + (self.slowness - 1) * kept
 
-    def find_excess(self, now: float, slots: int) -> int:
-        """Return the requests that a new one would wait behind."""
+    def find_excess(self, now: float, slots: int, work_s: float) -> float:
+        """Return the requests that a new one would wait behind.
+
+        A reported load fades while the requests behind it end, which takes
+        about `work_s` seconds for each turn of the slots.
+        """
         own_excess = max(0, self.in_flight + 1 - slots)
-        if now - self.load_at > _LOAD_AGE_S:
+        age_s = now - self.load_at
+        weight = 1 - age_s / (_LOAD_TURNS * max(work_s, 0.001))
+        if weight <= 0:
             return own_excess
         added = self.in_flight - self.in_flight_at_report
-        return max(own_excess, self.reported_excess + added, 0)
+        reported = (self.reported_excess + added) * weight
+        return max(own_excess, reported, 0)
 
 
 class Evidence:
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -59,6 +59,7 @@
         service: str,
         excluded: Collection[str],
         usual_s: float,
+        target_s: float,
         *,
         allows_paused: bool = True,
     ) -> Searcher | None:
@@ -74,7 +75,13 @@
                 continue
             if not self._may_send(searcher, now):
                 continue
-            cost_s = self._estimate_s(searcher, evidence, now, usual_s)
+            cost_s = self._estimate_s(
+                searcher,
+                evidence,
+                now,
+                usual_s,
+                target_s,
+            )
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = searcher, cost_s
         if best is not None:
@@ -92,11 +99,13 @@
         evidence: SearcherEvidence,
         now: float,
         usual_s: float,
+        target_s: float,
     ) -> float:
         cost_s = estimate_cost_s(
             evidence,
             now=now,
             usual_s=usual_s,
+            target_s=target_s,
             slots=searcher.slots,
             is_far=searcher.data_centre != self._members.own.zone,
             is_cold=self.is_cold(searcher, now),
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -212,10 +212,12 @@
         return True
 
     def _choose(self, *, allows_paused: bool) -> Searcher | None:
+        route = self._context.route
         return self._calls.table.choose(
             self.service,
             self._excluded,
-            self._calls.usual_s(self._context.route),
+            self._calls.usual_s(route),
+            route.target_s,
             allows_paused=allows_paused,
         )
 
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -143,6 +143,27 @@
         """A configuration is in force everywhere within seconds."""
         self.assertEqual(run_in_virtual_time(self._spread, 24, 1.5), 24)
 
+    def test_any_member_that_reads_proves_for_all(self) -> None:
+        """Both readers may be turned away by the store and live on."""
+        ages = run_in_virtual_time(self._read_elsewhere, 40)
+        self.assertLess(max(ages), 3)
+
+    async def _read_elsewhere(self, count: int) -> list[float]:
+        network = _create_network(count)
+        async with anyio.create_task_group() as tasks:
+            for vm in network.vms.values():
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(7)
+            ranked = network.vms['10.0.0.1'].members.rank('readers')
+            reader = network.vms[ranked[7]]
+            reader.table.merge([Item('op/config', 2, b'{}')])
+            for _ in range(100):
+                reader.lease.note_own_reading(anyio.current_time())
+                await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+            now = anyio.current_time()
+        return [now - vm.lease.proof_at for vm in network.vms.values()]
+
     async def _join(
         self,
         count: int,
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -20,6 +20,7 @@
 )
 
 _USUAL_S = 0.02
+_TARGET_S = 0.1
 
 
 class RoutingTableTests(unittest.TestCase):
@@ -81,7 +82,7 @@
         """A failed searcher is used only when no other is left."""
         self.evidence.note_failure(self.table.find_evidence(self.near))
         self.assertEqual(self._choose(), 'far')
-        chosen = self.table.choose('shard-0', {'far'}, _USUAL_S)
+        chosen = self.table.choose('shard-0', {'far'}, _USUAL_S, _TARGET_S)
         assert chosen is not None
         self.assertEqual(chosen.searcher_id, 'near')
 
@@ -116,11 +117,11 @@
         )
         sent = 0
         for _ in range(100):
-            if self.table.choose('shard-1', (), _USUAL_S) is not None:
-                sent += 1
+            chosen = self.table.choose('shard-1', (), _USUAL_S, _TARGET_S)
+            sent += chosen is not None
             self.clock.move(0.01)
         self.assertLessEqual(sent, 2)
 
     def _choose(self) -> str | None:
-        chosen = self.table.choose('shard-0', (), _USUAL_S)
+        chosen = self.table.choose('shard-0', (), _USUAL_S, _TARGET_S)
         return chosen.searcher_id if chosen else None
