Avoid searchers that lose answers; start sooner; one reader; less budget after a start

Change: the share of failed sends counts in the choice; new buckets hold half their capacity; extra sends of a new process start at one; one VM reads, the next takes over after 1.5 s; a far searcher costs half of the target more.

--- a/jacinthcart/control/__main__.py
+++ b/jacinthcart/control/__main__.py
@@ -7,7 +7,7 @@
 import cappa
 
 from jacinthcart.control._program import run_control
-from jacinthcart.program import run_program
+from jacinthcart.launch import run_program
 
 
 @cappa.command(name='jacinthcart-control')
--- a/jacinthcart/control/_limits.py
+++ b/jacinthcart/control/_limits.py
@@ -12,7 +12,7 @@
     PermitService,
     TokenLedger,
 )
-from jacinthcart.membership import BaseDatagrams
+from jacinthcart.network import BaseDatagrams
 from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.settings import Endpoint, ProcessSettings, SettingsView
 from jacinthcart.telemetry import DecisionLog, Metrics
--- a/jacinthcart/control/_program.py
+++ b/jacinthcart/control/_program.py
@@ -12,8 +12,9 @@
 from jacinthcart.control._node import ControlNode, Surroundings
 from jacinthcart.control._reports import Reports
 from jacinthcart.control._serving import ServingWatch
-from jacinthcart.membership import DatagramEndpoint
-from jacinthcart.program import StopSignal, read_boot_clock
+from jacinthcart.network import DatagramEndpoint
+from jacinthcart.launch import StopSignal
+from jacinthcart.program import read_boot_clock
 from jacinthcart.settings import Endpoint, ProcessSettings
 from jacinthcart.sync import PeerSettingsClient, PlatformClient
 from jacinthcart.telemetry import DecisionLog, Metrics, create_logger
--- a/jacinthcart/control/_warm_spread.py
+++ b/jacinthcart/control/_warm_spread.py
@@ -6,7 +6,7 @@
 from jacinthcart.control._state import ControlState
 from jacinthcart.control._warm import encode_warm_entries, read_warm_entries
 from jacinthcart.feed import WarmEntry
-from jacinthcart.membership import BaseDatagrams
+from jacinthcart.network import BaseDatagrams
 from jacinthcart.ownership import find_part_owners, qualify_searcher
 from jacinthcart.settings import Endpoint, SettingsView
 
--- a/jacinthcart/entry/__main__.py
+++ b/jacinthcart/entry/__main__.py
@@ -7,7 +7,7 @@
 import cappa
 
 from jacinthcart.entry._program import run_entry
-from jacinthcart.program import run_program
+from jacinthcart.launch import run_program
 
 
 @cappa.command(name='jacinthcart-entry')
--- a/jacinthcart/entry/_drain.py
+++ b/jacinthcart/entry/_drain.py
@@ -5,7 +5,7 @@
 import anyio
 
 from jacinthcart.feed import StateFeed
-from jacinthcart.program import StopSignal
+from jacinthcart.launch import StopSignal
 from jacinthcart.wire import AsgiApplication
 
 _MS_PER_S = 1000
--- a/jacinthcart/entry/_program.py
+++ b/jacinthcart/entry/_program.py
@@ -12,7 +12,7 @@
 from jacinthcart.entry._handler import QueryHandler
 from jacinthcart.entry._permits import BasePermitSource, ControlPermitSource
 from jacinthcart.feed import StateFeed
-from jacinthcart.program import StopSignal
+from jacinthcart.launch import StopSignal
 from jacinthcart.settings import ProcessSettings
 from jacinthcart.telemetry import (
     DecisionLog,
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -14,10 +14,10 @@
     MemberRecord,
     decode_fleet_message,
 )
-from jacinthcart.membership import BaseDatagrams
+from jacinthcart.network import BaseDatagrams
 from jacinthcart.program import Clock
 from jacinthcart.readings import ItemTable, ReadingLease, ReadingPuller
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 
 KIND_PING = 'ping'
 KIND_ACK = 'ack'
@@ -47,7 +47,7 @@
     #: Records in one datagram; it stays below the usual MTU.
     records: int = 10
     #: Age in seconds of the proof at which the readers are asked directly.
-    direct_age_s: float = 1.0
+    direct_age_s: float = 1.2
     #: Seconds by which any member's proof must be newer to be copied then.
     fresher_s: float = 0.3
     #: Further members pinged at random then.
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -5,7 +5,7 @@
 
 from jacinthcart.front._connection import BaseRequestHandler, CallerConnection
 from jacinthcart.program import Clock
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Logger
 
 _BACKLOG = 512
--- a/jacinthcart/gather/__main__.py
+++ b/jacinthcart/gather/__main__.py
@@ -9,7 +9,7 @@
 
 from jacinthcart.gather._connect import create_dispatcher
 from jacinthcart.gather._program import run_gather
-from jacinthcart.program import run_program
+from jacinthcart.launch import run_program
 
 
 @cappa.command(name='jacinthcart-gather')
--- a/jacinthcart/gather/_program.py
+++ b/jacinthcart/gather/_program.py
@@ -14,7 +14,7 @@
 from jacinthcart.gather._processor import ProcessorGauge
 from jacinthcart.gather._service import GatherService
 from jacinthcart.gather._submit import RequestIdMemory
-from jacinthcart.program import StopSignal
+from jacinthcart.launch import StopSignal
 from jacinthcart.settings import ProcessSettings
 from jacinthcart.telemetry import (
     DecisionLog,
--- a/jacinthcart/limits/__init__.py
+++ b/jacinthcart/limits/__init__.py
@@ -1,7 +1,7 @@
 """Fleet-wide rate limits: owned token shares, lent by count."""
 
 from jacinthcart.limits._borrower import Borrower
-from jacinthcart.limits._bucket import TokenBucket
+from jacinthcart.tokens import TokenBucket
 from jacinthcart.limits._client import PermitClient, PostPermits
 from jacinthcart.limits._ledger import (
     AcquireResult,
--- a/jacinthcart/limits/_share.py
+++ b/jacinthcart/limits/_share.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from jacinthcart.limits._bucket import TokenBucket
+from jacinthcart.tokens import TokenBucket
 from jacinthcart.limits._demand import DemandMeter
 from jacinthcart.limits._permits import NO_GRANT, Grant, PermitStock
 from jacinthcart.limits._terms import LimitTerms
--- a/jacinthcart/membership/__init__.py
+++ b/jacinthcart/membership/__init__.py
@@ -11,18 +11,18 @@
     CurrencyReason,
     Evidence,
 )
-from jacinthcart.membership._endpoint import (
-    BaseDatagrams,
-    DatagramEndpoint,
-    decode_datagram,
-)
 from jacinthcart.membership._heartbeats import HeartbeatPeers
 from jacinthcart.membership._messages import (
-    MAX_DATAGRAM_BYTES,
     Member,
     MemberState,
 )
 from jacinthcart.membership._ring import select_peers
+from jacinthcart.network import (
+    MAX_DATAGRAM_BYTES,
+    BaseDatagrams,
+    DatagramEndpoint,
+    decode_datagram,
+)
 
 __all__ = [
     'MAX_DATAGRAM_BYTES',
--- a/jacinthcart/membership/_heartbeats.py
+++ b/jacinthcart/membership/_heartbeats.py
@@ -15,9 +15,8 @@
     unpack_ages,
 )
 from jacinthcart.membership._currency import Currency
-from jacinthcart.membership._endpoint import BaseDatagrams
+from jacinthcart.network import MAX_DATAGRAM_BYTES, BaseDatagrams
 from jacinthcart.membership._messages import (
-    MAX_DATAGRAM_BYTES,
     HeartbeatAck,
     Member,
     MemberState,
--- a/jacinthcart/membership/_messages.py
+++ b/jacinthcart/membership/_messages.py
@@ -7,9 +7,6 @@
 
 from jacinthcart.errors import InvalidMessageError
 
-#: Datagrams stay below the usual Ethernet MTU, so that none is fragmented.
-MAX_DATAGRAM_BYTES = 1400
-
 
 class MemberState(pydantic.BaseModel):
     """What a VM tells about itself in a heartbeat or acknowledgement."""
--- /dev/null
+++ b/jacinthcart/network/__init__.py
@@ -0,0 +1,27 @@
+"""Addresses of processes, and datagrams between them."""
+
+from jacinthcart.network._datagrams import (
+    MAX_DATAGRAM_BYTES,
+    BaseDatagrams,
+    DatagramEndpoint,
+    DatagramListener,
+    decode_datagram,
+)
+from jacinthcart.network._models import (
+    Endpoint,
+    IpAddress,
+    Port,
+    SettingsModel,
+)
+
+__all__ = [
+    'MAX_DATAGRAM_BYTES',
+    'BaseDatagrams',
+    'DatagramEndpoint',
+    'DatagramListener',
+    'Endpoint',
+    'IpAddress',
+    'Port',
+    'SettingsModel',
+    'decode_datagram',
+]
--- a/jacinthcart/membership/_endpoint.py
+++ b/jacinthcart/network/_datagrams.py
@@ -1,4 +1,4 @@
-"""The UDP socket of a control process."""
+"""The UDP socket that a process exchanges messages with its peers on."""
 
 import abc
 from collections.abc import Awaitable, Callable
@@ -8,12 +8,14 @@
 from anyio.abc import UDPSocket
 
 from jacinthcart.errors import InvalidMessageError
-from jacinthcart.membership._messages import MAX_DATAGRAM_BYTES
 from jacinthcart.program import Clock, read_boot_clock
-from jacinthcart.settings import Endpoint
+from jacinthcart.network._models import Endpoint
 from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import decode_json, encode_json
 
+#: Datagrams stay below the usual Ethernet MTU, so that none is fragmented.
+MAX_DATAGRAM_BYTES = 1400
+
 #: Takes a message, its source and the moment (s) of its arrival; raises
 #: InvalidMessageError for a message of another shape.
 DatagramListener = Callable[[dict[str, Any], Endpoint, float], Awaitable[None]]
--- /dev/null
+++ b/jacinthcart/network/_models.py
@@ -0,0 +1,29 @@
+"""Validated addresses, and the base of every settings model."""
+
+import ipaddress
+from typing import Annotated
+
+import pydantic
+
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+
+
+def _check_ip_address(text: str) -> str:
+    ipaddress.ip_address(text)
+    return text
+
+
+IpAddress = Annotated[str, pydantic.AfterValidator(_check_ip_address)]
+
+
+class SettingsModel(pydantic.BaseModel):
+    """Base of every settings model: unknown fields are errors."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Endpoint(SettingsModel):
+    """An address and a TCP or UDP port."""
+
+    address: IpAddress = pydantic.Field(description='IP address')
+    port: Port = pydantic.Field(description='port')
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -19,7 +19,7 @@
     MemberTerms,
 )
 from jacinthcart.front import FrontTerms
-from jacinthcart.membership import DatagramEndpoint
+from jacinthcart.network import DatagramEndpoint
 from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
 from jacinthcart.program import Clock, read_boot_clock
@@ -54,7 +54,7 @@
     ServedAnswer,
     ServingTerms,
 )
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Metrics, create_logger
 
 _READERS_KEY = 'readers'
@@ -274,7 +274,12 @@
         self._server = RequestServer(
             self._calls,
             ExtraSendBudget(
-                BudgetTerms(bounds.extra_ratio, bounds.extra_slack),
+                BudgetTerms(
+                    bounds.extra_ratio,
+                    bounds.extra_slack,
+                    bounds.extra_window_s,
+                ),
+                clock,
             ),
             self._admission,
             self.members.count_members,
--- a/jacinthcart/node/_run.py
+++ b/jacinthcart/node/_run.py
@@ -9,7 +9,7 @@
 from jacinthcart.front import FrontServer
 from jacinthcart.node._node import Node
 from jacinthcart.node._peer_api import PeerHandler
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 
 #: Part of the time until the kill for which requests are still taken:
 #: callers keep addresses of this VM for a while.
--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,6 +21,8 @@
     extra_ratio: float
     #: Extra sends of the fleet beyond the ratio.
     extra_slack: float
+    #: Seconds over which extra sends are counted.
+    extra_window_s: float
     #: Longest time in seconds for which callers keep addresses.
     directory_ttl_s: float
 
--- a/jacinthcart/ownership/_ranking.py
+++ b/jacinthcart/ownership/_ranking.py
@@ -1,10 +1,14 @@
 """Rendezvous hashing over the roster's VM ids."""
 
+from __future__ import annotations
+
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 import xxhash
 
-from jacinthcart.settings import Service
+if TYPE_CHECKING:
+    from jacinthcart.settings import Service
 
 #: Half of a searcher's connections stay free for roster changes.
 USED_CONNECTION_SHARE = 0.5
--- a/jacinthcart/platform/_store.py
+++ b/jacinthcart/platform/_store.py
@@ -16,7 +16,7 @@
     StoreHistoryLostError,
     WatchResult,
 )
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.wire import HttpConnection, HttpResponse, decode_json
 
 _STATUS_HISTORY_LOST = 410
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -8,7 +8,7 @@
 
 from jacinthcart.errors import InvalidMessageError, SettingsError
 from jacinthcart.node import NodeBounds, NodeSettings
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.wire import decode_json
 
 #: Environment variable with the path of the settings file.
@@ -31,6 +31,7 @@
     config_apply_ms: float = pydantic.Field(default=3000, gt=0)
     revoke_ms: float = pydantic.Field(default=5000, gt=0)
     retry_budget_ratio: float = pydantic.Field(default=0.2, ge=0)
+    budget_window_s: float = pydantic.Field(default=10, gt=0)
     budget_slack: float = pydantic.Field(default=20, ge=0)
     warmup_overage: float = pydantic.Field(default=1.5, ge=1)
     ttl_max_s: float = pydantic.Field(default=5, gt=0)
@@ -113,5 +114,6 @@
         key_s=bounds.revoke_ms / _MS_PER_S,
         extra_ratio=bounds.retry_budget_ratio,
         extra_slack=bounds.budget_slack,
+        extra_window_s=bounds.budget_window_s,
         directory_ttl_s=bounds.ttl_max_s,
     )
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -4,7 +4,7 @@
 
 from jacinthcart.catalogue import CatalogueBook, WorkspaceTerms
 from jacinthcart.fleet import MemberTable
-from jacinthcart.limits import TokenBucket
+from jacinthcart.tokens import TokenBucket
 from jacinthcart.program import Clock
 from jacinthcart.telemetry import Metrics
 
@@ -16,6 +16,9 @@
     #: Part of the burst that a home keeps; the rest covers two homes that
     #: grant at once while the members' lists differ.
     burst_share: float = 0.9
+    #: Part of its capacity that a new bucket holds. A former home may have
+    #: spent the whole burst; the users' overage of a quarter covers this.
+    start_share: float = 0.5
     #: Least tokens that a bucket holds, so that small rates can be used.
     least_capacity: float = 1.0
     #: Share of a VM's part of the rate that it may use without its home.
@@ -26,8 +29,7 @@
     """Grants requests of workspaces.
 
     A home grants only the part of the rate that belongs to the members it
-    can reach: two sides of a split together stay within the rate. A bucket
-    starts empty, because a former home may have spent everything.
+    can reach: two sides of a split together stay within the rate.
     """
 
     def __init__(
@@ -89,7 +91,13 @@
         capacity = max(burst, self._terms.least_capacity)
         bucket = buckets.get(workspace)
         if bucket is None:
-            bucket = TokenBucket(rate, capacity, self._clock, self._metrics)
+            bucket = TokenBucket(
+                rate,
+                capacity,
+                self._clock,
+                self._metrics,
+                level=capacity * self._terms.start_share,
+            )
             buckets[workspace] = bucket
         elif (bucket.rate, bucket.capacity) != (rate, capacity):
             bucket.configure(rate, capacity, self._clock())
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -11,7 +11,7 @@
 from jacinthcart.readings._lease import ReadingLease
 from jacinthcart.readings._source import Item
 from jacinthcart.readings._table import ItemTable
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Logger, Metrics
 from jacinthcart.wire import HttpConnection, decode_json
 
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -29,18 +29,22 @@
     """When a VM reads the store and how often."""
 
     #: VMs that always read, the first of the rank.
-    readers: int = 2
-    #: Age in seconds of the peers' proof at which the next VM begins.
-    takeover_s: float = 1.6
+    readers: int = 1
+    #: Age in seconds of the peers' proof at which the next VM begins. A
+    #: proof is normally at most 1.3 s old after two steps between VMs.
+    takeover_s: float = 1.5
     #: Seconds that each further rank waits longer.
     takeover_step_s: float = 0.15
     #: Seconds between two readings that renew the proof.
-    proof_interval_s: float = 0.8
+    proof_interval_s: float = 0.6
     #: Prefix of what the proof must cover; the rest comes by watch.
     proof_prefix: str = ''
     #: Longest wait of a watch in seconds; longer than the second for which
     #: a watch may hear nothing before the store drops its history.
     watch_s: float = 2.5
+    #: Seconds between the end of a watch with news and the next one, so
+    #: that announcements in quick succession cost one call.
+    watch_pause_s: float = 0.15
     #: Seconds after which a reading is given up.
     read_timeout_s: float = 1.0
 
@@ -166,6 +170,8 @@
         self._note_success()
         self._table.merge(watched.items)
         self._watched_from = max(after, watched.revision)
+        if watched.items:
+            await anyio.sleep(self._terms.watch_pause_s)
 
     def _note_failure(self, error: StoreError) -> None:
         self._metrics.count('store_call', 'failed')
--- a/jacinthcart/routing/_budget.py
+++ b/jacinthcart/routing/_budget.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from jacinthcart.program import Clock
+
 
 @dataclasses.dataclass(frozen=True)
 class BudgetTerms:
@@ -11,6 +13,8 @@
     ratio: float
     #: Extra sends in a window beyond the ratio, for the fleet together.
     slack: float
+    #: Length of the window in seconds (platform contract).
+    window_s: float = 10.0
     #: Part of both that is used; the rest covers requests that end up in
     #: another window than their extra sends.
     used_share: float = 0.85
@@ -24,16 +28,21 @@
     stay within ratio x first sends + slack, with no message between VMs.
     """
 
-    def __init__(self, terms: BudgetTerms) -> None:
-        """Start with full buckets."""
+    def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
+        """Start with one extra send a service.
+
+        A predecessor of this process may have used all in the same window.
+        """
         self._terms = terms
+        self._clock = clock
+        self._started_at = clock()
         self._tokens_by_service: dict[str, float] = {}
 
     def earn(self, service: str, members: int) -> None:
         """Count the first send of a request to the service."""
         terms = self._terms
         capacity = self._find_capacity(members)
-        tokens = self._tokens_by_service.get(service, capacity)
+        tokens = self._find_tokens(service, capacity)
         earned = terms.ratio * terms.used_share
         self._tokens_by_service[service] = min(tokens + earned, capacity)
 
@@ -44,10 +53,7 @@
         more urgent sends.
         """
         capacity = self._find_capacity(members)
-        tokens = min(
-            self._tokens_by_service.get(service, capacity),
-            capacity,
-        )
+        tokens = self._find_tokens(service, capacity)
         if tokens < 1 + reserve * (capacity - 1):
             return False
         self._tokens_by_service[service] = tokens - 1
@@ -56,7 +62,14 @@
     def count_left(self, service: str, members: int) -> float:
         """Return the extra sends that may leave now."""
         capacity = self._find_capacity(members)
-        return min(self._tokens_by_service.get(service, capacity), capacity)
+        return self._find_tokens(service, capacity)
+
+    def _find_tokens(self, service: str, capacity: float) -> float:
+        tokens = self._tokens_by_service.get(service)
+        if tokens is not None:
+            return min(tokens, capacity)
+        is_new = self._clock() - self._started_at < self._terms.window_s
+        return 1.0 if is_new else capacity
 
     def _find_capacity(self, members: int) -> float:
         terms = self._terms
--- a/jacinthcart/routing/_choice.py
+++ b/jacinthcart/routing/_choice.py
@@ -14,7 +14,10 @@
     #: Part of the route's target that a searcher of another data centre
     #: costs more. Traffic between data centres is priced, and a request
     #: that waits shortly for a near searcher is still within its target.
-    far_target_share: float = 0.2
+    far_target_share: float = 0.5
+    #: Part of the route's target that a failed send costs: another one has
+    #: to follow, if the request may be repeated at all.
+    failed_target_share: float = 2.0
     #: Part of the usual latency that a cold searcher costs more.
     cold_share: float = 0.6
     #: Slots that a request for which the choice is made needs beyond
@@ -46,6 +49,8 @@
     overdue_s = evidence.find_oldest_age_s(now) - 1.5 * expected_s
     if overdue_s > 0:
         cost_s += overdue_s + expected_s
+    failed_share = evidence.find_failed_share(now)
+    cost_s += failed_share * target_s * terms.failed_target_share
     if is_far:
         cost_s += target_s * terms.far_target_share
     if is_cold:
--- a/jacinthcart/routing/_evidence.py
+++ b/jacinthcart/routing/_evidence.py
@@ -11,6 +11,10 @@
 #: has recovered gets requests again.
 _SLOWNESS_HALF_LIFE_S = 4.0
 _SLOWNESS_MOST = 50.0
+#: Weight of the newest end of a send in the share of failures.
+_NEWEST_END_WEIGHT = 0.15
+#: Seconds in which the evidence of failures halves.
+_FAILED_HALF_LIFE_S = 5.0
 #: First pause after a failure, doubled with each further one in a row.
 _FAILURE_PAUSE_S = 0.25
 _FAILURE_PAUSE_MOST_S = 3.0
@@ -30,6 +34,10 @@
     slowness: float = 1.0
     #: Moment (s) of the last change of `slowness`.
     slowness_at: float = -math.inf
+    #: Recent share of sends that failed, from 0 to 1.
+    failed_share: float = 0.0
+    #: Moment (s) of the last change of `failed_share`.
+    failed_share_at: float = -math.inf
     #: Failures since the last success.
     failures: int = 0
     #: Refusals for load since the last success.
@@ -64,6 +72,12 @@
         kept = math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
         return 1 + (self.slowness - 1) * kept
 
+    def find_failed_share(self, now: float) -> float:
+        """Return the share of failures, less the older its evidence is."""
+        age_s = now - self.failed_share_at
+        kept = math.exp2(-age_s / _FAILED_HALF_LIFE_S)
+        return self.failed_share * kept
+
     def find_excess(self, now: float, slots: int, work_s: float) -> float:
         """Return the requests that a new one would wait behind.
 
@@ -117,13 +131,15 @@
         evidence.slowness_at = now
 
     def note_success(self, evidence: SearcherEvidence) -> None:
-        """Take an answer; earlier failures are forgotten."""
+        """Take an answer; the pause after a failure ends."""
+        self._note_end(evidence, failed=False)
         evidence.failures = 0
         evidence.sheds = 0
         evidence.paused_until = -math.inf
 
     def note_failure(self, evidence: SearcherEvidence) -> None:
         """Take a failed send; other searchers are preferred for a while."""
+        self._note_end(evidence, failed=True)
         pause_s = _FAILURE_PAUSE_S * 2 ** min(evidence.failures, _MAX_DOUBLINGS)
         evidence.failures += 1
         until = self._clock() + min(pause_s, _FAILURE_PAUSE_MOST_S)
@@ -146,3 +162,10 @@
         evidence.reported_excess = max(0, running + waiting + 1 - slots)
         evidence.in_flight_at_report = evidence.in_flight
         evidence.load_at = self._clock()
+
+    def _note_end(self, evidence: SearcherEvidence, *, failed: bool) -> None:
+        now = self._clock()
+        share = evidence.find_failed_share(now)
+        share += (float(failed) - share) * _NEWEST_END_WEIGHT
+        evidence.failed_share = share
+        evidence.failed_share_at = now
--- a/jacinthcart/settings/__init__.py
+++ b/jacinthcart/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings: validated models, revisions, and the view in force."""
 
+from jacinthcart.network import Endpoint, SettingsModel
 from jacinthcart.settings._models import (
     DataCentres,
     DataCentreState,
@@ -13,12 +14,10 @@
     Searcher,
     SearcherState,
     Service,
-    SettingsModel,
     Workspace,
 )
 from jacinthcart.settings._policy import Policy
 from jacinthcart.settings._process import (
-    Endpoint,
     ProcessSettings,
     load_process_settings,
 )
--- a/jacinthcart/settings/_models.py
+++ b/jacinthcart/settings/_models.py
@@ -1,32 +1,18 @@
 """Validated models of the settings values, one class for each path kind."""
 
 import enum
-import ipaddress
 from typing import Annotated
 
 import pydantic
 
-Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+from jacinthcart.network import IpAddress, Port, SettingsModel
+
 Name = Annotated[
     str,
     pydantic.Field(pattern='^[a-z0-9][a-z0-9_-]*$', max_length=64),
 ]
 
 
-def _check_ip_address(text: str) -> str:
-    ipaddress.ip_address(text)
-    return text
-
-
-IpAddress = Annotated[str, pydantic.AfterValidator(_check_ip_address)]
-
-
-class SettingsModel(pydantic.BaseModel):
-    """Base of every settings model: unknown fields are errors."""
-
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-
 class RosterEntry(SettingsModel):
     """Where one VM of the query tier listens."""
 
--- a/jacinthcart/settings/_policy.py
+++ b/jacinthcart/settings/_policy.py
@@ -2,7 +2,7 @@
 
 import pydantic
 
-from jacinthcart.settings._models import SettingsModel
+from jacinthcart.network import SettingsModel
 
 
 def _number(default: float, low: float, high: float, text: str) -> float:
--- a/jacinthcart/settings/_process.py
+++ b/jacinthcart/settings/_process.py
@@ -5,14 +5,8 @@
 import pydantic
 
 from jacinthcart.errors import SettingsError
-from jacinthcart.settings._models import IpAddress, Name, Port, SettingsModel
-
-
-class Endpoint(SettingsModel):
-    """An address and a TCP or UDP port."""
-
-    address: IpAddress = pydantic.Field(description='IP address')
-    port: Port = pydantic.Field(description='port')
+from jacinthcart.network import Endpoint, IpAddress, Port, SettingsModel
+from jacinthcart.settings._models import Name
 
 
 class ProcessSettings(SettingsModel):
--- a/jacinthcart/settings/_store.py
+++ b/jacinthcart/settings/_store.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from jacinthcart.errors import SettingsError
-from jacinthcart.settings._models import SettingsModel
+from jacinthcart.network import SettingsModel
 from jacinthcart.settings._tree import find_unit, parse_unit
 from jacinthcart.settings._view import SettingsView, assemble_view
 
--- a/jacinthcart/settings/_tree.py
+++ b/jacinthcart/settings/_tree.py
@@ -8,13 +8,13 @@
 import pydantic
 
 from jacinthcart.errors import SettingsError
+from jacinthcart.network import SettingsModel
 from jacinthcart.settings._models import (
     DataCentres,
     Keys,
     Roster,
     Route,
     Service,
-    SettingsModel,
     Workspace,
 )
 from jacinthcart.settings._policy import Policy
--- a/jacinthcart/settings/_view.py
+++ b/jacinthcart/settings/_view.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeVar
 
+from jacinthcart.network import SettingsModel
 from jacinthcart.settings._models import (
     DataCentres,
     DataCentreState,
@@ -11,7 +12,6 @@
     Roster,
     Route,
     Service,
-    SettingsModel,
     Workspace,
 )
 from jacinthcart.settings._policy import Policy
--- /dev/null
+++ b/jacinthcart/tokens/__init__.py
@@ -0,0 +1,5 @@
+"""Token buckets."""
+
+from jacinthcart.tokens._bucket import TokenBucket
+
+__all__ = ['TokenBucket']
--- a/jacinthcart/limits/_bucket.py
+++ b/jacinthcart/tokens/_bucket.py
@@ -5,10 +5,10 @@
 
 
 class TokenBucket:
-    """Fills at `rate` tokens a second up to `capacity`; starts empty.
+    """Fills at `rate` tokens a second up to `capacity`.
 
-    It starts empty because a predecessor on the same roster entry may have
-    spent everything that the share allows.
+    It starts empty unless told otherwise, because a predecessor on the same
+    roster entry may have spent everything that the share allows.
     """
 
     def __init__(
@@ -17,13 +17,15 @@
         capacity: float,
         clock: Clock,
         metrics: Metrics,
+        *,
+        level: float = 0.0,
     ) -> None:
-        """Start empty at the clock's present time."""
+        """Start with `level` tokens, at most the capacity."""
         self._rate = rate
         self._capacity = capacity
         self._clock = clock
         self._metrics = metrics
-        self._level = 0.0
+        self._level = min(level, capacity)
         self._updated_at = clock()
 
     @property
--- a/jacinthcart/wire/_server.py
+++ b/jacinthcart/wire/_server.py
@@ -7,7 +7,6 @@
 
 import anyio
 import sniffio
-from hypercorn.config import Config
 
 _KEEP_ALIVE_SECONDS = 600
 _MAX_KEEP_ALIVE_REQUESTS = 1_000_000_000
@@ -27,7 +26,8 @@
 
     Requests still running after `grace_s` seconds are cut.
     """
-    config = Config()
+    # Processes that serve nothing by Hypercorn do not pay for its import.
+    config = importlib.import_module('hypercorn.config').Config()
     config.bind = [f'{address}:{port}']
     config.accesslog = None
     config.errorlog = None
--- a/jacinthcart_emulator/platform_store.py
+++ b/jacinthcart_emulator/platform_store.py
@@ -17,7 +17,7 @@
     RawResponse,
 )
 from jacinthcart.program import read_boot_clock
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import create_logger
 from jacinthcart.wire import encode_json
 
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -10,7 +10,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart_emulator.platform_searcher import (
     Execution,
     SearcherEmulator,
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -11,7 +11,7 @@
 from starlette.routing import Route
 
 from jacinthcart.control import run_control
-from jacinthcart.program import StopSignal
+from jacinthcart.launch import StopSignal
 from jacinthcart.settings import Endpoint, ProcessSettings
 from jacinthcart.wire import serve_application
 from tests.control._fleet import create_roster
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -14,9 +14,9 @@
     MemberTable,
     MemberTerms,
 )
-from jacinthcart.membership import BaseDatagrams
+from jacinthcart.network import BaseDatagrams
 from jacinthcart.readings import Item, ItemTable, ReadingLease
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import create_logger
 from tests.support import run_in_virtual_time
 
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -16,7 +16,7 @@
     RawResponse,
 )
 from jacinthcart.program import read_boot_clock
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import create_logger
 
 _GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
--- a/tests/limits/test_parts.py
+++ b/tests/limits/test_parts.py
@@ -3,7 +3,8 @@
 import unittest
 
 from jacinthcart.errors import InvariantViolationError
-from jacinthcart.limits import PermitStock, TokenBucket
+from jacinthcart.limits import PermitStock
+from jacinthcart.tokens import TokenBucket
 from jacinthcart.telemetry import Metrics
 from tests.limits.fixtures import ManualClock
 
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -13,9 +13,9 @@
     MemberTable,
     MemberTerms,
 )
-from jacinthcart.membership import BaseDatagrams
+from jacinthcart.network import BaseDatagrams
 from jacinthcart.quota import QuotaClient, QuotaHome, QuotaTerms
-from jacinthcart.settings import Endpoint
+from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Metrics, create_logger
 from tests.support import create_catalogue, create_route, run_in_virtual_time
 
