Add operators' pages, traces, reload of settings and a fault soak

Cause: a failed request could not be explained after the fact; settings were read once; nothing played real processes under faults without the bench.

Change: /v1/status and /metrics on the operators' address, the subcommands trace and vms, OPERATIONS.md with three ways from an id to its cause; the settings file is read again on SIGHUP and when it changes; a soak with a proxy before the store, signals, searcher faults and checks from outside.

--- a/jacinthcart/admin/_command.py
+++ b/jacinthcart/admin/_command.py
@@ -17,6 +17,7 @@
     Status,
 )
 from jacinthcart.admin._request_commands import Addresses, Query
+from jacinthcart.admin._trace_commands import Trace, Vms
 
 _DESCRIPTION = """\
 Shows and checks a jacinthcart fleet. It changes nothing: operators change
@@ -46,6 +47,8 @@
         | Addresses
         | Query
         | SettingsPage
+        | Trace
+        | Vms
     ]
 
 
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -86,7 +86,7 @@
         self._table = table
         self._lease = lease
         self._puller = puller
-        self._seeds = seeds
+        self.seeds = seeds
         self._port = port
         self._incarnation = table_incarnation
         self._clock = clock
@@ -225,10 +225,10 @@
             probes += self._terms.stale_probes
         for _ in range(min(probes, len(self._round))):
             targets.add(self._round.pop())
-        if len(self._members.list_others()) < len(self._seeds):
-            targets.update(self._seeds)
+        if len(self._members.list_others()) < len(self.seeds):
+            targets.update(self.seeds)
         elif self._random.random() < self._terms.refresh_share:
-            targets.add(self._random.choice(self._seeds))
+            targets.add(self._random.choice(self.seeds))
         targets.discard(self._members.own.address)
         return targets
 
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -1,5 +1,6 @@
 """The parts of one VM's process and how they are connected."""
 
+import dataclasses
 import random
 import time
 from typing import Any
@@ -88,7 +89,7 @@
         bounds = settings.bounds
         self.settings = settings
         self.clock = clock
-        self.logger = create_logger('node')
+        self.logger = create_logger(settings.vm_id)
         self.metrics = Metrics()
         self.table = ItemTable()
         self.lease = ReadingLease(clock)
@@ -162,6 +163,24 @@
         """Return whether callers are wanted."""
         return self.book.catalogue is not None and not self._is_stopping
 
+    @property
+    def reads_store(self) -> bool:
+        """Return whether this VM reads the platform's store now."""
+        return self._reader.has_duty()
+
+    def list_cold(self) -> list[str]:
+        """Return the ids of searchers whose cold start goes on."""
+        now = self.clock()
+        return sorted(
+            searcher.searcher_id
+            for searcher in self.book.searchers_by_id.values()
+            if self._calls.table.is_cold(searcher, now)
+        )
+
+    def describe_allotments(self) -> dict[str, dict[str, Any]]:
+        """Return the workspaces whose home is this VM, with their tokens."""
+        return self._home.describe()
+
     async def start(self, tasks: TaskGroup) -> None:
         """Begin the background work; raise OSError for a taken port."""
         await self._datagrams.start()
@@ -171,6 +190,18 @@
         tasks.start_soon(self._calls.run)
         tasks.start_soon(self._keep_house)
 
+    def take_settings(self, settings: NodeSettings) -> None:
+        """Take changed settings; only seeds are used before a start."""
+        changed = sorted(
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name)
+            != getattr(self.settings, field.name)
+        )
+        self.logger.info('settings changed', fields=changed)
+        self.settings = settings
+        self._gossip.seeds = settings.seeds
+
     async def leave(self) -> None:
         """Tell callers and peers that this VM stops."""
         self._is_stopping = True
@@ -227,7 +258,7 @@
     ) -> None:
         bounds = self.settings.bounds
         clock = self.clock
-        home = QuotaHome(
+        self._home = QuotaHome(
             self.book,
             self.members,
             clock,
@@ -236,7 +267,7 @@
         )
         self._quota = QuotaClient(
             self.members,
-            home,
+            self._home,
             self._datagrams,
             self.settings.peer_port,
             clock,
@@ -246,7 +277,7 @@
             self.book,
             self.lease,
             self._quota,
-            home,
+            self._home,
             AdmissionTerms(
                 key_lease_s=bounds.key_s * _KEY_LEASE_SHARE,
                 denial_lease_s=bounds.settings_s * _DENIAL_LEASE_SHARE,
--- /dev/null
+++ b/jacinthcart/node/_operator_api.py
@@ -0,0 +1,136 @@
+"""What operators ask a VM: its status and its metrics."""
+
+import importlib
+import math
+import types
+from collections.abc import Iterator
+from typing import Any
+
+from jacinthcart.front import (
+    BaseRequestHandler,
+    FrontTerms,
+    RawRequest,
+    RawResponse,
+)
+from jacinthcart.node._node import Node
+from jacinthcart.telemetry import Metrics
+from jacinthcart.wire import encode_json
+
+_JSON = ((b'Content-Type', b'application/json'),)
+_TEXT = ((b'Content-Type', b'text/plain; version=0.0.4'),)
+_QUANTILES = types.MappingProxyType({'0.5': 0.5, '0.9': 0.9, '0.99': 0.99})
+
+
+class OperatorHandler(BaseRequestHandler):
+    """Serves `/v1/status` as JSON and `/metrics` as text."""
+
+    def __init__(self, node: Node) -> None:
+        """Keep the node."""
+        self._node = node
+
+    def find_terms(self) -> FrontTerms:
+        """Return the limits of callers' requests."""
+        return self._node.find_front_terms()
+
+    async def handle(self, request: RawRequest) -> RawResponse:
+        """Return a page."""
+        path = request.target.partition(b'?')[0]
+        if path == b'/v1/status':
+            status = describe_node(self._node)
+            return RawResponse(200, _JSON, encode_json(status))
+        if path == b'/metrics':
+            return RawResponse(200, _TEXT, encode_metrics(self._node))
+        return RawResponse(404)
+
+
+def describe_node(node: Node) -> dict[str, Any]:
+    """Return what this VM believes now."""
+    catalogue = node.book.catalogue
+    age_s = node.lease.age_s
+    return {
+        'vm': node.settings.vm_id,
+        'data_centre': node.settings.data_centre,
+        'is_ready': node.is_ready,
+        'version': catalogue.version if catalogue else None,
+        'proof_age_s': round(age_s, 3) if math.isfinite(age_s) else None,
+        'reads_store': node.reads_store,
+        'members': {
+            record.address: record.state.value
+            for record in (node.members.own, *node.members.list_others())
+        },
+        'members_counted': node.members.count_members(),
+        'searchers': len(node.book.searchers_by_id),
+        'cold_searchers': node.list_cold(),
+        'evacuated': sorted(node.book.evacuated_zones),
+        'allotments': node.describe_allotments(),
+    }
+
+
+def encode_metrics(node: Node) -> bytes:
+    """Return counters, gauges and latency quantiles as text."""
+    # Imported when somebody asks: the library takes memory of each VM.
+    core = importlib.import_module('prometheus_client.core')
+    exposition = importlib.import_module('prometheus_client.exposition')
+    registry = core.CollectorRegistry()
+    registry.register(_Collector(node, core))
+    text: bytes = exposition.generate_latest(registry)
+    return text
+
+
+class _Collector:
+    """Turns the node's metrics into those of the client library."""
+
+    def __init__(self, node: Node, core: Any) -> None:
+        """Keep the node and the library."""
+        self._node = node
+        self._core = core
+
+    def collect(self) -> Iterator[Any]:
+        """Yield every metric."""
+        yield from self._collect_gauges()
+        yield self._collect_counters(self._node.metrics)
+        yield self._collect_latencies(self._node.metrics)
+
+    def _collect_gauges(self) -> Iterator[Any]:
+        status = describe_node(self._node)
+        gauge = self._core.GaugeMetricFamily
+        for name in ('proof_age_s', 'version', 'searchers', 'members_counted'):
+            found = status[name]
+            yield gauge(
+                f'jacinthcart_{name}',
+                f'{name} of this VM',
+                value=math.nan if found is None else float(found),
+            )
+        members = gauge(
+            'jacinthcart_members',
+            'members by state',
+            labels=['state'],
+        )
+        states = list(status['members'].values())
+        for state in sorted(set(states)):
+            members.add_metric([state], states.count(state))
+        yield members
+
+    def _collect_counters(self, metrics: Metrics) -> Any:
+        counter = self._core.CounterMetricFamily(
+            'jacinthcart_events',
+            'events by kind and detail',
+            labels=['kind', 'detail'],
+        )
+        for key, amount in sorted(metrics.counts_by_key.items()):
+            counter.add_metric([key[0], '/'.join(key[1:])], amount)
+        return counter
+
+    def _collect_latencies(self, metrics: Metrics) -> Any:
+        family = self._core.GaugeMetricFamily(
+            'jacinthcart_latency_seconds',
+            'latency quantiles by workspace and route',
+            labels=['kind', 'workspace', 'route', 'quantile'],
+        )
+        for key in metrics.list_histogram_keys():
+            kind, workspace, route = key
+            for label, quantile in _QUANTILES.items():
+                seconds = metrics.quantile_seconds(key, quantile)
+                if seconds is not None:
+                    family.add_metric([kind, workspace, route, label], seconds)
+        return family
--- a/jacinthcart/node/_run.py
+++ b/jacinthcart/node/_run.py
@@ -1,16 +1,23 @@
 """Runs a node until a planned stop is over."""
 
 import signal
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
-from anyio.abc import TaskGroup
 
-from jacinthcart.front import FrontServer
+from jacinthcart.errors import SettingsError
+from jacinthcart.front import BaseRequestHandler, FrontServer
 from jacinthcart.node._node import Node
+from jacinthcart.node._operator_api import OperatorHandler
 from jacinthcart.node._peer_api import PeerHandler
+from jacinthcart.node._settings import NodeSettings
 from jacinthcart.network import Endpoint
 
+#: Reads and checks the settings file; raises SettingsError.
+LoadSettings = Callable[[], NodeSettings]
+
+#: Seconds between two looks at the settings file.
+_SETTINGS_LOOK_S = 2.0
 #: Part of the time until the kill for which requests are still taken:
 #: callers keep addresses of this VM for a while.
 _SERVING_SHARE = 0.6
@@ -23,23 +30,22 @@
     servers: Sequence[FrontServer],
     *,
     has_signals: bool = True,
+    load_settings: LoadSettings | None = None,
 ) -> None:
     """Serve until SIGTERM or SIGINT and then end gracefully.
 
-    Without signals, as in tests, serve until cancelled.
+    Without signals, as in tests, serve until cancelled. `load_settings`
+    reads the settings file again; it may raise SettingsError.
     """
     settings = node.settings
-    peer_server = FrontServer(
-        Endpoint(address=settings.address, port=settings.peer_port),
-        PeerHandler(node),
-        node.clock,
-        node.logger,
-    )
+    own_servers = _create_own_servers(node)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         if has_signals:
-            tasks.start_soon(_watch_signals, node, stop)
-        for server in (*servers, peer_server):
+            tasks.start_soon(_watch_signals, node, stop, load_settings)
+        if load_settings is not None:
+            tasks.start_soon(_watch_settings, node, load_settings)
+        for server in (*servers, *own_servers):
             await server.start(tasks)
         await node.start(tasks)
         node.logger.info(
@@ -50,14 +56,30 @@
             seeds=settings.seeds,
         )
         await stop.wait()
-        await _stop(node, servers, tasks)
+        await _stop(node, servers)
+        tasks.cancel_scope.cancel()
+    # Sockets are closed when nothing reads from them any more.
+    await node.close()
+    node.logger.info('stopped')
 
 
-async def _stop(
-    node: Node,
-    servers: Sequence[FrontServer],
-    tasks: TaskGroup,
-) -> None:
+def _create_own_servers(node: Node) -> list[FrontServer]:
+    settings = node.settings
+    peers = Endpoint(address=settings.address, port=settings.peer_port)
+    handlers: list[tuple[Endpoint, BaseRequestHandler]] = [
+        (peers, PeerHandler(node)),
+    ]
+    if settings.operators is not None:
+        handlers.append((settings.operators, OperatorHandler(node)))
+    if settings.metrics is not None:
+        handlers.append((settings.metrics, OperatorHandler(node)))
+    return [
+        FrontServer(endpoint, handler, node.clock, node.logger)
+        for endpoint, handler in handlers
+    ]
+
+
+async def _stop(node: Node, servers: Sequence[FrontServer]) -> None:
     stop_s = node.settings.bounds.stop_s
     started_at = node.clock()
     node.logger.info('stopping', grace_s=stop_s)
@@ -70,16 +92,40 @@
         async with anyio.create_task_group() as closing:
             for server in servers:
                 closing.start_soon(server.close)
-    await node.close()
-    node.logger.info('stopped', took_s=round(node.clock() - started_at, 3))
-    tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(node: Node, stop: anyio.Event) -> None:
+async def _watch_signals(
+    node: Node,
+    stop: anyio.Event,
+    load_settings: LoadSettings | None,
+) -> None:
     received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*received) as signals:
         async for number in signals:
-            if number == signal.SIGHUP:
-                node.logger.info('settings file changed; nothing in it can')
-            else:
+            if number != signal.SIGHUP:
                 stop.set()
+            elif load_settings is not None:
+                node.logger.info('SIGHUP: reading the settings again')
+                reload_settings(node, load_settings)
+
+
+async def _watch_settings(node: Node, load_settings: LoadSettings) -> None:
+    # The settings file may change without any signal.
+    while True:
+        await anyio.sleep(_SETTINGS_LOOK_S)
+        reload_settings(node, load_settings)
+
+
+def reload_settings(node: Node, load_settings: LoadSettings) -> None:
+    """Take changed settings; keep the last good ones on an error."""
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        node.logger.error(
+            'invalid settings; the last good ones stay in force',
+            limit_key='invalid_settings',
+            error=str(error),
+        )
+        return
+    if settings != node.settings:
+        node.take_settings(settings)
--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -45,6 +45,8 @@
     directory: Endpoint
     #: Where operators ask; None when nobody does.
     operators: Endpoint | None
+    #: Where metrics are fetched, beside the operators' address.
+    metrics: Endpoint | None
     #: Port of the traffic between VMs, UDP and TCP, the same on all VMs.
     peer_port: int
     #: IP addresses of VMs to find the others by.
--- a/jacinthcart/platform/__main__.py
+++ b/jacinthcart/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs one VM of the system on the users' platform."""
 
+import functools
 import sys
 
 import anyio
@@ -30,7 +31,10 @@
         output.close(_LAST_LINES_S)
         sys.exit(_EXIT_SETTINGS)
     node, servers = create_node(settings)
-    anyio.run(run_node, node, servers)
+    run = functools.partial(
+        run_node, node, servers, load_settings=load_settings
+    )
+    anyio.run(run)
     output.close(_LAST_LINES_S)
 
 
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -46,7 +46,7 @@
     cores: float = 1
 
 
-class _SettingsFile(pydantic.BaseModel):
+class _FleetFields(pydantic.BaseModel):
     """The fields that are used; others are ignored."""
 
     node_name: str
@@ -60,6 +60,14 @@
     limits: _Limits = _Limits()
 
 
+class _SettingsFile(pydantic.BaseModel):
+    """What `deploy/settings.json` makes of the platform's fields."""
+
+    #: Port for metrics; none without.
+    metrics_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
+    platform_fields: _FleetFields
+
+
 def load_settings(path: pathlib.Path | None = None) -> NodeSettings:
     """Return the settings of this process; raise SettingsError."""
     found = path or pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
@@ -73,12 +81,13 @@
 def decode_settings(fields: Any) -> NodeSettings:
     """Return the project's form of the settings; raise SettingsError."""
     try:
-        decoded = _SettingsFile.model_validate(fields)
+        file = _SettingsFile.model_validate(fields)
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         place = '.'.join(str(part) for part in first['loc'])
         rule = f'{first["msg"]}, found {first["input"]!r}'
         raise SettingsError(place, rule) from error
+    decoded = file.platform_fields
     addresses = decoded.listen_addrs
     control = parse_endpoint(addresses.control) if addresses.control else None
     return NodeSettings(
@@ -89,6 +98,7 @@
         readiness=parse_endpoint(addresses.ready),
         directory=parse_endpoint(addresses.directory),
         operators=control,
+        metrics=_find_metrics(decoded.ip, file.metrics_port),
         peer_port=decoded.port_range[0],
         seeds=tuple(parse_endpoint(seed).address for seed in decoded.seeds),
         store=parse_endpoint(decoded.platform.address),
@@ -106,6 +116,10 @@
         raise SettingsError(text, 'must be address:port') from error
 
 
+def _find_metrics(address: str, port: int | None) -> Endpoint | None:
+    return None if port is None else Endpoint(address=address, port=port)
+
+
 def _decode_bounds(bounds: _Bounds) -> NodeBounds:
     return NodeBounds(
         stop_s=bounds.grace_s,
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -74,6 +74,19 @@
         found = self._find_terms(workspace)
         return 1 / found.rate_per_s if found and found.rate_per_s else 0
 
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return rate, capacity and tokens of the workspaces kept here."""
+        own_address = self._members.own.address
+        return {
+            workspace: {
+                'rate': round(bucket.rate, 3),
+                'capacity': round(bucket.capacity, 3),
+                'tokens': round(bucket.level, 3),
+            }
+            for workspace, bucket in self._bucket_by_workspace.items()
+            if self._members.rank(f'allotment/{workspace}')[:1] == [own_address]
+        }
+
     def _take(
         self,
         buckets: dict[str, TokenBucket],
--- a/jacinthcart/telemetry/_logs.py
+++ b/jacinthcart/telemetry/_logs.py
@@ -67,9 +67,15 @@
         if limit_key is None or self._passes_limit(limit_key, fields):
             self._write(logbook.WARNING, event, fields)
 
-    def error(self, event: str, **fields: Any) -> None:
+    def error(
+        self,
+        event: str,
+        limit_key: str | None = None,
+        **fields: Any,
+    ) -> None:
         """Log a failure of this program."""
-        self._write(logbook.ERROR, event, fields)
+        if limit_key is None or self._passes_limit(limit_key, fields):
+            self._write(logbook.ERROR, event, fields)
 
     def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
         self._logger.log(level, event, extra={'fields': fields})
--- a/jacinthcart/telemetry/_metrics.py
+++ b/jacinthcart/telemetry/_metrics.py
@@ -62,6 +62,10 @@
         found = histogram.get_value_at_percentile(percentile)
         return float(found) / _MICROSECONDS_PER_SECOND
 
+    def list_histogram_keys(self) -> list[HistogramKey]:
+        """Return the keys of all histograms, sorted."""
+        return sorted(self._histograms_by_key)
+
     def check(self, invariant: str, condition: bool, detail: str = '') -> None:
         """Count and raise InvariantViolationError unless `condition`."""
         if condition:
--- a/jacinthcart_lab/__main__.py
+++ b/jacinthcart_lab/__main__.py
@@ -12,6 +12,7 @@
 from jacinthcart_lab._changes import post_to_service
 from jacinthcart_lab._demo import run_demo
 from jacinthcart_lab._stay import run_fleet
+from jacinthcart_lab.soak import SoakTerms, run_soak
 
 ServiceOption = Annotated[
     str,
@@ -103,11 +104,47 @@
         run_bench(self.seed, self.only, is_short=self.short)
 
 
+@cappa.command(help='Soak a fleet in faults and check the promises.')
+@dataclasses.dataclass
+class Soak:
+    """Soak a fleet in faults and check the promises."""
+
+    #: First seed.
+    seed: Annotated[int, cappa.Arg(long=True, help='first seed')] = 1
+    #: Number of seeds, one after the other.
+    count: Annotated[int, cappa.Arg(long=True, help='seeds to run')] = 1
+    #: Seconds of faults for each seed.
+    seconds: Annotated[float, cappa.Arg(long=True)] = 15.0
+    #: VMs of the fleet.
+    vms: Annotated[int, cappa.Arg(long=True)] = 4
+    #: Where the logs of failed seeds are kept.
+    keep: Annotated[pathlib.Path, cappa.Arg(long=True)] = pathlib.Path(
+        'run/soak',
+    )
+
+    def __call__(self) -> None:
+        """Exit with 1 when a promise broke."""
+        has_failed = False
+        for seed in range(self.seed, self.seed + self.count):
+            terms = SoakTerms(seed, self.seconds, self.vms)
+            report = run_soak(terms, self.keep)
+            print(
+                f'seed {seed}: {report.calls} requests, {report.answered} '
+                f'answered, {len(report.faults)} faults, recovered '
+                f'{report.recovered_share:.2f}, broken {len(report.broken)}',
+                flush=True,
+            )
+            for line in report.broken:
+                print(f'  {line}', flush=True)
+            has_failed = has_failed or bool(report.broken)
+        sys.exit(int(has_failed))
+
+
 @dataclasses.dataclass
 class Lab:
     """Demo and bench of the query tier."""
 
-    command: cappa.Subcommands[Demo | Bench | StayingFleet | Put | Fault]
+    command: cappa.Subcommands[Demo | Bench | StayingFleet | Put | Fault | Soak]
 
 
 if __name__ == '__main__':
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -110,7 +110,7 @@
         """Publish what a searcher says of itself."""
         searcher = self.searchers_by_id[searcher_id]
         self._sequence += 1
-        zone = _ZONES[hash(searcher_id) % len(_ZONES)]
+        zone = _ZONES[sum(searcher_id.encode()) % len(_ZONES)]
         self.store.put(
             f'servers/{searcher_id}',
             {
@@ -175,11 +175,23 @@
             },
         )
 
-    def create_settings(self, number: int) -> dict[str, Any]:
-        """Return the settings file of one VM."""
+    @property
+    def store_endpoint(self) -> Endpoint:
+        """Return where the store listens."""
+        return Endpoint(address=_STORE_ADDRESS, port=self._store_port)
+
+    def create_settings(
+        self,
+        number: int,
+        store: Endpoint | None = None,
+    ) -> dict[str, Any]:
+        """Return the settings file of one VM, which may reach the store
+        through a proxy.
+        """
+        found = store or self.store_endpoint
         address = self.addresses[number]
         callers, ready, directory, control, peers = self._ports
-        return {
+        fields = {
             'node_name': f'vm-{number}',
             'ip': address,
             'zone': _ZONES[number % len(_ZONES)],
@@ -192,13 +204,19 @@
             'port_range': [peers, peers],
             'seeds': [f'{seed}:{control}' for seed in self.addresses[:_SEEDS]],
             'bounds': {'revoke_ms': 3000, 'grace_s': 3},
-            'platform': {'address': f'{_STORE_ADDRESS}:{self._store_port}'},
+            'platform': {'address': f'{found.address}:{found.port}'},
         }
+        return {'platform_fields': fields}
 
-    def write_settings(self, number: int, folder: pathlib.Path) -> pathlib.Path:
+    def write_settings(
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store: Endpoint | None = None,
+    ) -> pathlib.Path:
         """Write the settings file of one VM and return its path."""
         path = folder / f'vm-{number}.json'
-        path.write_text(json.dumps(self.create_settings(number)))
+        path.write_text(json.dumps(self.create_settings(number, store)))
         return path
 
     async def close(self) -> None:
--- /dev/null
+++ b/jacinthcart_lab/soak/_checks.py
@@ -0,0 +1,105 @@
+"""The promises, checked from what callers and searchers saw."""
+
+import collections
+import dataclasses
+
+from jacinthcart.serving import merge_records
+from jacinthcart_emulator.platform_searcher import Execution, create_part
+
+_TOP_K = 5
+_RECORDS = 6
+_OK = 200
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+#: Seconds that a request's way and the two clocks' reading may add.
+_SLACK_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One request as its caller saw it."""
+
+    request_id: str
+    #: `search` or `order`.
+    kind: str
+    key: str
+    vm: int
+    sent_at: float
+    ended_at: float
+    #: HTTP status; 0 when the connection ended without an answer.
+    status: int
+    stamps: tuple[str, ...] = ()
+    missing: int = 0
+    body: bytes = b''
+
+
+def check_calls(
+    calls: list[Call],
+    executions: list[Execution],
+    shards: list[str],
+    revoked_at_by_key: dict[str, float],
+    key_bound_s: float,
+) -> list[str]:
+    """Return a line for each broken promise."""
+    runs = collections.Counter(
+        (one.request_id, one.service) for one in executions
+    )
+    ran_ids = {one.request_id for one in executions}
+    broken = []
+    for call in calls:
+        if call.kind == 'search' and call.status == _OK:
+            broken.extend(_check_merge(call, shards))
+        if call.kind == 'order':
+            broken.extend(_check_order(call, runs, ran_ids))
+        revoked_at = revoked_at_by_key.get(call.key)
+        if revoked_at is not None and call.request_id in ran_ids:
+            late_s = call.sent_at - revoked_at - key_bound_s
+            if late_s > _SLACK_S:
+                broken.append(
+                    f'{call.request_id} ran {late_s:.3f} s after the bound '
+                    'of its withdrawn key',
+                )
+    broken.extend(_check_callers(calls, executions))
+    return broken
+
+
+def _check_merge(call: Call, shards: list[str]) -> list[str]:
+    services = [stamp.partition('.')[0] for stamp in call.stamps]
+    owners = {stamp.partition('.')[2] for stamp in call.stamps}
+    if owners != {call.request_id} or len(set(services)) != len(services):
+        return [f'{call.request_id} has stamps {call.stamps}']
+    if len(services) + call.missing != len(shards):
+        return [f'{call.request_id} tells {call.missing} missing']
+    parts = [create_part(one, call.request_id, _RECORDS) for one in services]
+    if merge_records(parts, _TOP_K) != call.body:
+        return [f'{call.request_id} has a body that is not its merge']
+    return []
+
+
+def _check_order(
+    call: Call,
+    runs: collections.Counter[tuple[str, str]],
+    ran_ids: set[str],
+) -> list[str]:
+    broken = []
+    if runs[call.request_id, 'orders'] > 1:
+        broken.append(f'{call.request_id} ran more than once')
+    if call.status in _NOT_RUN_STATUSES and call.request_id in ran_ids:
+        broken.append(f'{call.request_id} ran, status {call.status}')
+    if call.status == _OK:
+        expected = create_part('orders', call.request_id, _RECORDS)
+        if call.body != expected:
+            broken.append(f'{call.request_id} has another body')
+    return broken
+
+
+def _check_callers(
+    calls: list[Call],
+    executions: list[Execution],
+) -> list[str]:
+    known = {call.request_id for call in calls}
+    return [
+        f'{one.searcher_id} ran {one.request_id}, which nobody asked, or for '
+        f'workspace {one.workspace}'
+        for one in executions
+        if one.request_id not in known or one.workspace != 'mill'
+    ]
--- /dev/null
+++ b/jacinthcart_lab/soak/_proxy.py
@@ -0,0 +1,102 @@
+"""A loopback proxy that delays, resets, cuts or silences connections."""
+
+import enum
+
+import anyio
+from anyio.abc import Listener, SocketStream, TaskGroup
+
+from jacinthcart.network import Endpoint
+
+_BYTES = 65536
+_DELAY_S = 0.2
+_GONE = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+
+
+class ProxyMode(enum.StrEnum):
+    """What the proxy does with connections and bytes."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    RESET = 'reset'
+    NO_ANSWERS = 'no_answers'
+    SILENT = 'silent'
+
+
+class FaultProxy:
+    """Forwards one VM's connections to the store."""
+
+    def __init__(self, listen: Endpoint, target: Endpoint) -> None:
+        """Keep both ends; `start` listens."""
+        self.mode = ProxyMode.PASS
+        self._listen = listen
+        self._target = target
+        self._streams: set[SocketStream] = set()
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen until the task group ends."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._listen.address,
+            local_port=self._listen.port,
+        )
+        tasks.start_soon(self._accept, listener.listeners[0], tasks)
+
+    async def switch(self, mode: ProxyMode) -> None:
+        """Change the mode; RESET also cuts what is open."""
+        self.mode = mode
+        if mode is ProxyMode.RESET:
+            for stream in list(self._streams):
+                await anyio.aclose_forcefully(stream)
+
+    async def _accept(
+        self,
+        listener: Listener[SocketStream],
+        tasks: TaskGroup,
+    ) -> None:
+        await listener.serve(self._run, tasks)
+
+    async def _run(self, client: SocketStream) -> None:
+        if self.mode is ProxyMode.RESET:
+            await anyio.aclose_forcefully(client)
+            return
+        try:
+            server = await anyio.connect_tcp(
+                self._target.address,
+                self._target.port,
+            )
+        except OSError:
+            await anyio.aclose_forcefully(client)
+            return
+        pair = {client, server}
+        self._streams |= pair
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pump, client, server, tasks, False)
+            tasks.start_soon(self._pump, server, client, tasks, True)
+        self._streams -= pair
+        with anyio.CancelScope(shield=True):
+            for stream in pair:
+                await anyio.aclose_forcefully(stream)
+
+    async def _pump(
+        self,
+        source: SocketStream,
+        target: SocketStream,
+        tasks: TaskGroup,
+        is_answer: bool,
+    ) -> None:
+        try:
+            while True:
+                received = await source.receive(_BYTES)
+                if self.mode is ProxyMode.DELAY:
+                    await anyio.sleep(_DELAY_S)
+                is_dropped = self.mode is ProxyMode.SILENT or (
+                    is_answer and self.mode is ProxyMode.NO_ANSWERS
+                )
+                if not is_dropped:
+                    await target.send(received)
+        except _GONE:
+            tasks.cancel_scope.cancel()
--- a/tests/admin/test_operations_page.py
+++ b/tests/admin/test_operations_page.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 ROOT = pathlib.Path(__file__).parents[2]
-PAGE = ROOT / 'docs' / 'operations.md'
+PAGE = ROOT / 'docs' / 'OPERATIONS.md'
 FIRST_PORT = '31000'
 #: Bounds a run that hangs; a run takes well under a minute.
 TIMEOUT_S = 240
--- /dev/null
+++ b/tests/node/test_settings.py
@@ -0,0 +1,34 @@
+"""Tests of settings that change while a VM runs."""
+
+import unittest
+
+from jacinthcart.errors import SettingsError
+from jacinthcart.node import NodeSettings
+from jacinthcart.node._run import reload_settings
+from jacinthcart.platform.assembly import create_node
+from jacinthcart.platform.settings_file import decode_settings
+from tests.platform.test_settings_file import create_fields
+
+
+class ReloadSettingsTests(unittest.TestCase):
+    """A changed file is checked; an invalid one changes nothing."""
+
+    def setUp(self) -> None:
+        """Create a node."""
+        self.node, _ = create_node(decode_settings(create_fields()))
+
+    def test_new_seeds_are_used_at_once(self) -> None:
+        """Seeds may be replaced while the fleet runs."""
+        fields = create_fields(seeds=['10.9.0.1:8360'])
+        reload_settings(self.node, lambda: decode_settings(fields))
+        self.assertEqual(self.node.settings.seeds, ('10.9.0.1',))
+
+    def test_invalid_file_keeps_the_last_good_settings(self) -> None:
+        """An operator's mistake must not stop a VM."""
+
+        def load() -> NodeSettings:
+            raise SettingsError('platform_fields.ip', 'missing')
+
+        before = self.node.settings
+        reload_settings(self.node, load)
+        self.assertIs(self.node.settings, before)
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -23,7 +23,7 @@
         'platform': {'address': '10.200.1.7:8361', 'form': 'read'},
         'bounds': {'revoke_ms': 4000, 'unknown': 1},
     }
-    return {**fields, **changes}
+    return {'platform_fields': {**fields, **changes}}
 
 
 class DecodeSettingsTests(unittest.TestCase):
@@ -40,7 +40,9 @@
         """An operator must see what to change."""
         with self.assertRaises(SettingsError) as caught:
             decode_settings(create_fields(bounds={'revoke_ms': 'soon'}))
-        self.assertEqual(caught.exception.path, 'bounds.revoke_ms')
+        self.assertEqual(
+            caught.exception.path, 'platform_fields.bounds.revoke_ms'
+        )
         self.assertIn('soon', str(caught.exception))
 
     def test_missing_store_is_an_error(self) -> None:
