Split the soak and the request loops; keep answers before malformed bytes

Cause: bytes that are no response after a complete one discarded the complete one too; a request that was read but not yet handled was cut when its connection was closed as idle at a planned stop.

Change: what was complete before malformed bytes counts, and the connection is not used again; a connection with a read request is not idle.

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -15,8 +15,7 @@
     decode_fleet_message,
 )
 from jacinthcart.network import BaseDatagrams
-from jacinthcart.program import Clock
-from jacinthcart.readings import ItemTable, ReadingLease, ReadingPuller
+from jacinthcart.readings import ReadingPuller
 from jacinthcart.network import Endpoint
 
 KIND_PING = 'ping'
@@ -69,30 +68,27 @@
         self,
         members: MemberTable,
         datagrams: BaseDatagrams,
-        table: ItemTable,
-        lease: ReadingLease,
         puller: ReadingPuller,
         *,
         seeds: tuple[str, ...],
         port: int,
         table_incarnation: int,
-        clock: Clock,
         random_source: random.Random,
         terms: GossipTerms,
     ) -> None:
         """Keep the collaborators; `port` is the same on all VMs."""
         self._members = members
         self._datagrams = datagrams
-        self._table = table
-        self._lease = lease
+        self._table = puller.table
+        self._lease = puller.lease
         self._puller = puller
         self.seeds = seeds
         self._port = port
         self._incarnation = table_incarnation
-        self._clock = clock
+        self._clock = puller.lease.clock
         self._random = random_source
         self._terms = terms
-        self._started_at = clock()
+        self._started_at = self._clock()
         self._seq = 0
         self._peer_by_address: dict[str, _Peer] = {}
         self._round: list[str] = []
--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import types
 from collections.abc import Callable
 
 from jacinthcart.fleet._messages import MemberRecord, MemberState
@@ -9,11 +10,13 @@
 from jacinthcart.program import Clock
 from jacinthcart.telemetry import Logger
 
-_RANK_BY_STATE = {
-    MemberState.ALIVE: 0,
-    MemberState.SUSPECT: 1,
-    MemberState.LEAVING: 2,
-}
+_RANK_BY_STATE = types.MappingProxyType(
+    {
+        MemberState.ALIVE: 0,
+        MemberState.SUSPECT: 1,
+        MemberState.LEAVING: 2,
+    },
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -34,6 +34,9 @@
 )
 
 
+_RECORD_FIELDS = ('address', 'zone', 'incarnation', 'state', 'capacity')
+
+
 class MemberRecord(pydantic.BaseModel):
     """One VM as its peers know it."""
 
@@ -100,42 +103,42 @@
         }
 
 
-_BODY: pydantic.TypeAdapter[
-    tuple[int, list[Any], int, int, float | None, bool, list[list[Any]]]
-] = pydantic.TypeAdapter(
-    tuple[int, list[Any], int, int, float | None, bool, list[list[Any]]],
-)
+class _Body(pydantic.BaseModel):
+    """The list on the wire, by name."""
+
+    seq: int
+    sender: list[Any]
+    table: int
+    serial: int
+    age_s: float | None
+    wants_records: bool
+    records: list[list[Any]]
 
 
 def decode_fleet_message(message: dict[str, Any]) -> FleetMessage:
     """Read a ping or acknowledgement; raise InvalidMessageError."""
     try:
-        body = _BODY.validate_python(message.get('b'))
-    except pydantic.ValidationError as error:
-        raise InvalidMessageError(str(error)) from error
-    seq, sender, table, serial, age_s, wants_records, records = body
+        named = zip(_Body.model_fields, message.get('b', ()), strict=True)
+        body = _Body.model_validate(dict(named))
+    except (ValueError, TypeError) as error:
+        raise InvalidMessageError(f'malformed message: {error}') from error
     return FleetMessage(
         kind=str(message.get('kind')),
-        seq=seq,
-        sender=unpack_record(sender),
-        table=table,
-        serial=serial,
-        age_s=age_s,
-        wants_records=wants_records,
-        records=tuple(unpack_record(record) for record in records),
+        seq=body.seq,
+        sender=unpack_record(body.sender),
+        table=body.table,
+        serial=body.serial,
+        age_s=body.age_s,
+        wants_records=body.wants_records,
+        records=tuple(unpack_record(record) for record in body.records),
     )
 
 
 def unpack_record(fields: list[Any]) -> MemberRecord:
     """Read the short form; raise InvalidMessageError."""
     try:
-        address, zone, incarnation, state, capacity = fields
-        return MemberRecord(
-            address=address,
-            zone=zone,
-            incarnation=incarnation,
-            state=_STATE_BY_CODE[state],
-            capacity=capacity,
-        )
+        record = dict(zip(_RECORD_FIELDS, fields, strict=True))
+        record['state'] = _STATE_BY_CODE[record['state']]
+        return MemberRecord.model_validate(record)
     except (ValueError, TypeError, LookupError) as error:
         raise InvalidMessageError(f'malformed record: {error}') from error
--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import http
+import types
 from collections.abc import Callable
 from typing import Any
 
@@ -200,7 +201,9 @@
 
     def close_if_idle(self) -> None:
         """End the connection unless a request is on its way."""
-        if not self.is_busy and not self._parser.is_inside:
+        parser = self._parser
+        has_request = parser.is_inside or bool(parser.complete)
+        if not self.is_busy and not has_request:
             self._scope.cancel()
 
     async def _serve(self) -> None:
@@ -225,15 +228,19 @@
                 return None
             is_inside = self._parser.is_inside
             wait_s = terms.header_timeout_s if is_inside else idle_s
-            with anyio.move_on_after(wait_s) as scope:
-                await self._changed.wait()
-            if scope.cancelled_caught:
+            if not await self._wait_for_change(wait_s):
                 if is_inside:
                     await self._write(RawResponse(_TIMEOUT), keeps=False)
                 return None
-            self._changed = anyio.Event()
         return self._parser.complete.pop(0)
 
+    async def _wait_for_change(self, wait_s: float) -> bool:
+        with anyio.move_on_after(wait_s):
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            return True
+        return False
+
     async def _answer(self, request: RawRequest) -> bool:
         response: RawResponse | None = None
         with anyio.CancelScope() as scope:
@@ -287,12 +294,14 @@
         has_body: bool = True,
     ) -> bool:
         message = encode_response(response, keeps=keeps, has_body=has_body)
+        is_sent = False
         try:
-            with anyio.move_on_after(_SEND_TIMEOUT_S) as scope:
+            with anyio.move_on_after(_SEND_TIMEOUT_S):
                 await self._stream.send(message)
+                is_sent = True
         except _CONNECTION_FAILURES:
             return False
-        return not scope.cancelled_caught
+        return is_sent
 
 
 def encode_response(
@@ -315,4 +324,6 @@
     return b''.join(lines)
 
 
-_PHRASE_BY_STATUS = {one.value: one.phrase for one in http.HTTPStatus}
+_PHRASE_BY_STATUS = types.MappingProxyType(
+    {one.value: one.phrase for one in http.HTTPStatus},
+)
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -129,19 +129,15 @@
         self._gossip = FleetGossip(
             self.members,
             self._datagrams,
-            self.table,
-            self.lease,
             ReadingPuller(
                 self.table,
                 self.lease,
-                clock,
                 self.logger,
                 self.metrics,
             ),
             seeds=settings.seeds,
             port=settings.peer_port,
             table_incarnation=self.incarnation,
-            clock=clock,
             random_source=source,
             terms=GossipTerms(),
         )
@@ -150,7 +146,6 @@
             self.table,
             self.lease,
             lambda: self.members.find_rank(_READERS_KEY),
-            clock,
             terms=ReaderTerms(proof_prefix=proof_prefix),
             logger=self.logger,
             metrics=self.metrics,
@@ -245,7 +240,8 @@
         except RefusalError as refusal:
             self._request_log.note_refusal(request, refusal)
             raise
-        except anyio.get_cancelled_exc_class():
+        except BaseException:
+            # A cancellation: the caller left.
             self._request_log.note_left(request)
             raise
         self._request_log.note_answer(request, admitted, answer)
--- a/jacinthcart/node/_peer_api.py
+++ b/jacinthcart/node/_peer_api.py
@@ -1,6 +1,6 @@
 """What this VM answers to its peers over TCP."""
 
-import urllib.parse
+from urllib.parse import parse_qsl
 
 from jacinthcart.front import (
     BaseRequestHandler,
@@ -29,7 +29,7 @@
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return what the peer lacks."""
         path, _, query = request.target.decode('latin-1').partition('?')
-        fields = dict(urllib.parse.parse_qsl(query))
+        fields = dict(parse_qsl(query))
         if path != PULL_PATH:
             return RawResponse(404)
         try:
--- a/jacinthcart/platform/_handlers.py
+++ b/jacinthcart/platform/_handlers.py
@@ -1,7 +1,7 @@
 """Handlers of the addresses that the platform's pages name."""
 
 import random
-import urllib.parse
+from urllib.parse import parse_qsl
 
 from jacinthcart.directory import choose_addresses
 from jacinthcart.errors import InvalidMessageError, RefusalError
@@ -83,7 +83,7 @@
         path, _, query = request.target.decode('latin-1').partition('?')
         if path != '/jacinthcart/resolve':
             return _NOT_FOUND
-        fields = dict(urllib.parse.parse_qsl(query))
+        fields = dict(parse_qsl(query))
         terms = self._node.directory_terms
         addresses = choose_addresses(
             self._node.members.list_alive(),
--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -1,5 +1,7 @@
 """Headers and statuses that callers and searchers speak."""
 
+import types
+
 from jacinthcart.errors import (
     InvalidMessageError,
     Ran,
@@ -46,57 +48,66 @@
 )
 #: Headers that this VM sets itself.
 _OWN_HEADERS = frozenset((_DEADLINE, _CREDENTIAL, _TENANT, _EXPECTED))
-_STATUS_BY_CODE = {
-    RefusalCode.INVALID_REQUEST: 400,
-    RefusalCode.KEY_MISSING: 401,
-    RefusalCode.KEY_INVALID: 401,
-    RefusalCode.UNKNOWN_ROUTE: 404,
-    RefusalCode.OVER_RATE: 429,
-    RefusalCode.BACKEND_FAILED: 502,
-}
+#: Headers that a request may have once.
+_SINGLE_HEADERS = frozenset((b'host', _REQUEST_ID, _CREDENTIAL))
+_STATUS_BY_CODE = types.MappingProxyType(
+    {
+        RefusalCode.INVALID_REQUEST: 400,
+        RefusalCode.KEY_MISSING: 401,
+        RefusalCode.KEY_INVALID: 401,
+        RefusalCode.UNKNOWN_ROUTE: 404,
+        RefusalCode.OVER_RATE: 429,
+        RefusalCode.BACKEND_FAILED: 502,
+    }
+)
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 504
 
 
 def decode_request(raw: RawRequest) -> CallerRequest:
     """Return the project's form of a request; raise InvalidMessageError."""
+    first = _find_first(raw)
+    try:
+        return _decode_request(raw, first)
+    except (ValueError, KeyError) as error:
+        raise InvalidMessageError(f'malformed request: {error!r}') from error
+
+
+def _find_first(raw: RawRequest) -> dict[bytes, bytes]:
     first: dict[bytes, bytes] = {}
     for name, content in raw.headers:
-        if name in first and name in {b'host', _REQUEST_ID, _CREDENTIAL}:
+        if name in first and name in _SINGLE_HEADERS:
             raise InvalidMessageError(f'more than one {name.decode()}')
         first.setdefault(name, content)
-    connection_names = {
-        token.strip().lower()
-        for token in first.get(b'connection', b'').split(b',')
-    }
-    dropped = _HOP_HEADERS | _OWN_HEADERS | connection_names
-    try:
-        deadline_s = _decode_deadline_s(first.get(_DEADLINE))
-        target = raw.target.decode('ascii')
-        host = first[b'host'].decode('ascii')
-        request_id = first[_REQUEST_ID].decode('ascii')
-        key = first.get(_CREDENTIAL)
-        credential = key.decode('ascii') if key is not None else None
-    except (ValueError, KeyError) as error:
-        raise InvalidMessageError(f'malformed request: {error!r}') from error
+    return first
+
+
+def _decode_request(
+    raw: RawRequest,
+    first: dict[bytes, bytes],
+) -> CallerRequest:
+    target = raw.target.decode('ascii')
+    key = first.get(_CREDENTIAL)
+    dropped = _HOP_HEADERS | _OWN_HEADERS | _find_connection_names(first)
     return CallerRequest(
-        request_id=request_id,
+        request_id=first[_REQUEST_ID].decode('ascii'),
         method=raw.method,
         target=target,
-        host=host.partition(':')[0].lower(),
+        host=first[b'host'].decode('ascii').partition(':')[0].lower(),
         path=target.partition('?')[0],
-        headers=tuple(
-            (name, content)
-            for name, content in raw.headers
-            if name not in dropped
-        ),
+        headers=tuple(one for one in raw.headers if one[0] not in dropped),
         body=raw.body,
-        credential=credential,
+        credential=None if key is None else key.decode('ascii'),
         received_at=raw.received_at,
-        deadline=raw.received_at + deadline_s,
+        deadline=raw.received_at + _decode_deadline_s(first.get(_DEADLINE)),
     )
 
 
+def _find_connection_names(first: dict[bytes, bytes]) -> set[bytes]:
+    listed = first.get(b'connection', b'').split(b',')
+    return {token.strip().lower() for token in listed}
+
+
 def _decode_deadline_s(content: bytes | None) -> float:
     if content is None:
         return _DEFAULT_DEADLINE_S
--- a/jacinthcart/platform/_items.py
+++ b/jacinthcart/platform/_items.py
@@ -30,21 +30,27 @@
 
     def _take(self, items: list[Item]) -> None:
         news: dict[str, Searcher | None] = {}
+        has_evacuations = False
         for item in items:
             if item.key == _CONFIG_KEY:
                 self._take_config(item)
             elif item.key.startswith(_SERVER_PREFIX):
                 searcher_id = item.key.removeprefix(_SERVER_PREFIX)
                 news[searcher_id] = self._decode(searcher_id, item)
-        if any(item.key.startswith(_EVACUATE_PREFIX) for item in items):
-            present = self._table.list_present(_EVACUATE_PREFIX)
-            self._book.put_evacuated(
-                frozenset(
-                    item.key.removeprefix(_EVACUATE_PREFIX) for item in present
-                ),
-            )
+            elif item.key.startswith(_EVACUATE_PREFIX):
+                has_evacuations = True
+        if has_evacuations:
+            self._take_evacuations()
         self._book.put_searchers(news)
 
+    def _take_evacuations(self) -> None:
+        present = self._table.list_present(_EVACUATE_PREFIX)
+        self._book.put_evacuated(
+            frozenset(
+                one.key.removeprefix(_EVACUATE_PREFIX) for one in present
+            ),
+        )
+
     def _take_config(self, item: Item) -> None:
         if item.content is None:
             return
--- a/jacinthcart/platform/_store.py
+++ b/jacinthcart/platform/_store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store."""
 
 import base64
-import urllib.parse
+from urllib.parse import urlencode
 from typing import TypeVar
 
 import anyio
@@ -100,7 +100,7 @@
         query: dict[str, str],
         timeout_s: float,
     ) -> HttpResponse:
-        target = f'/jacinthcart/{call}?{urllib.parse.urlencode(query)}'
+        target = f'/jacinthcart/{call}?{urlencode(query)}'
         connection: HttpConnection | None = None
         try:
             with anyio.fail_after(timeout_s):
--- a/jacinthcart/readings/_lease.py
+++ b/jacinthcart/readings/_lease.py
@@ -21,17 +21,17 @@
         self.proof_at = -math.inf
         self.own_proof_at = -math.inf
         self.peer_proof_at = -math.inf
-        self._clock = clock
+        self.clock = clock
 
     @property
     def age_s(self) -> float:
         """Seconds since the proven moment; infinite without proof."""
-        return self._clock() - self.proof_at
+        return self.clock() - self.proof_at
 
     @property
     def peer_age_s(self) -> float:
         """Seconds since the moment proven by peers."""
-        return self._clock() - self.peer_proof_at
+        return self.clock() - self.peer_proof_at
 
     def is_fresh(self, bound_s: float) -> bool:
         """Return whether the proof is younger than `bound_s` seconds."""
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -7,7 +7,6 @@
 import pydantic
 
 from jacinthcart.errors import InvalidMessageError, WireError
-from jacinthcart.program import Clock
 from jacinthcart.readings._lease import ReadingLease
 from jacinthcart.readings._source import Item
 from jacinthcart.readings._table import ItemTable
@@ -80,14 +79,12 @@
         self,
         table: ItemTable,
         lease: ReadingLease,
-        clock: Clock,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
         """Start without connections."""
-        self._table = table
-        self._lease = lease
-        self._clock = clock
+        self.table = table
+        self.lease = lease
         self._logger = logger
         self._metrics = metrics
         self._known_by_peer: dict[str, tuple[int, int]] = {}
@@ -124,7 +121,7 @@
             _CONNECT_TIMEOUT_S,
         )
         try:
-            asked_at = self._clock()
+            asked_at = self.lease.clock()
             response = await connection.request(
                 'GET',
                 f'{PULL_PATH}?incarnation={incarnation}&after={after}',
@@ -140,13 +137,13 @@
         except pydantic.ValidationError as error:
             raise InvalidMessageError(str(error)) from error
         self._metrics.count('pull', 'answered')
-        self._table.merge(
+        self.table.merge(
             Item(item.key, item.revision, _decode(item.content))
             for item in changes.items
         )
         self._known_by_peer[peer_id] = (changes.incarnation, changes.serial)
         if changes.age_s is not None:
-            self._lease.note_peer_reading(asked_at, changes.age_s)
+            self.lease.note_peer_reading(asked_at, changes.age_s)
 
 
 def _encode(content: bytes | None) -> str | None:
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from jacinthcart.program import Clock
 from jacinthcart.readings._lease import ReadingLease
 from jacinthcart.readings._source import (
     BaseStore,
@@ -58,7 +57,6 @@
         table: ItemTable,
         lease: ReadingLease,
         find_rank: Callable[[], int],
-        clock: Clock,
         *,
         terms: ReaderTerms,
         logger: Logger,
@@ -70,7 +68,6 @@
         self._table = table
         self._lease = lease
         self._find_rank = find_rank
-        self._clock = clock
         self._terms = terms
         self._logger = logger
         self._metrics = metrics
@@ -128,7 +125,7 @@
 
     async def _prove(self) -> bool:
         prefix = self._terms.proof_prefix
-        sent_at = self._clock()
+        sent_at = self._lease.clock()
         try:
             page = await self._store.read(prefix, self._terms.read_timeout_s)
         except StoreError as error:
@@ -155,7 +152,7 @@
         return True
 
     async def _read_all(self) -> None:
-        sent_at = self._clock()
+        sent_at = self._lease.clock()
         page = await self._store.read(_ALL, self._terms.read_timeout_s)
         self._note_success()
         self._table.replace_below(_ALL, page.items, page.revision)
--- a/jacinthcart/routing/_codec.py
+++ b/jacinthcart/routing/_codec.py
@@ -62,8 +62,8 @@
     @property
     def is_success(self) -> bool:
         """Return whether the searcher answered the request."""
-        is_2xx = 200 <= self.head.status < 300
-        return is_2xx and self.stamp is not None and not self.is_not_run
+        is_signed = self.stamp is not None and not self.is_not_run
+        return is_signed and 200 <= self.head.status < 300
 
 
 class BaseSearcherCodec(abc.ABC):
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -53,17 +53,18 @@
         """Start between two responses."""
         self.complete: list[tuple[ResponseHead, bytes]] = []
         self.is_inside = False
+        self.is_broken = False
         self.is_ended_by_close = False
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
 
     def feed(self, received: bytes) -> None:
-        """Take bytes; raise OutcomeUnknownError for malformed ones."""
+        """Take bytes; malformed ones after a response leave it complete."""
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
-            raise OutcomeUnknownError(f'malformed response: {error}') from error
+        except httptools.HttpParserError:
+            self.is_broken = True
 
     def finish(self) -> None:
         """Take the end of the stream, which may complete a response."""
@@ -143,10 +144,7 @@
         when no answer can be had; the connection is not usable then.
         """
         self.is_usable = False
-        try:
-            await self._stream.send(message)
-        except _CLOSING_FAILURES as error:
-            raise OutcomeUnknownError(f'send: {error!r}') from error
+        await self._send(message)
         for _ in range(_MOST_SKIPPED):
             head, body = await self._receive()
             if self._codec.find_request_id(head) == request_id:
@@ -160,24 +158,35 @@
         self.is_usable = False
         await anyio.aclose_forcefully(self._stream)
 
+    async def _send(self, message: bytes) -> None:
+        try:
+            await self._stream.send(message)
+        except _CLOSING_FAILURES as error:
+            raise OutcomeUnknownError(f'send: {error!r}') from error
+
     async def _receive(self) -> tuple[ResponseHead, bytes]:
         parser = self._parser
         while not parser.complete:
-            try:
-                received = await self._stream.receive(_RECEIVE_BYTES)
-            except anyio.EndOfStream as error:
-                parser.finish()
-                if not parser.complete:
-                    raise OutcomeUnknownError('connection closed') from error
-            except _CLOSING_FAILURES as error:
-                raise OutcomeUnknownError(f'receive: {error!r}') from error
-            else:
-                parser.feed(received)
+            if parser.is_broken:
+                raise OutcomeUnknownError('malformed response')
+            parser.feed(await self._receive_bytes())
         return parser.complete.pop(0)
 
+    async def _receive_bytes(self) -> bytes:
+        try:
+            return await self._stream.receive(_RECEIVE_BYTES)
+        except anyio.EndOfStream as error:
+            self._parser.finish()
+            if not self._parser.complete:
+                raise OutcomeUnknownError('connection closed') from error
+        except _CLOSING_FAILURES as error:
+            raise OutcomeUnknownError(f'receive: {error!r}') from error
+        return b''
+
     def _is_reusable(self, response: SearcherResponse) -> bool:
         parser = self._parser
         has_more = bool(parser.complete) or parser.is_inside
+        has_more = has_more or parser.is_broken
         is_framed = not parser.is_ended_by_close
         return is_framed and not has_more and not response.is_last
 
@@ -246,8 +255,10 @@
         for key, idle in list(self._idle_by_process.items()):
             # Nothing is awaited until all lists are in order: another task
             # may take a connection from them meanwhile.
-            expired.extend(one for one in idle if one.idle_until <= now)
-            idle[:] = [one for one in idle if one.idle_until > now]
+            old = [one for one in idle if one.idle_until <= now]
+            for connection in old:
+                idle.remove(connection)
+            expired.extend(old)
             if not idle:
                 self._idle_by_process.pop(key)
         for connection in expired:
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -65,27 +65,20 @@
     ) -> Searcher | None:
         """Return the cheapest searcher that may get a request now."""
         now = self._clock()
-        best: Searcher | None = None
-        best_cost_s = 0.0
-        for searcher in self._book.list_searchers(service):
-            if searcher.searcher_id in excluded:
-                continue
-            evidence = self.find_evidence(searcher)
-            if not allows_paused and evidence.paused_until > now:
-                continue
-            if not self._may_send(searcher, now):
-                continue
-            cost_s = self._estimate_s(
-                searcher,
-                evidence,
-                now,
-                usual_s,
-                target_s,
-            )
-            if best is None or cost_s < best_cost_s:
-                best, best_cost_s = searcher, cost_s
-        if best is not None:
-            self._count_cold_send(best, now)
+        cost_s_by_searcher = {
+            searcher: self._estimate_s(searcher, now, usual_s, target_s)
+            for searcher in self._book.list_searchers(service)
+            if searcher.searcher_id not in excluded
+            and self._may_send(searcher, now)
+        }
+        if not allows_paused:
+            for searcher in list(cost_s_by_searcher):
+                if self.find_evidence(searcher).paused_until > now:
+                    cost_s_by_searcher.pop(searcher)
+        if not cost_s_by_searcher:
+            return None
+        best = min(cost_s_by_searcher, key=cost_s_by_searcher.__getitem__)
+        self._count_cold_send(best, now)
         return best
 
     def is_cold(self, searcher: Searcher, now: float) -> bool:
@@ -96,13 +89,12 @@
     def _estimate_s(
         self,
         searcher: Searcher,
-        evidence: SearcherEvidence,
         now: float,
         usual_s: float,
         target_s: float,
     ) -> float:
         cost_s = estimate_cost_s(
-            evidence,
+            self.find_evidence(searcher),
             now=now,
             usual_s=usual_s,
             target_s=target_s,
--- a/jacinthcart/serving/_policy.py
+++ b/jacinthcart/serving/_policy.py
@@ -10,7 +10,7 @@
 
     #: Seconds between an answer's sending and the end of the caller's
     #: target: the way to the caller and back.
-    reserve_s: float = 0.010
+    reserve_s: float = 0.01
     #: Seconds before the caller's deadline at which a request ends.
     deadline_reserve_s: float = 0.008
 
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -113,14 +113,7 @@
         run = self._create_run(context, service, wakeup)
         try:
             run.start()
-            while not run.is_done:
-                now = self._calls.clock()
-                if now >= context.deadline:
-                    raise self._create_timeout([run])
-                run.tick(now)
-                if not run.is_done:
-                    moment = min(run.wake_at, context.deadline)
-                    await wakeup.wait_until(moment, now)
+            await self._wait_for_end(context, run, wakeup)
         finally:
             run.cancel()
         if run.response is not None:
@@ -130,6 +123,21 @@
             return ServedAnswer(failure.response, _report([run]))
         raise self._create_refusal([run])
 
+    async def _wait_for_end(
+        self,
+        context: CallContext,
+        run: ServiceRun,
+        wakeup: _Wakeup,
+    ) -> None:
+        while not run.is_done:
+            now = self._calls.clock()
+            if now >= context.deadline:
+                raise self._create_timeout([run])
+            run.tick(now)
+            if not run.is_done:
+                moment = min(run.wake_at, context.deadline)
+                await wakeup.wait_until(moment, now)
+
     async def _scatter(self, context: CallContext) -> MergedAnswer:
         wakeup = _Wakeup()
         route = context.route
@@ -164,18 +172,8 @@
         policy: AnswerPolicy,
         wakeup: _Wakeup,
     ) -> None:
-        while True:
+        while not self._is_collected(context, runs, policy):
             now = self._calls.clock()
-            parts = sum(1 for run in runs if run.response is not None)
-            failed = sum(1 for run in runs if run.failure is not None)
-            if policy.should_answer(parts, failed, now):
-                return
-            if policy.is_hopeless(failed):
-                raise self._create_refusal(runs)
-            if now >= context.deadline:
-                if parts >= policy.least_parts:
-                    return
-                raise self._create_timeout(runs)
             moment = context.deadline
             if now < policy.answer_at:
                 moment = min(moment, policy.answer_at)
@@ -185,6 +183,25 @@
                     moment = min(moment, run.wake_at)
             await wakeup.wait_until(moment, now)
 
+    def _is_collected(
+        self,
+        context: CallContext,
+        runs: list[ServiceRun],
+        policy: AnswerPolicy,
+    ) -> bool:
+        now = self._calls.clock()
+        parts = sum(1 for run in runs if run.response is not None)
+        failed = sum(1 for run in runs if run.failure is not None)
+        if policy.should_answer(parts, failed, now):
+            return True
+        if policy.is_hopeless(failed):
+            raise self._create_refusal(runs)
+        if now < context.deadline:
+            return False
+        if parts < policy.least_parts:
+            raise self._create_timeout(runs)
+        return True
+
     def _create_run(
         self,
         context: CallContext,
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -77,11 +77,6 @@
         """Return whether there is an answer or a final failure."""
         return self.response is not None or self.failure is not None
 
-    @property
-    def first_started_at(self) -> float | None:
-        """Return the start (s) of the oldest send that is unanswered."""
-        return self._pending[0].started_at if self._pending else None
-
     def describe(self) -> str:
         """Return why there is no answer, for logs."""
         if self.failure is not None:
@@ -93,8 +88,10 @@
         """Send to the first searcher."""
         self._budget.earn(self.service, self._count_members())
         if not self._send_to_next():
-            self._fail(
-                Outcome(OutcomeKind.NOT_RUN, 'no searcher', was_sent=False)
+            self.failure = Outcome(
+                OutcomeKind.NOT_RUN,
+                'no searcher',
+                was_sent=False,
             )
 
     def tick(self, now: float) -> None:
@@ -165,7 +162,7 @@
             self.may_have_run = True
             self._runs += 1
             if not is_idempotent:
-                self._fail(outcome)
+                self.failure = outcome
                 return
         if not self._pending:
             self._resend(outcome)
@@ -180,7 +177,7 @@
             or not self._context.may_send()
         )
         if is_spent:
-            self._fail(outcome)
+            self.failure = outcome
             return
         searcher = self._choose(allows_paused=True)
         if searcher is None:
@@ -189,7 +186,7 @@
         is_extra = self._arrivals > 0
         members = self._count_members()
         if is_extra and not self._budget.take(self.service, members):
-            self._fail(outcome)
+            self.failure = outcome
             return
         self._send(searcher)
 
@@ -199,10 +196,7 @@
         if has_others and is_refused:
             self.wake_at = now + self._terms.retry_s
         else:
-            self._fail(outcome)
-
-    def _fail(self, outcome: Outcome) -> None:
-        self.failure = outcome
+            self.failure = outcome
 
     def _send_to_next(self) -> bool:
         searcher = self._choose(allows_paused=True)
--- a/jacinthcart/telemetry/_output.py
+++ b/jacinthcart/telemetry/_output.py
@@ -56,7 +56,8 @@
                     return
                 batch = ''.join(self._lines)
                 self._lines.clear()
-                dropped, self.dropped = self.dropped, 0
+                dropped = self.dropped
+                self.dropped = 0
             if dropped:
                 batch = (
                     f'{batch}{{"event":"lines dropped","count":{dropped}}}\n'
--- a/jacinthcart/telemetry/_volume.py
+++ b/jacinthcart/telemetry/_volume.py
@@ -27,5 +27,6 @@
             self._suppressed += 1
             return None
         self._tokens -= 1
-        suppressed, self._suppressed = self._suppressed, 0
+        suppressed = self._suppressed
+        self._suppressed = 0
         return suppressed
--- a/jacinthcart_emulator/platform_store.py
+++ b/jacinthcart_emulator/platform_store.py
@@ -3,7 +3,7 @@
 import base64
 import dataclasses
 import enum
-import urllib.parse
+from urllib.parse import parse_qsl
 from typing import Any
 
 import anyio
@@ -103,7 +103,7 @@
         if self.fault is StoreFault.SLOW:
             await anyio.sleep(0.25)
         path, _, query = request.target.decode().partition('?')
-        fields = dict(urllib.parse.parse_qsl(query))
+        fields = dict(parse_qsl(query))
         if path == '/jacinthcart/kv-range':
             return self._range(fields)
         if path == '/jacinthcart/kv-watch':
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -190,19 +190,20 @@
         """
         found = store or self.store_endpoint
         address = self.addresses[number]
-        callers, ready, directory, control, peers = self._ports
         fields = {
             'node_name': f'vm-{number}',
             'ip': address,
             'zone': _ZONES[number % len(_ZONES)],
             'listen_addrs': {
-                'frontend_addr': f'{address}:{callers}',
-                'ready': f'{address}:{ready}',
-                'directory': f'{address}:{directory}',
-                'control': f'{address}:{control}',
+                'frontend_addr': f'{address}:{self._ports[0]}',
+                'ready': f'{address}:{self._ports[1]}',
+                'directory': f'{address}:{self._ports[2]}',
+                'control': f'{address}:{self._ports[3]}',
             },
-            'port_range': [peers, peers],
-            'seeds': [f'{seed}:{control}' for seed in self.addresses[:_SEEDS]],
+            'port_range': [self._ports[4], self._ports[4]],
+            'seeds': [
+                f'{seed}:{self._ports[3]}' for seed in self.addresses[:_SEEDS]
+            ],
             'bounds': {'revoke_ms': 3000, 'grace_s': 3},
             'platform': {'address': f'{found.address}:{found.port}'},
         }
--- /dev/null
+++ b/jacinthcart_lab/soak/_callers.py
@@ -0,0 +1,95 @@
+"""Callers that keep connections open until the process is gone."""
+
+import dataclasses
+import random
+import time
+
+import anyio
+import httpx
+
+from jacinthcart_lab.platform_deployment import PlatformDeployment
+from jacinthcart_lab.soak._checks import Call
+
+_CALL_TIMEOUT_S = 3.0
+_PAUSE_S = 0.05
+
+
+class SoakCallers:
+    """Sends requests and keeps what became of each."""
+
+    def __init__(
+        self,
+        deployment: PlatformDeployment,
+        seed: int,
+        revoked_keys: dict[str, float],
+    ) -> None:
+        """Keep the deployment; withdrawn keys are used on."""
+        self.calls: list[Call] = []
+        self._deployment = deployment
+        self._seed = seed
+        self._random = random.Random(seed)
+        self._revoked_keys = revoked_keys
+        self._requests = 0
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        while True:
+            async with httpx.AsyncClient(timeout=_CALL_TIMEOUT_S) as client:
+                await self._use_connection(client)
+            await anyio.sleep(_PAUSE_S)
+
+    async def is_served_by(self, vm: int) -> bool:
+        """Return whether a VM answers a search."""
+        async with httpx.AsyncClient(timeout=_CALL_TIMEOUT_S) as client:
+            return (await self._call(client, vm, 'search')).status == 200
+
+    async def _use_connection(self, client: httpx.AsyncClient) -> None:
+        vm = self._random.randrange(self._deployment.terms.vms)
+        for _ in range(self._random.randrange(5, 60)):
+            kind = self._random.choice(('search', 'search', 'order'))
+            call = await self._call(client, vm, kind)
+            if not call.status:
+                return
+            await anyio.sleep(self._random.uniform(0.005, 0.05))
+
+    async def _call(
+        self,
+        client: httpx.AsyncClient,
+        vm: int,
+        kind: str,
+    ) -> Call:
+        self._requests += 1
+        request_id = f'{self._seed:08x}{self._requests:08x}'
+        key = self._random.choice(
+            [*self._deployment.keys, *self._revoked_keys],
+        )
+        address = self._deployment.addresses[vm]
+        sent_at = time.monotonic()
+        call = Call(request_id, kind, key, vm, sent_at, sent_at, 0)
+        self.calls.append(call)
+        index = len(self.calls) - 1
+        try:
+            response = await client.request(
+                'GET' if kind == 'search' else 'POST',
+                f'http://{address}:{self._deployment.callers_port}/{kind}/x',
+                headers={
+                    'Host': 'shop.example',
+                    'X-Jacinthcart-Request-Id': request_id,
+                    'X-Jacinthcart-Deadline-Ms': '2000',
+                    'X-Jacinthcart-Credential': key,
+                },
+            )
+        except httpx.HTTPError:
+            # A killed or frozen VM; nothing is promised about the request.
+            return call
+        stamps = response.headers.get('X-Jacinthcart-Part-Stamps', '')
+        call = dataclasses.replace(
+            call,
+            ended_at=time.monotonic(),
+            status=response.status_code,
+            stamps=tuple(stamps.split(', ')) if stamps else (),
+            missing=int(response.headers.get('X-Jacinthcart-Missing-Parts', 0)),
+            body=response.content,
+        )
+        self.calls[index] = call
+        return call
--- /dev/null
+++ b/jacinthcart_lab/soak/_faults.py
@@ -0,0 +1,163 @@
+"""The faults of a soak, injected from outside of the processes."""
+
+import random
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from jacinthcart_emulator.platform_store import StoreFault
+from jacinthcart_lab.platform_deployment import PlatformDeployment
+from jacinthcart_lab.soak._proxy import ProxyMode
+from jacinthcart_lab.soak._vm import SoakVm
+
+_GRACE_S = 3.0
+_SILENT_SHARE = 0.2
+_FORGET_SHARE = 0.3
+
+
+class SoakFaults:
+    """Injects seeded faults that overlap."""
+
+    def __init__(
+        self,
+        deployment: PlatformDeployment,
+        vms: list[SoakVm],
+        random_source: random.Random,
+    ) -> None:
+        """Keep what is to be broken."""
+        self.notes: list[str] = []
+        self.revoked_at_by_key: dict[str, float] = {}
+        self._deployment = deployment
+        self._vms = vms
+        self._random = random_source
+
+    async def play(self, seconds: float, tasks: TaskGroup) -> None:
+        """Start faults for a while; the last ones end later."""
+        until = anyio.current_time() + seconds
+        while anyio.current_time() < until:
+            fault = self._random.choice(self._list_faults(tasks))
+            tasks.start_soon(fault)
+            await anyio.sleep(self._random.uniform(0.1, 2))
+
+    def _list_faults(
+        self,
+        tasks: TaskGroup,
+    ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        return [
+            self._freeze,
+            self._kill,
+            self._stop,
+            self._break_store,
+            self._break_proxy,
+            self._break_searcher,
+            self._replace_key,
+            self._drain_searcher,
+            lambda: self._crash_searcher(tasks),
+        ]
+
+    async def _freeze(self) -> None:
+        vm = self._random.choice(self._vms)
+        seconds = self._random.uniform(0.3, 5.0)
+        self._note(f'freeze vm-{vm.number} for {seconds:.1f} s')
+        vm.send(signal.SIGSTOP)
+        await anyio.sleep(seconds)
+        vm.send(signal.SIGCONT)
+
+    async def _kill(self) -> None:
+        count = self._random.choice((1, 1, 2, len(self._vms)))
+        for vm in self._random.sample(self._vms, count):
+            if not vm.is_expected_to_run:
+                continue
+            self._note(f'kill vm-{vm.number}')
+            vm.is_expected_to_run = False
+            vm.send(signal.SIGKILL)
+            await vm.wait()
+            await anyio.sleep(self._random.uniform(0, 0.5))
+            vm.start()
+
+    async def _stop(self) -> None:
+        vm = self._random.choice(self._vms)
+        if not vm.is_expected_to_run:
+            return
+        self._note(f'stop vm-{vm.number}')
+        vm.is_expected_to_run = False
+        vm.send(signal.SIGTERM)
+        with anyio.move_on_after(_GRACE_S * 2):
+            await vm.wait()
+        vm.send(signal.SIGKILL)
+        await vm.wait()
+        vm.start()
+
+    async def _break_store(self) -> None:
+        store = self._deployment.store
+        fault = self._random.choice(list(StoreFault))
+        seconds = self._random.uniform(0.5, 5.0)
+        self._note(f'store {fault} for {seconds:.1f} s')
+        store.fault = fault
+        if self._random.random() < _FORGET_SHARE:
+            store.forget_history()
+        await anyio.sleep(seconds)
+        store.fault = StoreFault.NONE
+
+    async def _break_proxy(self) -> None:
+        vm = self._random.choice(self._vms)
+        mode = self._random.choice(list(ProxyMode))
+        seconds = self._random.uniform(0.5, 6.0)
+        self._note(f'way of vm-{vm.number} to store {mode} {seconds:.1f} s')
+        await vm.proxy.switch(mode)
+        await anyio.sleep(seconds)
+        await vm.proxy.switch(ProxyMode.PASS)
+
+    async def _break_searcher(self) -> None:
+        searchers = list(self._deployment.searchers_by_id.values())
+        chosen = self._random.choice(searchers)
+        name = self._random.choice(
+            ('reset', 'garble', 'extra', 'failure', 'shed'),
+        )
+        self._note(f'searcher {chosen.searcher_id} {name}')
+        setattr(chosen.faults, f'{name}_share', self._random.uniform(0.1, 0.9))
+        chosen.faults.is_silent = self._random.random() < _SILENT_SHARE
+        await anyio.sleep(self._random.uniform(1, 4))
+        setattr(chosen.faults, f'{name}_share', 0)
+        chosen.faults.is_silent = False
+
+    async def _replace_key(self) -> None:
+        deployment = self._deployment
+        old = deployment.keys[0]
+        new = f'key-{len(self.revoked_at_by_key) + 2}'
+        deployment.keys = [old, new]
+        deployment.publish_config()
+        await anyio.sleep(self._random.uniform(0.2, 2))
+        if deployment.keys != [old, new]:
+            return
+        deployment.keys = [new]
+        deployment.publish_config()
+        self.revoked_at_by_key[old] = time.monotonic()
+        self._note(f'key {old} withdrawn')
+
+    async def _drain_searcher(self) -> None:
+        searcher_id = self._random.choice(
+            list(self._deployment.searchers_by_id),
+        )
+        self._note(f'searcher {searcher_id} drains and returns')
+        self._deployment.announce(searcher_id, 'draining')
+        await anyio.sleep(self._random.uniform(1, 4))
+        self._deployment.announce(searcher_id)
+
+    async def _crash_searcher(self, tasks: TaskGroup) -> None:
+        deployment = self._deployment
+        searcher_id = self._random.choice(list(deployment.searchers_by_id))
+        searcher = deployment.searchers_by_id.pop(searcher_id)
+        self._note(f'searcher {searcher_id} crashes')
+        await searcher.close()
+        await anyio.sleep(self._random.uniform(0.5, 3))
+        deployment.store.remove(f'servers/{searcher_id}')
+        again = f'{searcher.service}-n{self._random.getrandbits(32):08x}'
+        await deployment.start_searcher(again, searcher.service, tasks)
+
+    def _note(self, fault: str) -> None:
+        self.notes.append(fault)
--- /dev/null
+++ b/jacinthcart_lab/soak/_vm.py
@@ -0,0 +1,59 @@
+"""One process of the system, started and signalled by the soak."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import anyio
+
+from jacinthcart_lab.soak._proxy import FaultProxy
+
+_STOPPED_PAUSE_S = 0.05
+
+
+class SoakVm:
+    """One process of the system and its way to the store."""
+
+    def __init__(
+        self,
+        number: int,
+        settings: pathlib.Path,
+        log: pathlib.Path,
+        proxy: FaultProxy,
+    ) -> None:
+        self.number = number
+        self.proxy = proxy
+        self.log = log
+        self.is_expected_to_run = False
+        self._settings = settings
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, 'JACINTHCART_CONFIG': str(self._settings)}
+        with self.log.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'jacinthcart.platform'],
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.is_expected_to_run = True
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this soak started."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def has_ended(self) -> bool:
+        """Return whether no process runs."""
+        return self._process is None or self._process.poll() is not None
+
+    async def wait(self) -> int:
+        """Return the exit code once the process has ended."""
+        while self._process is not None and self._process.poll() is None:
+            await anyio.sleep(_STOPPED_PAUSE_S)
+        return self._process.returncode if self._process else 0
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -66,6 +66,8 @@
 
     def __init__(self, network: FakeNetwork, vm: 'FakeVm') -> None:
         """Keep both sides."""
+        self.table = vm.table
+        self.lease = vm.lease
         self._network = network
         self._vm = vm
         self._known: dict[str, int] = {}
@@ -104,13 +106,10 @@
         self.gossip = FleetGossip(
             self.members,
             FakeDatagrams(network, address),
-            self.table,
-            self.lease,
             FakePuller(network, self),  # type: ignore[arg-type]
             seeds=_SEEDS,
             port=_PORT,
             table_incarnation=1,
-            clock=anyio.current_time,
             random_source=random.Random(address),
             terms=GossipTerms(),
         )
--- a/tests/readings/test_reader.py
+++ b/tests/readings/test_reader.py
@@ -128,7 +128,6 @@
             self.table,
             self.lease,
             lambda: rank,
-            anyio.current_time,
             terms=ReaderTerms(proof_prefix='op/'),
             logger=create_logger('test'),
             metrics=Metrics(),
