--- a/jacinthcart/directory/__init__.py
+++ b/jacinthcart/directory/__init__.py
@@ -1,5 +1,9 @@
 """Which VMs a caller is told to connect to."""
 
-from jacinthcart.directory._answers import DirectoryTerms, choose_addresses
+from jacinthcart.directory._answers import (
+    DirectoryTerms,
+    choose_addresses,
+    estimate_capacity,
+)
 
-__all__ = ['DirectoryTerms', 'choose_addresses']
+__all__ = ['DirectoryTerms', 'choose_addresses', 'estimate_capacity']
--- a/jacinthcart/directory/_answers.py
+++ b/jacinthcart/directory/_answers.py
@@ -1,6 +1,7 @@
 """Choice of the VMs that a directory answer names."""
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable, Mapping
 
@@ -13,6 +14,14 @@
 
     #: Addresses in an answer at most (platform contract: 64).
     most: int = 16
+    #: Share of a data centre's VMs that is named, the strongest ones: few
+    #: VMs keep their connections to searchers in use, and a query over
+    #: many shards is as slow as the link and the processor of its VM.
+    named_share: float = 0.2
+    #: VMs of a data centre that are named at least, if so many live.
+    named_least: int = 4
+    #: Least part of the strongest VM's capacity that a named VM has.
+    weakest_share: float = 0.4
     #: Addresses in an answer at least, if so many VMs live: a caller that
     #: knows one VM only has nowhere to go when it fails.
     least: int = 2
@@ -24,6 +33,15 @@
     coverage_gain: float = 0.3
 
 
+#: Link of a VM in Mbit/s that one core can keep busy with queries.
+_MBPS_PER_CORE = 50.0
+
+
+def estimate_capacity(cores: float, link_mbps: float) -> float:
+    """Return what a VM can serve, in cores that its link can feed."""
+    return round(min(cores, link_mbps / _MBPS_PER_CORE), 2)
+
+
 def choose_addresses(
     members: Iterable[MemberRecord],
     zone: str,
@@ -37,16 +55,41 @@
     far more of the searchers that the caller's requests need. The rest only
     fills an answer that would be too short.
     """
-    shuffled = list(members)
-    source.shuffle(shuffled)
-    zones = {record.zone for record in shuffled}
-    named = _choose_zones(zones, zone, coverage_by_zone, terms)
-    near = [record.address for record in shuffled if record.zone in named]
-    far = [record.address for record in shuffled if record.zone not in named]
+    by_zone: dict[str, list[MemberRecord]] = {}
+    for record in members:
+        by_zone.setdefault(record.zone, []).append(record)
+    named = _choose_zones(set(by_zone), zone, coverage_by_zone, terms)
+    near: list[str] = []
+    far: list[str] = []
+    for one, records in by_zone.items():
+        strongest = _choose_strongest(records, terms)
+        (near if one in named else far).extend(strongest)
+    source.shuffle(near)
+    source.shuffle(far)
     missing = max(0, terms.least - len(near))
     return [*near[: terms.most], *far[:missing]]
 
 
+def _choose_strongest(
+    records: list[MemberRecord],
+    terms: DirectoryTerms,
+) -> list[str]:
+    ranked = sorted(
+        records,
+        key=lambda record: (-record.capacity, record.address),
+    )
+    count = max(
+        terms.named_least,
+        math.ceil(len(ranked) * terms.named_share),
+    )
+    chosen = ranked[:count]
+    if not chosen:
+        return []
+    # A VM much weaker than the others of the answer would slow its callers.
+    least = chosen[0].capacity * terms.weakest_share
+    return [record.address for record in chosen if record.capacity >= least]
+
+
 def _choose_zones(
     zones: set[str],
     zone: str,
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from jacinthcart.catalogue import CatalogueBook, FrontLimits
-from jacinthcart.directory import DirectoryTerms
+from jacinthcart.directory import DirectoryTerms, estimate_capacity
 from jacinthcart.errors import InvalidMessageError, RefusalError
 from jacinthcart.fleet import (
     FleetGossip,
@@ -102,7 +102,10 @@
                 zone=settings.data_centre,
                 incarnation=self.incarnation,
                 state=MemberState.ALIVE,
-                capacity=settings.capacity,
+                capacity=estimate_capacity(
+                    settings.cores,
+                    settings.link_mbps,
+                ),
             ),
             clock,
             self.logger,
--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -54,6 +54,8 @@
     #: The platform's store.
     store: Endpoint
     #: Processor share, relative to one core.
-    capacity: float
+    cores: float
+    #: Bandwidth of the VM's link in Mbit/s.
+    link_mbps: float
     #: Bounds of the deployment.
     bounds: NodeBounds
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -44,6 +44,7 @@
 class _Limits(pydantic.BaseModel):
     cpu_share: float = 1
     cores: float = 1
+    link_mbps: float = 1000
 
 
 class _FleetFields(pydantic.BaseModel):
@@ -102,7 +103,8 @@
         peer_port=decoded.port_range[0],
         seeds=tuple(parse_endpoint(seed).address for seed in decoded.seeds),
         store=parse_endpoint(decoded.platform.address),
-        capacity=decoded.limits.cpu_share * decoded.limits.cores,
+        cores=decoded.limits.cpu_share * decoded.limits.cores,
+        link_mbps=decoded.limits.link_mbps,
         bounds=_decode_bounds(decoded.bounds),
     )
 
--- a/tests/directory/test_answers.py
+++ b/tests/directory/test_answers.py
@@ -3,7 +3,11 @@
 import random
 import unittest
 
-from jacinthcart.directory import DirectoryTerms, choose_addresses
+from jacinthcart.directory import (
+    DirectoryTerms,
+    choose_addresses,
+    estimate_capacity,
+)
 from jacinthcart.fleet import MemberRecord, MemberState
 
 _ZONE_BY_ADDRESS = {
@@ -60,6 +64,30 @@
         """A caller from elsewhere must be served too."""
         self.assertTrue(choose('x', _EVEN))
 
+    def test_strongest_vms_of_a_large_data_centre_are_named(self) -> None:
+        """A thin link makes each query over many shards slow."""
+        members = [
+            MemberRecord(
+                address=f'10.0.1.{number}',
+                zone='a',
+                incarnation=1,
+                state=MemberState.ALIVE,
+                capacity=estimate_capacity(1 + number / 20, 10 * number),
+            )
+            for number in range(1, 21)
+        ]
+        named = choose_addresses(
+            members,
+            'a',
+            {},
+            random.Random(1),
+            DirectoryTerms(),
+        )
+        self.assertEqual(
+            set(named),
+            {f'10.0.1.{number}' for number in range(17, 21)},
+        )
+
     def test_lost_data_centre_is_replaced(self) -> None:
         """Callers of a data centre without VMs go to the others."""
         named = choose('a', _EVEN, ('10.0.0.1', '10.0.0.2'))
