Slow the messages of a large fleet

Change: from 32 to 64 members the times between pings, and the ages at which others are asked or take over, grow to twice those of a small fleet. Small fleets keep their pace. Not measured yet.

--- a/jacinthcart/fleet/__init__.py
+++ b/jacinthcart/fleet/__init__.py
@@ -1,7 +1,7 @@
 """Which VMs of the system live, found from a few seeds."""
 
 from jacinthcart.fleet._gossip import FleetGossip, GossipTerms
-from jacinthcart.fleet._members import MemberTable, MemberTerms
+from jacinthcart.fleet._members import MemberTable, MemberTerms, find_pace
 from jacinthcart.fleet._messages import MemberRecord, MemberState
 
 __all__ = [
@@ -11,4 +11,5 @@
     'MemberState',
     'MemberTable',
     'MemberTerms',
+    'find_pace',
 ]
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from jacinthcart.fleet._members import MemberTable
+from jacinthcart.fleet._members import MemberTable, find_pace
 from jacinthcart.fleet._messages import (
     FleetMessage,
     MemberRecord,
@@ -104,7 +104,8 @@
                 for address in self._choose_targets():
                     await self._ping(address)
                 jitter = 0.8 + 0.4 * self._random.random()
-                await anyio.sleep(self._terms.interval_s * jitter)
+                pace = find_pace(self._members)
+                await anyio.sleep(self._terms.interval_s * jitter * pace)
 
     async def announce(self) -> None:
         """Send this VM's record to all members at once, for a planned stop."""
@@ -150,12 +151,16 @@
             endpoint = Endpoint(address=address, port=self._port)
             self._tasks.start_soon(self._puller.pull, address, endpoint)
 
+    def _is_stale(self) -> bool:
+        stale_s = self._terms.direct_age_s * find_pace(self._members)
+        return self._lease.age_s > stale_s
+
     def _is_fresher(self, heard: FleetMessage) -> bool:
         # The readers may be cut off from the store while another VM reads.
         own_age_s = self._lease.age_s
         return (
             heard.age_s is not None
-            and own_age_s > self._terms.direct_age_s
+            and self._is_stale()
             and heard.age_s + self._terms.fresher_s < own_age_s
         )
 
@@ -213,7 +218,7 @@
             ]
             self._random.shuffle(self._round)
         probes = self._terms.probes
-        if self._lease.age_s > self._terms.direct_age_s:
+        if self._is_stale():
             probes += self._terms.stale_probes
         for _ in range(min(probes, len(self._round))):
             targets.add(self._round.pop())
@@ -230,7 +235,7 @@
         if self._sources_of is not ranked:
             self._sources_of = ranked
             self._sources = self._find_sources(ranked)
-        if self._lease.age_s <= terms.direct_age_s:
+        if not self._is_stale():
             return self._sources
         own_address = self._members.own.address
         readers = ranked[: terms.readers]
--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -19,6 +19,13 @@
 )
 
 
+#: Members up to which a fleet talks at full pace.
+_PACE_MEMBERS = 32
+#: Factor on the times between messages of the largest fleets. Readings are
+#: then at most 2.6 s old after two steps, within the 4.25 s of a key lease.
+_SLOWEST_PACE = 2.0
+
+
 @dataclasses.dataclass(frozen=True)
 class MemberTerms:
     """How long a silent member counts."""
@@ -216,3 +223,13 @@
     if record.incarnation != known.incarnation:
         return record.incarnation > known.incarnation
     return _RANK_BY_STATE[record.state] > _RANK_BY_STATE[known.state]
+
+
+def find_pace(members: MemberTable) -> float:
+    """Return by how much slower than a small fleet this one talks.
+
+    A message costs each VM the same, but a large fleet has more of them on
+    links that are priced, and its bounds are longer.
+    """
+    share = members.count_members() / _PACE_MEMBERS
+    return max(1.0, min(_SLOWEST_PACE, share))
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -18,6 +18,7 @@
     MemberState,
     MemberTable,
     MemberTerms,
+    find_pace,
 )
 from jacinthcart.front import FrontTerms
 from jacinthcart.network import DatagramEndpoint
@@ -28,6 +29,7 @@
 from jacinthcart.readings import (
     BaseStore,
     ItemTable,
+    ReaderPlace,
     ReaderTerms,
     ReadingLease,
     ReadingPuller,
@@ -147,8 +149,11 @@
             store,
             self.table,
             self.lease,
-            lambda: self.members.find_rank(_READERS_KEY),
-            is_seed=settings.address in settings.seeds,
+            ReaderPlace(
+                lambda: self.members.find_rank(_READERS_KEY),
+                lambda: find_pace(self.members),
+                settings.address in settings.seeds,
+            ),
             terms=ReaderTerms(proof_prefix=proof_prefix),
             logger=self.logger,
             metrics=self.metrics,
--- a/jacinthcart/readings/__init__.py
+++ b/jacinthcart/readings/__init__.py
@@ -6,7 +6,7 @@
     ReadingPuller,
     ReadingServer,
 )
-from jacinthcart.readings._reader import ReaderTerms, StoreReader
+from jacinthcart.readings._reader import ReaderPlace, ReaderTerms, StoreReader
 from jacinthcart.readings._source import (
     BaseStore,
     Item,
@@ -24,6 +24,7 @@
     'Item',
     'ItemPage',
     'ItemTable',
+    'ReaderPlace',
     'ReaderTerms',
     'ReadingLease',
     'ReadingPuller',
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -51,6 +51,19 @@
     read_timeout_s: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ReaderPlace:
+    """This VM's place among those that may read."""
+
+    #: Returns the rank among live members, from 0.
+    find_rank: Callable[[], int]
+    #: Returns the factor by which the fleet's messages are slower than
+    #: those of a small fleet.
+    find_pace: Callable[[], float]
+    #: Whether the VM is one that others ask first.
+    is_seed: bool
+
+
 class StoreReader:
     """Keeps the table and the lease current while this VM has to read."""
 
@@ -59,19 +72,17 @@
         store: BaseStore,
         table: ItemTable,
         lease: ReadingLease,
-        find_rank: Callable[[], int],
+        place: ReaderPlace,
         *,
-        is_seed: bool,
         terms: ReaderTerms,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
-        """Keep the collaborators; `find_rank` counts from 0."""
+        """Keep the collaborators."""
         self._store = store
         self._table = table
         self._lease = lease
-        self._find_rank = find_rank
-        self._is_seed = is_seed
+        self._place = place
         self._started_at = lease.clock()
         self._terms = terms
         self._logger = logger
@@ -84,14 +95,13 @@
     def has_duty(self) -> bool:
         """Return whether this VM has to read now."""
         terms = self._terms
-        if not self._is_seed and self._is_starting():
+        if not self._place.is_seed and self._is_starting():
             return False
-        rank = self._find_rank()
+        rank = self._place.find_rank()
         if rank < terms.readers:
             return True
-        patience_s = terms.takeover_s + terms.takeover_step_s * (
-            rank - terms.readers
-        )
+        steps_s = terms.takeover_step_s * (rank - terms.readers)
+        patience_s = terms.takeover_s * self._place.find_pace() + steps_s
         return self._lease.peer_age_s > patience_s
 
     async def run(self) -> None:
