--- a/jacinthcart/node/_run.py
+++ b/jacinthcart/node/_run.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 import anyio
+from anyio.abc import TaskGroup
 
 from jacinthcart.errors import SettingsError
 from jacinthcart.front import BaseRequestHandler, FrontServer
@@ -47,6 +48,7 @@
             tasks.start_soon(_watch_settings, node, load_settings)
         for server in (*servers, *own_servers):
             await server.start(tasks)
+        await _start_metrics(node, tasks)
         await node.start(tasks)
         node.logger.info(
             'started',
@@ -71,14 +73,29 @@
     ]
     if settings.operators is not None:
         handlers.append((settings.operators, OperatorHandler(node)))
-    if settings.metrics is not None:
-        handlers.append((settings.metrics, OperatorHandler(node)))
     return [
         FrontServer(endpoint, handler, node.clock, node.logger)
         for endpoint, handler in handlers
     ]
 
 
+async def _start_metrics(node: Node, tasks: TaskGroup) -> None:
+    endpoint = node.settings.metrics
+    if endpoint is None:
+        return
+    handler = OperatorHandler(node)
+    server = FrontServer(endpoint, handler, node.clock, node.logger)
+    try:
+        await server.start(tasks)
+    except OSError as error:
+        # Metrics are on the operators' address too; callers go first.
+        node.logger.error(
+            'metrics port unavailable',
+            port=endpoint.port,
+            error=str(error),
+        )
+
+
 async def _stop(node: Node, servers: Sequence[FrontServer]) -> None:
     stop_s = node.settings.bounds.stop_s
     started_at = node.clock()
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -1,10 +1,15 @@
 """Tests of settings that change while a VM runs."""
 
+import dataclasses
+import socket
 import unittest
 
+import anyio
+
 from jacinthcart.errors import SettingsError
-from jacinthcart.node import NodeSettings
-from jacinthcart.node._run import reload_settings
+from jacinthcart.network import Endpoint
+from jacinthcart.node import Node, NodeSettings
+from jacinthcart.node._run import _start_metrics, reload_settings
 from jacinthcart.platform.assembly import create_node
 from jacinthcart.platform.settings_file import decode_settings
 from tests.platform.test_settings_file import create_fields
@@ -32,3 +37,26 @@
         before = self.node.settings
         reload_settings(self.node, load)
         self.assertIs(self.node.settings, before)
+
+
+class MetricsPortTests(unittest.TestCase):
+    """A port for metrics that is taken must not keep a VM from starting."""
+
+    def test_taken_port_is_logged_and_passed_over(self) -> None:
+        """The metrics port is fixed, while all others come with settings."""
+        with socket.socket() as taken:
+            taken.bind(('127.0.0.1', 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            endpoint = Endpoint(address='127.0.0.1', port=port)
+            settings = dataclasses.replace(
+                decode_settings(create_fields()),
+                metrics=endpoint,
+            )
+            node = create_node(settings)[0]
+            anyio.run(self._start, node)
+
+    async def _start(self, node: Node) -> None:
+        async with anyio.create_task_group() as tasks:
+            await _start_metrics(node, tasks)
+            tasks.cancel_scope.cancel()
