--- a/jacinthcart/catalogue/_book.py
+++ b/jacinthcart/catalogue/_book.py
@@ -37,7 +37,7 @@
         """Start without a configuration."""
         self.catalogue: Catalogue | None = None
         self.searchers_by_id: dict[str, Searcher] = {}
-        self.evacuated_zones: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self.listeners: list[Callable[[], None]] = []
         self._clock = clock
         self._logger = logger
@@ -52,19 +52,16 @@
         return self._by_service.get(service, ())
 
     def find_coverage(self, host: str) -> dict[str, float]:
-        """Return the share of a host's services with a searcher, by zone.
+        """Return the share of a host's services with a searcher, by data centre.
 
         Services count once for each route; shards of a route that is asked
         often count as much as those of another.
         """
-        routes = (
-            self.catalogue.routes_by_host.get(host, ())
-            if (self.catalogue)
-            else ()
-        )
+        if self.catalogue is None:
+            return {}
         services = [
             service
-            for route in routes
+            for route in self.catalogue.routes_by_host.get(host, ())
             for service in (
                 *route.shards,
                 *(share.service for share in route.shares),
@@ -74,7 +71,10 @@
         for service in services:
             searchers = self.list_searchers(service)
             counts.update({one.data_centre for one in searchers})
-        return {zone: count / len(services) for zone, count in counts.items()}
+        return {
+            data_centre: count / len(services)
+            for data_centre, count in counts.items()
+        }
 
     def put_catalogue(self, catalogue: Catalogue) -> None:
         """Take a configuration unless a newer one is in force."""
@@ -95,12 +95,14 @@
         )
         self._notify()
 
-    def put_evacuated(self, zones: frozenset[str]) -> None:
+    def put_evacuated(self, data_centres: frozenset[str]) -> None:
         """Take the data centres whose searchers get nothing."""
-        if zones == self.evacuated_zones:
+        if data_centres == self.evacuated:
             return
-        self.evacuated_zones = zones
-        self._logger.info('evacuation changed', zones=sorted(zones))
+        self.evacuated = data_centres
+        self._logger.info(
+            'evacuation changed', data_centres=sorted(data_centres)
+        )
         self._refresh()
 
     def put_searchers(self, news: Mapping[str, Searcher | None]) -> None:
@@ -160,7 +162,7 @@
         for searcher in self.searchers_by_id.values():
             is_usable = (
                 searcher.state is SearcherState.READY
-                and searcher.data_centre not in self.evacuated_zones
+                and searcher.data_centre not in self.evacuated
             )
             if is_usable:
                 by_service.setdefault(searcher.service, []).append(searcher)
--- a/jacinthcart/directory/_answers.py
+++ b/jacinthcart/directory/_answers.py
@@ -44,26 +44,34 @@
 
 def choose_addresses(
     members: Iterable[MemberRecord],
-    zone: str,
-    coverage_by_zone: Mapping[str, float],
+    data_centre: str,
+    coverage_by_data_centre: Mapping[str, float],
     source: random.Random,
     terms: DirectoryTerms,
 ) -> list[str]:
-    """Return addresses of live VMs for a caller of `zone`, best first.
+    """Return addresses of live VMs for a caller of `data_centre`, best first.
 
     VMs of the caller's data centre come first, unless others stand next to
     far more of the searchers that the caller's requests need. The rest only
     fills an answer that would be too short.
     """
-    by_zone: dict[str, list[MemberRecord]] = {}
+    by_data_centre: dict[str, list[MemberRecord]] = {}
     for record in members:
-        by_zone.setdefault(record.zone, []).append(record)
-    named = _choose_zones(set(by_zone), zone, coverage_by_zone, terms)
+        by_data_centre.setdefault(record.data_centre, []).append(record)
+    named = _choose_data_centres(
+        set(by_data_centre),
+        data_centre,
+        coverage_by_data_centre,
+        terms,
+    )
     near: list[str] = []
     far: list[str] = []
-    for one, records in by_zone.items():
+    for one, records in by_data_centre.items():
         strongest = _choose_strongest(records, terms)
-        (near if one in named else far).extend(strongest)
+        if one in named:
+            near.extend(strongest)
+        else:
+            far.extend(strongest)
     source.shuffle(near)
     source.shuffle(far)
     missing = max(0, terms.least - len(near))
@@ -90,18 +98,23 @@
     return [record.address for record in chosen if record.capacity >= least]
 
 
-def _choose_zones(
-    zones: set[str],
-    zone: str,
-    coverage_by_zone: Mapping[str, float],
+def _choose_data_centres(
+    data_centres: set[str],
+    data_centre: str,
+    coverage_by_data_centre: Mapping[str, float],
     terms: DirectoryTerms,
 ) -> set[str]:
-    coverages = {one: coverage_by_zone.get(one, 0) for one in zones}
+    coverages = {
+        one: coverage_by_data_centre.get(one, 0) for one in data_centres
+    }
     best = max(coverages.values(), default=0)
-    if zone in zones and coverages[zone] >= best - terms.coverage_gain:
-        return {zone}
+    if (
+        data_centre in data_centres
+        and coverages[data_centre] >= best - terms.coverage_gain
+    ):
+        return {data_centre}
     if best <= 0:
-        return zones
+        return data_centres
     return {
         one
         for one, coverage in coverages.items()
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -246,12 +246,12 @@
 
     def _find_sources(self, ranked: list[str]) -> list[str]:
         own = self._members.own
-        in_zone = {
+        near = {
             record.address
             for record in self._members.list_alive()
-            if record.zone == own.zone
+            if record.data_centre == own.data_centre
         }
-        relays = [address for address in ranked if address in in_zone]
+        relays = [address for address in ranked if address in near]
         relays = relays[: self._terms.relays]
         sources = ranked[:1] if own.address in relays else relays
         return [address for address in sources if address != own.address]
--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -188,7 +188,7 @@
             return ranked.index(self.own.address)
         return len(ranked)
 
-    def _find_view(self) -> '_View':
+    def _find_view(self) -> _View:
         # Asked for with each message and each send of a request, while the
         # members change rarely.
         if self._view is None:
--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -34,7 +34,7 @@
 )
 
 
-_RECORD_FIELDS = ('address', 'zone', 'incarnation', 'state', 'capacity')
+_RECORD_FIELDS = ('address', 'data_centre', 'incarnation', 'state', 'capacity')
 
 
 class MemberRecord(pydantic.BaseModel):
@@ -45,7 +45,7 @@
     #: IP address; ports are the same on all VMs.
     address: str = pydantic.Field(max_length=_MAX_ID_CHARACTERS)
     #: Data centre.
-    zone: str = pydantic.Field(max_length=_MAX_ID_CHARACTERS)
+    data_centre: str = pydantic.Field(max_length=_MAX_ID_CHARACTERS)
     #: Grows with each start and each refuted suspicion.
     incarnation: int = pydantic.Field(ge=0)
     state: MemberState
@@ -56,7 +56,7 @@
         """Return the short form for datagrams."""
         return [
             self.address,
-            self.zone,
+            self.data_centre,
             self.incarnation,
             _CODE_BY_STATE[self.state],
             self.capacity,
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -25,7 +25,13 @@
 from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
 from jacinthcart.program import Clock, read_boot_clock
-from jacinthcart.quota import QuotaClient, QuotaHome, QuotaTerms
+from jacinthcart.quota import (
+    KIND_GRANT,
+    KIND_TAKE,
+    QuotaClient,
+    QuotaHome,
+    QuotaTerms,
+)
 from jacinthcart.readings import (
     BaseStore,
     ItemTable,
@@ -69,8 +75,6 @@
 _DENIAL_LEASE_SHARE = 0.8
 _DIRECTORY_TTL_S = 2.0
 _HOUSEKEEPING_S = 0.5
-_KIND_TAKE = 'take'
-_KIND_GRANT = 'grant'
 
 
 class Node:
@@ -101,7 +105,7 @@
         self.members = MemberTable(
             MemberRecord(
                 address=settings.address,
-                zone=settings.data_centre,
+                data_centre=settings.data_centre,
                 incarnation=self.incarnation,
                 state=MemberState.ALIVE,
                 capacity=estimate_capacity(
@@ -328,7 +332,7 @@
         received_at: float,
     ) -> None:
         kind = message.get('kind')
-        if kind in {_KIND_TAKE, _KIND_GRANT}:
+        if kind in {KIND_TAKE, KIND_GRANT}:
             await self._quota.handle(message, source)
         elif kind is None:
             raise InvalidMessageError('message without a kind')
--- a/jacinthcart/quota/__init__.py
+++ b/jacinthcart/quota/__init__.py
@@ -1,6 +1,12 @@
 """Fleet-wide allotments of workspaces, granted by one home VM each."""
 
 from jacinthcart.quota._home import QuotaHome, QuotaTerms
-from jacinthcart.quota._client import QuotaClient
+from jacinthcart.quota._client import KIND_GRANT, KIND_TAKE, QuotaClient
 
-__all__ = ['QuotaClient', 'QuotaHome', 'QuotaTerms']
+__all__ = [
+    'KIND_GRANT',
+    'KIND_TAKE',
+    'QuotaClient',
+    'QuotaHome',
+    'QuotaTerms',
+]
--- a/jacinthcart/routing/_budget.py
+++ b/jacinthcart/routing/_budget.py
@@ -59,11 +59,6 @@
         self._tokens_by_service[service] = tokens - 1
         return True
 
-    def count_left(self, service: str, members: int) -> float:
-        """Return the extra sends that may leave now."""
-        capacity = self._find_capacity(members)
-        return self._find_tokens(service, capacity)
-
     def _find_tokens(self, service: str, capacity: float) -> float:
         tokens = self._tokens_by_service.get(service)
         if tokens is not None:
--- a/jacinthcart/routing/_delays.py
+++ b/jacinthcart/routing/_delays.py
@@ -1,6 +1,5 @@
 """Usual latencies of searchers, by route."""
 
-import bisect
 import collections
 
 _KEPT = 300
@@ -48,11 +47,3 @@
             return default_s
         index = int(quantile * (len(window.sorted_s) - 1))
         return window.sorted_s[index]
-
-    def share_below(self, route: str, latency_s: float) -> float:
-        """Return the share of sends that ended within `latency_s`."""
-        window = self._window_by_route.get(route)
-        if window is None or len(window.sorted_s) < _LEAST_COUNT:
-            return 1.0
-        place = bisect.bisect_right(window.sorted_s, latency_s)
-        return place / len(window.sorted_s)
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -201,7 +201,6 @@
         terms: ConnectionTerms,
     ) -> None:
         """Start without connections."""
-        self.opened = 0
         self._codec = codec
         self._clock = clock
         self._terms = terms
@@ -273,7 +272,6 @@
                 await idle.pop().close()
 
     async def _open(self, searcher: Searcher) -> SearcherConnection:
-        self.opened += 1
         try:
             with anyio.fail_after(self._terms.connect_timeout_s):
                 stream = await anyio.connect_tcp(
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -49,11 +49,6 @@
         """Return the evidence about a searcher's process."""
         return self._evidence.find(searcher.searcher_id, searcher.born)
 
-    def note_cold(self, searcher: Searcher, left_s: float) -> None:
-        """Take how long a searcher says that it stays cold."""
-        key = (searcher.searcher_id, searcher.born)
-        self._cold_until[key] = self._clock() + left_s
-
     def choose(
         self,
         service: str,
@@ -99,7 +94,7 @@
             usual_s=usual_s,
             target_s=target_s,
             slots=searcher.slots,
-            is_far=searcher.data_centre != self._members.own.zone,
+            is_far=searcher.data_centre != self._members.own.data_centre,
             is_cold=self.is_cold(searcher, now),
             terms=self._terms,
         )
--- a/jacinthcart_lab/soak/_vm.py
+++ b/jacinthcart_lab/soak/_vm.py
@@ -48,10 +48,6 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
-    def has_ended(self) -> bool:
-        """Return whether no process runs."""
-        return self._process is None or self._process.poll() is not None
-
     async def wait(self) -> int:
         """Return the exit code once the process has ended."""
         while self._process is not None and self._process.poll() is None:
--- a/tests/directory/test_answers.py
+++ b/tests/directory/test_answers.py
@@ -29,7 +29,7 @@
     members = [
         MemberRecord(
             address=address,
-            zone=found,
+            data_centre=found,
             incarnation=1,
             state=MemberState.ALIVE,
         )
@@ -69,7 +69,7 @@
         members = [
             MemberRecord(
                 address=f'10.0.1.{number}',
-                zone='a',
+                data_centre='a',
                 incarnation=1,
                 state=MemberState.ALIVE,
                 capacity=estimate_capacity(1 + number / 20, 10 * number),
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -85,7 +85,9 @@
 class FakeVm:
     """The membership part of one VM."""
 
-    def __init__(self, network: FakeNetwork, address: str, zone: str) -> None:
+    def __init__(
+        self, network: FakeNetwork, address: str, data_centre: str
+    ) -> None:
         """Join the network."""
         network.vms[address] = self
         self.table = ItemTable()
@@ -93,7 +95,7 @@
         self.members = MemberTable(
             MemberRecord(
                 address=address,
-                zone=zone,
+                data_centre=data_centre,
                 incarnation=1,
                 state=MemberState.ALIVE,
             ),
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -20,7 +20,7 @@
     """Return a record of a VM in the data centre `near`."""
     return MemberRecord(
         address=address,
-        zone='near',
+        data_centre='near',
         incarnation=incarnation,
         state=state,
     )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -130,6 +130,6 @@
     def test_evacuation_is_taken_back_when_its_key_goes(self) -> None:
         """An evacuation holds as long as its key is there."""
         self.table.merge([Item('op/evacuate/a', 5, b'{}')])
-        self.assertEqual(self.book.evacuated_zones, {'a'})
+        self.assertEqual(self.book.evacuated, {'a'})
         self.table.merge([Item('op/evacuate/a', 7, None)])
-        self.assertEqual(self.book.evacuated_zones, frozenset())
+        self.assertEqual(self.book.evacuated, frozenset())
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -64,7 +64,7 @@
         records = [
             MemberRecord(
                 address=f'10.0.0.{number}',
-                zone='near',
+                data_centre='near',
                 incarnation=1,
                 state=MemberState.ALIVE,
             )
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -34,7 +34,7 @@
         self.evidence = Evidence(self.clock)
         own = MemberRecord(
             address='10.0.0.1',
-            zone='near',
+            data_centre='near',
             incarnation=1,
             state=MemberState.ALIVE,
         )
@@ -114,7 +114,7 @@
         self.members.merge(
             MemberRecord(
                 address='10.0.0.2',
-                zone='near',
+                data_centre='near',
                 incarnation=1,
                 state=MemberState.ALIVE,
             ),
