--- a/jacinthcart/admin/_options.py
+++ b/jacinthcart/admin/_options.py
@@ -9,7 +9,7 @@
 from jacinthcart.admin._errors import CommandError, ExitCode
 from jacinthcart.admin._roster import (
     ROSTER_PATH,
-    parse_endpoint,
+    parse_bracketed_endpoint,
     parse_endpoints,
     parse_roster,
     read_roster_file,
@@ -22,7 +22,7 @@
     cappa.Arg(
         long='--config',
         value_name='ADDRESS:PORT',
-        parse=parse_endpoint,
+        parse=parse_bracketed_endpoint,
         default=cappa.Env('JACINTHCART_CONFIG', default=None),
         help='configuration service (environment: JACINTHCART_CONFIG)',
     ),
--- a/jacinthcart/admin/_roster.py
+++ b/jacinthcart/admin/_roster.py
@@ -1,7 +1,6 @@
 """Where the VMs of the fleet listen."""
 
 import dataclasses
-import ipaddress
 import pathlib
 from typing import Any
 
@@ -10,6 +9,7 @@
 
 from jacinthcart.admin._errors import CommandError, ExitCode
 from jacinthcart.errors import InvalidMessageError, WireError
+from jacinthcart.network import parse_endpoint
 from jacinthcart.settings import Endpoint, Roster, SettingsValue
 from jacinthcart.sync import PlatformClient
 from jacinthcart.telemetry import Metrics
@@ -27,19 +27,14 @@
     values_by_path: dict[str, SettingsValue]
 
 
-def parse_endpoint(text: str) -> Endpoint:
-    """Read `ADDRESS:PORT`; raise ValueError."""
-    address, separator, port = text.rpartition(':')
-    if not separator:
-        raise ValueError(f'{text!r} is not ADDRESS:PORT')
-    address = address.removeprefix('[').removesuffix(']')
-    ipaddress.ip_address(address)
-    return Endpoint(address=address, port=int(port))
+def parse_bracketed_endpoint(text: str) -> Endpoint:
+    """Read `ADDRESS:PORT`, the address perhaps in brackets; raise ValueError."""
+    return parse_endpoint(text.removeprefix('[').replace(']:', ':'))
 
 
 def parse_endpoints(texts: list[str]) -> list[Endpoint]:
     """Read each `ADDRESS:PORT`; raise ValueError."""
-    return [parse_endpoint(text) for text in texts]
+    return [parse_bracketed_endpoint(text) for text in texts]
 
 
 def format_url(endpoint: Endpoint) -> str:
--- a/jacinthcart/catalogue/__init__.py
+++ b/jacinthcart/catalogue/__init__.py
@@ -1,6 +1,6 @@
 """What operators and searchers published, as one immutable snapshot."""
 
-from jacinthcart.catalogue._book import CatalogueBook, SearcherNews
+from jacinthcart.catalogue._book import CatalogueBook
 from jacinthcart.catalogue._types import (
     Catalogue,
     FrontLimits,
@@ -19,7 +19,6 @@
     'FrontLimits',
     'Route',
     'Searcher',
-    'SearcherNews',
     'SearcherState',
     'ServiceTerms',
     'TrafficShare',
--- a/jacinthcart/catalogue/_book.py
+++ b/jacinthcart/catalogue/_book.py
@@ -1,10 +1,14 @@
 """The configuration and the searchers that this VM may use now."""
 
 import collections
-import dataclasses
 from collections.abc import Callable, Mapping
 
-from jacinthcart.catalogue._types import Catalogue, Searcher, SearcherState
+from jacinthcart.catalogue._types import (
+    Catalogue,
+    Route,
+    Searcher,
+    SearcherState,
+)
 from jacinthcart.program import Clock
 from jacinthcart.telemetry import Logger
 
@@ -16,16 +20,6 @@
 _OUTAGE_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True)
-class SearcherNews:
-    """What became of one published entry."""
-
-    #: Id of the searcher.
-    searcher_id: str
-    #: The entry, None when it was removed or can't be used.
-    searcher: Searcher | None
-
-
 class CatalogueBook:
     """Holds the newest configuration and every searcher in use.
 
@@ -46,6 +40,8 @@
         self._proof_at = -_OUTAGE_S
         self._outage_ended_at = -_LAPSE_RETURN_S * 2
         self._by_service: dict[str, tuple[Searcher, ...]] = {}
+        # Each look-up of addresses asks, while searchers change rarely.
+        self._coverage_by_host: dict[str, dict[str, float]] = {}
 
     def list_searchers(self, service: str) -> tuple[Searcher, ...]:
         """Return the searchers of a service that may get new requests."""
@@ -57,24 +53,13 @@
         Services count once for each route; shards of a route that is asked
         often count as much as those of another.
         """
-        if self.catalogue is None:
+        catalogue = self.catalogue
+        if catalogue is None or host not in catalogue.routes_by_host:
             return {}
-        services = [
-            service
-            for route in self.catalogue.routes_by_host.get(host, ())
-            for service in (
-                *route.shards,
-                *(share.service for share in route.shares),
-            )
-        ]
-        counts: collections.Counter[str] = collections.Counter()
-        for service in services:
-            searchers = self.list_searchers(service)
-            counts.update({one.data_centre for one in searchers})
-        return {
-            data_centre: count / len(services)
-            for data_centre, count in counts.items()
-        }
+        routes = catalogue.routes_by_host[host]
+        if host not in self._coverage_by_host:
+            self._coverage_by_host[host] = self._compute_coverage(routes)
+        return self._coverage_by_host[host]
 
     def put_catalogue(self, catalogue: Catalogue) -> None:
         """Take a configuration unless a newer one is in force."""
@@ -157,6 +142,24 @@
         newest = (known.born, known.sequence)
         return (searcher.born, searcher.sequence) < newest
 
+    def _compute_coverage(self, routes: tuple[Route, ...]) -> dict[str, float]:
+        services = [
+            service
+            for route in routes
+            for service in (
+                *route.shards,
+                *(share.service for share in route.shares),
+            )
+        ]
+        counts: collections.Counter[str] = collections.Counter()
+        for service in services:
+            searchers = self.list_searchers(service)
+            counts.update({one.data_centre for one in searchers})
+        return {
+            data_centre: count / len(services)
+            for data_centre, count in counts.items()
+        }
+
     def _refresh(self) -> None:
         by_service: dict[str, list[Searcher]] = {}
         for searcher in self.searchers_by_id.values():
@@ -173,5 +176,6 @@
         self._notify()
 
     def _notify(self) -> None:
+        self._coverage_by_host.clear()
         for listener in self.listeners:
             listener()
--- a/jacinthcart/catalogue/_types.py
+++ b/jacinthcart/catalogue/_types.py
@@ -68,8 +68,6 @@
     name: str
     #: Most connections of one searcher from all VMs together.
     max_connections: int
-    #: Seconds for which a searcher is cold after its start.
-    cold_s: float
     #: Requests a second that a cold searcher bears; 0 sets no limit.
     cold_rate_per_s: float
 
@@ -127,6 +125,11 @@
     #: Number of its announcement; grows within one process.
     sequence: int
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Return what tells this process from an earlier one of the id."""
+        return self.searcher_id, self.born
+
 
 @dataclasses.dataclass(frozen=True)
 class Catalogue:
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -14,13 +14,13 @@
     MemberRecord,
     decode_fleet_message,
 )
-from jacinthcart.network import BaseDatagrams
+from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.readings import ReadingPuller
-from jacinthcart.network import Endpoint
 
 KIND_PING = 'ping'
 KIND_ACK = 'ack'
-_READERS_KEY = 'readers'
+#: Key of the order in which members read the platform's store.
+READERS_KEY = 'readers'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,8 +39,8 @@
     timeout_s: float = 0.35
     #: Unanswered pings in a row that make a member suspect.
     misses: int = 2
-    #: VMs that read the store for all.
-    readers: int = 2
+    #: VMs, the first that may read the store, asked when the proof is old.
+    direct_readers: int = 2
     #: VMs of a data centre that pass readings on to the others of it.
     relays: int = 1
     #: Records in one datagram; it stays below the usual MTU.
@@ -180,10 +180,10 @@
         # Records of all members are spread at random for a while after the
         # start, and now and then later in case that news was lost.
         age_s = self._clock() - self._started_at
-        return (
-            age_s < self._terms.join_s
-            or self._random.random() < self._terms.refresh_share
-        )
+        return age_s < self._terms.join_s or self._wants_refresh()
+
+    def _wants_refresh(self) -> bool:
+        return self._random.random() < self._terms.refresh_share
 
     def _create(self, kind: str, seq: int, *, has_any: bool) -> FleetMessage:
         records = self._members.list_recent()[: self._terms.records]
@@ -224,38 +224,30 @@
             targets.add(self._round.pop())
         if len(self._members.list_others()) < len(self.seeds):
             targets.update(self.seeds)
-        elif self._random.random() < self._terms.refresh_share:
+        elif self.seeds and self._wants_refresh():
             targets.add(self._random.choice(self.seeds))
         targets.discard(self._members.own.address)
         return targets
 
     def _list_sources(self) -> list[str]:
         terms = self._terms
-        ranked = self._members.rank(_READERS_KEY)
+        ranked = self._members.rank(READERS_KEY)
         if self._sources_of is not ranked:
             self._sources_of = ranked
-            self._sources = self._find_sources(ranked)
+            self._sources = _find_sources(
+                self._members,
+                ranked,
+                terms.relays,
+            )
         if not self._is_stale():
             return self._sources
         own_address = self._members.own.address
-        readers = ranked[: terms.readers]
+        readers = ranked[: terms.direct_readers]
         return [
             *self._sources,
             *(address for address in readers if address != own_address),
         ]
 
-    def _find_sources(self, ranked: list[str]) -> list[str]:
-        own = self._members.own
-        near = {
-            record.address
-            for record in self._members.list_alive()
-            if record.data_centre == own.data_centre
-        }
-        relays = [address for address in ranked if address in near]
-        relays = relays[: self._terms.relays]
-        sources = ranked[:1] if own.address in relays else relays
-        return [address for address in sources if address != own.address]
-
     def _check_overdue(self) -> None:
         overdue_at = self._clock() - self._terms.timeout_s
         for address, peer in self._peer_by_address.items():
@@ -269,3 +261,19 @@
             peer.misses += len(overdue)
             if peer.misses >= self._terms.misses:
                 self._members.suspect(address)
+
+
+def _find_sources(
+    members: MemberTable,
+    ranked: list[str],
+    relays: int,
+) -> list[str]:
+    own = members.own
+    near = {
+        record.address
+        for record in members.list_alive()
+        if record.data_centre == own.data_centre
+    }
+    relaying = [address for address in ranked if address in near][:relays]
+    sources = ranked[:1] if own.address in relaying else relaying
+    return [address for address in sources if address != own.address]
--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 import types
-from collections.abc import Callable
 
 from jacinthcart.fleet._messages import MemberRecord, MemberState
 from jacinthcart.ownership import rank_owners
@@ -75,7 +74,6 @@
     ) -> None:
         """Start with this VM alone."""
         self.own = own
-        self.listeners: list[Callable[[], None]] = []
         self._clock = clock
         self._logger = logger
         self._terms = terms
@@ -104,7 +102,6 @@
                 state=record.state.value,
                 former=former,
             )
-            self._notify()
 
     def suspect(self, address: str) -> None:
         """Mark a member that does not answer."""
@@ -118,7 +115,6 @@
         """Tell the others that this VM stops."""
         self.own = self.own.model_copy(update={'state': MemberState.LEAVING})
         self._view = None
-        self._notify()
 
     def forget_old(self) -> None:
         """Drop members that were silent or leaving for long."""
@@ -134,7 +130,6 @@
             self._logger.info('member forgotten', member=address)
         if old:
             self._view = None
-            self._notify()
 
     def list_others(self) -> list[MemberRecord]:
         """Return all other members, silent ones included."""
@@ -214,10 +209,6 @@
             )
             self._view = None
 
-    def _notify(self) -> None:
-        for listener in self.listeners:
-            listener()
-
 
 def _is_newer(record: MemberRecord, known: MemberRecord) -> bool:
     if record.incarnation != known.incarnation:
--- a/jacinthcart/front/__init__.py
+++ b/jacinthcart/front/__init__.py
@@ -2,7 +2,6 @@
 
 from jacinthcart.front._connection import (
     BaseRequestHandler,
-    FrontTerms,
     RawRequest,
     RawResponse,
 )
@@ -11,7 +10,6 @@
 __all__ = [
     'BaseRequestHandler',
     'FrontServer',
-    'FrontTerms',
     'RawRequest',
     'RawResponse',
 ]
--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -6,27 +6,28 @@
 import types
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qsl
 
 import anyio
 import httptools
 from anyio.abc import SocketStream
 
+from jacinthcart.catalogue import FrontLimits
 from jacinthcart.program import Clock
+from jacinthcart.streams import STREAM_FAILURES
 from jacinthcart.telemetry import Logger
 
 _RECEIVE_BYTES = 65536
 _SEND_TIMEOUT_S = 10.0
-_CONNECTION_FAILURES = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-)
+_CONNECTION_FAILURES = (*STREAM_FAILURES, anyio.EndOfStream)
 _BAD_REQUEST = 400
 _TIMEOUT = 408
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
+_PHRASE_BY_STATUS = types.MappingProxyType(
+    {one.value: one.phrase for one in http.HTTPStatus},
+)
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -47,6 +48,19 @@
     #: Whether the caller keeps the connection.
     keeps_alive: bool
 
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self._split_target()[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the fields of the query; the last of a name counts."""
+        return dict(parse_qsl(self._split_target()[2]))
+
+    def _split_target(self) -> tuple[str, str, str]:
+        return self.target.decode('latin-1').partition('?')
+
 
 @dataclasses.dataclass(frozen=True)
 class RawResponse:
@@ -60,20 +74,6 @@
     body: bytes = b''
 
 
-@dataclasses.dataclass(frozen=True)
-class FrontTerms:
-    """Limits of what a caller may send."""
-
-    #: Longest header section in bytes.
-    max_header_bytes: int
-    #: Longest body in bytes.
-    max_body_bytes: int
-    #: Seconds until a started request must be complete.
-    header_timeout_s: float
-    #: Seconds after which an idle connection is closed.
-    idle_timeout_s: float
-
-
 class BaseRequestHandler(abc.ABC):
     """Answers complete requests."""
 
@@ -82,7 +82,7 @@
         """Return the response; cancelled when the caller leaves."""
 
     @abc.abstractmethod
-    def find_terms(self) -> FrontTerms:
+    def find_limits(self) -> FrontLimits:
         """Return the limits in force."""
 
 
@@ -92,7 +92,7 @@
     def __init__(
         self,
         clock: Clock,
-        find_terms: Callable[[], FrontTerms],
+        find_limits: Callable[[], FrontLimits],
     ) -> None:
         """Start between two requests."""
         self.violation = 0
@@ -102,7 +102,7 @@
         self.body_bytes = 0
         self.expects_continue = False
         self._clock = clock
-        self._find_terms = find_terms
+        self._find_limits = find_limits
         self._parser: Any = httptools.HttpRequestParser(self)
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
@@ -131,7 +131,7 @@
         lowered = name.lower()
         self.header_bytes += len(name) + len(content) + 4
         self._headers.append((lowered, content))
-        if self.header_bytes > self._find_terms().max_header_bytes:
+        if self.header_bytes > self._find_limits().max_header_bytes:
             self.violation = _HEADERS_TOO_LARGE
         if lowered == b'expect' and content.lower() == b'100-continue':
             self.expects_continue = True
@@ -140,7 +140,7 @@
         """Take part of the body."""
         self.body_bytes += len(chunk)
         self._chunks.append(chunk)
-        if self.body_bytes > self._find_terms().max_body_bytes:
+        if self.body_bytes > self._find_limits().max_body_bytes:
             self.violation = _BODY_TOO_LARGE
 
     def on_message_complete(self) -> None:
@@ -180,7 +180,7 @@
         self._stream = stream
         self._handler = handler
         self._logger = logger
-        self._parser = _RequestParser(clock, handler.find_terms)
+        self._parser = _RequestParser(clock, handler.find_limits)
         self._changed = anyio.Event()
         self._is_left = False
         self._error_status = 0
@@ -218,8 +218,8 @@
                 return
 
     async def _next_request(self) -> RawRequest | None:
-        terms = self._handler.find_terms()
-        idle_s = terms.idle_timeout_s
+        limits = self._handler.find_limits()
+        idle_s = limits.idle_timeout_s
         while not self._parser.complete:
             if self._error_status:
                 await self._write(RawResponse(self._error_status), keeps=False)
@@ -227,7 +227,7 @@
             if self._is_left:
                 return None
             is_inside = self._parser.is_inside
-            wait_s = terms.header_timeout_s if is_inside else idle_s
+            wait_s = limits.header_timeout_s if is_inside else idle_s
             if not await self._wait_for_change(wait_s):
                 if is_inside:
                     await self._write(RawResponse(_TIMEOUT), keeps=False)
@@ -322,8 +322,3 @@
     if has_body:
         lines.append(response.body)
     return b''.join(lines)
-
-
-_PHRASE_BY_STATUS = types.MappingProxyType(
-    {one.value: one.phrase for one in http.HTTPStatus},
-)
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -4,8 +4,8 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from jacinthcart.front._connection import BaseRequestHandler, CallerConnection
-from jacinthcart.program import Clock
 from jacinthcart.network import Endpoint
+from jacinthcart.program import Clock
 from jacinthcart.telemetry import Logger
 
 _BACKLOG = 512
@@ -31,11 +31,6 @@
         self._listener: Listener[SocketStream] | None = None
         self._is_draining = False
 
-    @property
-    def is_busy(self) -> bool:
-        """Return whether a request is on its way."""
-        return any(connection.is_busy for connection in self._connections)
-
     async def start(self, tasks: TaskGroup) -> None:
         """Bind and accept; raise OSError when the port is taken."""
         listener = await anyio.create_tcp_listener(
@@ -67,7 +62,9 @@
         tasks: TaskGroup,
     ) -> None:
         try:
-            await listener.serve(self._run_connection, tasks)
+            # Closes the socket also when the program is cancelled.
+            async with listener:
+                await listener.serve(self._run_connection, tasks)
         except anyio.ClosedResourceError:
             self._logger.debug('listener closed', port=self._endpoint.port)
 
--- a/jacinthcart/limits/__init__.py
+++ b/jacinthcart/limits/__init__.py
@@ -1,7 +1,6 @@
 """Fleet-wide rate limits: owned token shares, lent by count."""
 
 from jacinthcart.limits._borrower import Borrower
-from jacinthcart.tokens import TokenBucket
 from jacinthcart.limits._client import PermitClient, PostPermits
 from jacinthcart.limits._ledger import (
     AcquireResult,
@@ -13,6 +12,7 @@
 from jacinthcart.limits._permits import Grant, Permit, PermitStock
 from jacinthcart.limits._service import PermitService
 from jacinthcart.limits._terms import LimitTerms, create_terms
+from jacinthcart.tokens import TokenBucket
 
 __all__ = [
     'AcquireResult',
--- a/jacinthcart/limits/_share.py
+++ b/jacinthcart/limits/_share.py
@@ -3,12 +3,12 @@
 import dataclasses
 from collections.abc import Sequence
 
-from jacinthcart.tokens import TokenBucket
 from jacinthcart.limits._demand import DemandMeter
 from jacinthcart.limits._permits import NO_GRANT, Grant, PermitStock
 from jacinthcart.limits._terms import LimitTerms
 from jacinthcart.program import Clock
 from jacinthcart.telemetry import Metrics
+from jacinthcart.tokens import TokenBucket
 
 #: Permits with less than this part of the lifetime left are not handed on:
 #: their expiry would apply to all permits granted together with them.
--- a/jacinthcart/membership/_heartbeats.py
+++ b/jacinthcart/membership/_heartbeats.py
@@ -15,7 +15,6 @@
     unpack_ages,
 )
 from jacinthcart.membership._currency import Currency
-from jacinthcart.network import MAX_DATAGRAM_BYTES, BaseDatagrams
 from jacinthcart.membership._messages import (
     HeartbeatAck,
     Member,
@@ -25,6 +24,7 @@
 )
 from jacinthcart.membership._peer import PeerHeartbeats
 from jacinthcart.membership._ring import select_peers
+from jacinthcart.network import MAX_DATAGRAM_BYTES, BaseDatagrams
 from jacinthcart.program import Clock
 from jacinthcart.settings import Endpoint, SettingsView
 from jacinthcart.wire import encode_json
--- a/jacinthcart/network/__init__.py
+++ b/jacinthcart/network/__init__.py
@@ -12,6 +12,7 @@
     IpAddress,
     Port,
     SettingsModel,
+    parse_endpoint,
 )
 
 __all__ = [
@@ -24,4 +25,5 @@
     'Port',
     'SettingsModel',
     'decode_datagram',
+    'parse_endpoint',
 ]
--- a/jacinthcart/network/_datagrams.py
+++ b/jacinthcart/network/_datagrams.py
@@ -8,8 +8,8 @@
 from anyio.abc import UDPSocket
 
 from jacinthcart.errors import InvalidMessageError
-from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.network._models import Endpoint
+from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import decode_json, encode_json
 
--- a/jacinthcart/network/_models.py
+++ b/jacinthcart/network/_models.py
@@ -27,3 +27,11 @@
 
     address: IpAddress = pydantic.Field(description='IP address')
     port: Port = pydantic.Field(description='port')
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Read `ADDRESS:PORT`; raise ValueError."""
+    address, separator, port = text.rpartition(':')
+    if not separator:
+        raise ValueError(f'{text!r} is not ADDRESS:PORT')
+    return Endpoint(address=address, port=int(port))
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -12,6 +12,7 @@
 from jacinthcart.directory import DirectoryTerms, estimate_capacity
 from jacinthcart.errors import InvalidMessageError, RefusalError
 from jacinthcart.fleet import (
+    READERS_KEY,
     FleetGossip,
     GossipTerms,
     MemberRecord,
@@ -20,8 +21,7 @@
     MemberTerms,
     find_pace,
 )
-from jacinthcart.front import FrontTerms
-from jacinthcart.network import DatagramEndpoint
+from jacinthcart.network import DatagramEndpoint, Endpoint
 from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
 from jacinthcart.program import Clock, read_boot_clock
@@ -63,10 +63,10 @@
     ServedAnswer,
     ServingTerms,
 )
-from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Metrics, create_logger
 
-_READERS_KEY = 'readers'
+#: Limits until a configuration is known.
+_FIRST_LIMITS = FrontLimits()
 #: Part of the bound on withdrawn keys that a proof is used for: the rest
 #: covers a request's way to the searcher.
 _KEY_LEASE_SHARE = 0.85
@@ -154,7 +154,7 @@
             self.table,
             self.lease,
             ReaderPlace(
-                lambda: self.members.find_rank(_READERS_KEY),
+                lambda: self.members.find_rank(READERS_KEY),
                 lambda: find_pace(self.members),
                 settings.address in settings.seeds,
             ),
@@ -220,16 +220,10 @@
         await self._store.close()
         await self._datagrams.close()
 
-    def find_front_terms(self) -> FrontTerms:
+    def find_front_limits(self) -> FrontLimits:
         """Return the limits of callers' requests in force."""
         catalogue = self.book.catalogue
-        limits = catalogue.limits if catalogue else FrontLimits()
-        return FrontTerms(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
+        return catalogue.limits if catalogue else _FIRST_LIMITS
 
     def note_invalid(self, detail: str) -> None:
         """Log a request that can't be read."""
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -7,11 +7,10 @@
 from typing import Any
 
 from jacinthcart.front import (
-    BaseRequestHandler,
-    FrontTerms,
     RawRequest,
     RawResponse,
 )
+from jacinthcart.node._handler import BaseNodeHandler
 from jacinthcart.node._node import Node
 from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import encode_json
@@ -21,24 +20,15 @@
 _QUANTILES = types.MappingProxyType({'0.5': 0.5, '0.9': 0.9, '0.99': 0.99})
 
 
-class OperatorHandler(BaseRequestHandler):
+class OperatorHandler(BaseNodeHandler):
     """Serves `/v1/status` as JSON and `/metrics` as text."""
 
-    def __init__(self, node: Node) -> None:
-        """Keep the node."""
-        self._node = node
-
-    def find_terms(self) -> FrontTerms:
-        """Return the limits of callers' requests."""
-        return self._node.find_front_terms()
-
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return a page."""
-        path = request.target.partition(b'?')[0]
-        if path == b'/v1/status':
+        if request.path == '/v1/status':
             status = describe_node(self._node)
             return RawResponse(200, _JSON, encode_json(status))
-        if path == b'/metrics':
+        if request.path == '/metrics':
             return RawResponse(200, _TEXT, encode_metrics(self._node))
         return RawResponse(404)
 
--- a/jacinthcart/node/_request_log.py
+++ b/jacinthcart/node/_request_log.py
@@ -4,11 +4,12 @@
 
 from jacinthcart.catalogue import CatalogueBook
 from jacinthcart.errors import RefusalError
+from jacinthcart.node._line_budget import LineBudget
 from jacinthcart.program import Clock
 from jacinthcart.readings import ReadingLease
 from jacinthcart.routing import CallerRequest
 from jacinthcart.serving import Admitted, MergedAnswer, ServedAnswer
-from jacinthcart.telemetry import LineBudget, Logger, Metrics
+from jacinthcart.telemetry import Logger, Metrics
 
 _MS_PER_S = 1000
 #: Lines a second for complete answers; they matter least.
@@ -37,9 +38,9 @@
         self._clock = clock
         self._logger = logger
         self._metrics = metrics
-        self._served = LineBudget(clock, _SERVED_LINES_PER_S)
-        self._partial = LineBudget(clock, _PARTIAL_LINES_PER_S)
-        self._refused = LineBudget(clock, _REFUSED_LINES_PER_S)
+        self._served = LineBudget(clock, _SERVED_LINES_PER_S, metrics)
+        self._partial = LineBudget(clock, _PARTIAL_LINES_PER_S, metrics)
+        self._refused = LineBudget(clock, _REFUSED_LINES_PER_S, metrics)
 
     def note_answer(
         self,
--- a/jacinthcart/node/_run.py
+++ b/jacinthcart/node/_run.py
@@ -8,11 +8,11 @@
 
 from jacinthcart.errors import SettingsError
 from jacinthcart.front import BaseRequestHandler, FrontServer
+from jacinthcart.network import Endpoint
 from jacinthcart.node._node import Node
 from jacinthcart.node._operator_api import OperatorHandler
 from jacinthcart.node._peer_api import PeerHandler
 from jacinthcart.node._settings import NodeSettings
-from jacinthcart.network import Endpoint
 
 #: Reads and checks the settings file; raises SettingsError.
 LoadSettings = Callable[[], NodeSettings]
@@ -38,15 +38,30 @@
     Without signals, as in tests, serve until cancelled. `load_settings`
     reads the settings file again; it may raise SettingsError.
     """
+    try:
+        await _serve(node, servers, load_settings, has_signals=has_signals)
+    finally:
+        # Sockets are closed when nothing reads from them any more.
+        with anyio.CancelScope(shield=True):
+            await node.close()
+    node.logger.info('stopped')
+
+
+async def _serve(
+    node: Node,
+    servers: Sequence[FrontServer],
+    load_settings: LoadSettings | None,
+    *,
+    has_signals: bool,
+) -> None:
     settings = node.settings
-    own_servers = _create_own_servers(node)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         if has_signals:
             tasks.start_soon(_watch_signals, node, stop, load_settings)
         if load_settings is not None:
             tasks.start_soon(_watch_settings, node, load_settings)
-        for server in (*servers, *own_servers):
+        for server in (*servers, *_create_own_servers(node)):
             await server.start(tasks)
         await _start_metrics(node, tasks)
         await node.start(tasks)
@@ -60,9 +75,6 @@
         await stop.wait()
         await _stop(node, servers)
         tasks.cancel_scope.cancel()
-    # Sockets are closed when nothing reads from them any more.
-    await node.close()
-    node.logger.info('stopped')
 
 
 def _create_own_servers(node: Node) -> list[FrontServer]:
--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -11,8 +11,6 @@
 
     #: Seconds between the stop signal and the kill.
     stop_s: float
-    #: Seconds after which a leaving searcher gets no more requests.
-    drain_s: float
     #: Seconds in which a configuration is in force everywhere.
     settings_s: float
     #: Seconds after which a withdrawn key runs nothing more.
--- a/jacinthcart/platform/_documents.py
+++ b/jacinthcart/platform/_documents.py
@@ -13,7 +13,7 @@
     WorkspaceTerms,
 )
 from jacinthcart.errors import InvalidMessageError, SettingsError
-from jacinthcart.platform.settings_file import parse_endpoint
+from jacinthcart.platform.settings_file import decode_endpoint
 from jacinthcart.wire import decode_json
 
 _MS_PER_S = 1000
@@ -138,7 +138,6 @@
             one.name: ServiceTerms(
                 one.name,
                 one.max_connections,
-                one.warmup_s,
                 one.warmup_per_s,
             )
             for one in body.services
@@ -168,7 +167,7 @@
     """Return a searcher's entry; raise InvalidMessageError."""
     try:
         body = _ServerBody.model_validate_json(content)
-        endpoint = parse_endpoint(body.address)
+        endpoint = decode_endpoint(body.address)
     except (pydantic.ValidationError, SettingsError) as error:
         raise InvalidMessageError(f'{searcher_id}: {error}') from error
     return Searcher(
--- a/jacinthcart/platform/_handlers.py
+++ b/jacinthcart/platform/_handlers.py
@@ -1,17 +1,14 @@
 """Handlers of the addresses that the platform's pages name."""
 
 import random
-from urllib.parse import parse_qsl
 
 from jacinthcart.directory import choose_addresses
 from jacinthcart.errors import InvalidMessageError, RefusalError
 from jacinthcart.front import (
-    BaseRequestHandler,
-    FrontTerms,
     RawRequest,
     RawResponse,
 )
-from jacinthcart.node import Node
+from jacinthcart.node import BaseNodeHandler, Node
 from jacinthcart.platform._headers import (
     decode_request,
     encode_answer,
@@ -23,17 +20,9 @@
 _NOT_FOUND = RawResponse(404)
 
 
-class CallerHandler(BaseRequestHandler):
+class CallerHandler(BaseNodeHandler):
     """Serves callers' requests."""
 
-    def __init__(self, node: Node) -> None:
-        """Keep the node."""
-        self._node = node
-
-    def find_terms(self) -> FrontTerms:
-        """Return the limits of the configuration in force."""
-        return self._node.find_front_terms()
-
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return the answer or a refusal."""
         try:
@@ -48,42 +37,29 @@
         return encode_answer(decoded, answer)
 
 
-class ReadinessHandler(BaseRequestHandler):
+class ReadinessHandler(BaseNodeHandler):
     """Tells the platform whether this VM takes callers."""
 
-    def __init__(self, node: Node) -> None:
-        """Keep the node."""
-        self._node = node
-
-    def find_terms(self) -> FrontTerms:
-        """Return the limits of the configuration in force."""
-        return self._node.find_front_terms()
-
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return 200 when ready, else 503."""
-        if request.target.partition(b'?')[0] != b'/jacinthcart/ready':
+        if request.path != '/jacinthcart/ready':
             return _NOT_FOUND
         return RawResponse(200 if self._node.is_ready else 503)
 
 
-class DirectoryHandler(BaseRequestHandler):
+class DirectoryHandler(BaseNodeHandler):
     """Tells callers where to connect."""
 
     def __init__(self, node: Node, source: random.Random) -> None:
         """Keep the node."""
-        self._node = node
+        super().__init__(node)
         self._random = source
 
-    def find_terms(self) -> FrontTerms:
-        """Return the limits of the configuration in force."""
-        return self._node.find_front_terms()
-
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return addresses for the caller's data centre."""
-        path, _, query = request.target.decode('latin-1').partition('?')
-        if path != '/jacinthcart/resolve':
+        if request.path != '/jacinthcart/resolve':
             return _NOT_FOUND
-        fields = dict(parse_qsl(query))
+        fields = request.query
         terms = self._node.directory_terms
         addresses = choose_addresses(
             self._node.members.list_alive(),
--- a/jacinthcart/platform/_store.py
+++ b/jacinthcart/platform/_store.py
@@ -1,13 +1,13 @@
 """Client of the platform's store."""
 
 import base64
-from urllib.parse import urlencode
 from typing import TypeVar
+from urllib.parse import urlencode
 
-import anyio
 import pydantic
 
 from jacinthcart.errors import InvalidMessageError, WireError
+from jacinthcart.network import Endpoint
 from jacinthcart.readings import (
     BaseStore,
     Item,
@@ -16,16 +16,15 @@
     StoreHistoryLostError,
     WatchResult,
 )
-from jacinthcart.network import Endpoint
-from jacinthcart.wire import HttpConnection, HttpResponse, decode_json
+from jacinthcart.wire import ConnectionPool, HttpResponse, decode_json
 
 _STATUS_HISTORY_LOST = 410
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 0.5
 #: Seconds beyond its wait after which a watch is given up.
 _WATCH_SLACK_S = 0.7
-#: Idle connections that are kept: one for a watch, one for readings.
-_KEPT_CONNECTIONS = 2
+#: Connections to the store: one for a watch, one for readings.
+_CONNECTIONS = 2
 
 _Body = TypeVar('_Body', bound=pydantic.BaseModel)
 
@@ -56,8 +55,12 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         """Keep the store's address; connections open on demand."""
-        self._endpoint = endpoint
-        self._idle: list[HttpConnection] = []
+        self._pool = ConnectionPool(
+            endpoint.address,
+            endpoint.port,
+            _CONNECTIONS,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+        )
 
     async def read(self, prefix: str, timeout_s: float) -> ItemPage:
         """Return all items below `prefix`; see the base class."""
@@ -91,8 +94,7 @@
 
     async def close(self) -> None:
         """Close idle connections."""
-        while self._idle:
-            await self._idle.pop().close()
+        await self._pool.close()
 
     async def _get(
         self,
@@ -101,42 +103,16 @@
         timeout_s: float,
     ) -> HttpResponse:
         target = f'/jacinthcart/{call}?{urlencode(query)}'
-        connection: HttpConnection | None = None
         try:
-            with anyio.fail_after(timeout_s):
-                connection = await self._acquire()
-                response = await connection.request('GET', target)
+            response = await self._pool.call('GET', target, timeout_s=timeout_s)
         except (WireError, TimeoutError) as error:
             raise StoreError(f'{call}: {error!r}') from error
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._release(connection)
         if response.status == _STATUS_HISTORY_LOST:
             raise StoreHistoryLostError(f'{call}: history is gone')
         if not response.is_success:
             raise StoreError(f'{call}: status {response.status}')
         return response
 
-    async def _acquire(self) -> HttpConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable:
-                return connection
-            await connection.close()
-        return await HttpConnection.open(
-            self._endpoint.address,
-            self._endpoint.port,
-            _CONNECT_TIMEOUT_S,
-        )
-
-    async def _release(self, connection: HttpConnection | None) -> None:
-        if connection is None:
-            return
-        if connection.is_reusable and len(self._idle) < _KEPT_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            await connection.close()
-
 
 def _decode(
     model: type[_Body],
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -7,8 +7,8 @@
 import pydantic
 
 from jacinthcart.errors import InvalidMessageError, SettingsError
+from jacinthcart.network import Endpoint, parse_endpoint
 from jacinthcart.node import NodeBounds, NodeSettings
-from jacinthcart.network import Endpoint
 from jacinthcart.wire import decode_json
 
 #: Environment variable with the path of the settings file.
@@ -90,30 +90,29 @@
         raise SettingsError(place, rule) from error
     decoded = file.platform_fields
     addresses = decoded.listen_addrs
-    control = parse_endpoint(addresses.control) if addresses.control else None
+    control = decode_endpoint(addresses.control) if addresses.control else None
     return NodeSettings(
         vm_id=decoded.node_name,
         address=decoded.ip,
         data_centre=decoded.zone,
-        callers=parse_endpoint(addresses.frontend_addr),
-        readiness=parse_endpoint(addresses.ready),
-        directory=parse_endpoint(addresses.directory),
+        callers=decode_endpoint(addresses.frontend_addr),
+        readiness=decode_endpoint(addresses.ready),
+        directory=decode_endpoint(addresses.directory),
         operators=control,
         metrics=_find_metrics(decoded.ip, file.metrics_port),
         peer_port=decoded.port_range[0],
-        seeds=tuple(parse_endpoint(seed).address for seed in decoded.seeds),
-        store=parse_endpoint(decoded.platform.address),
+        seeds=tuple(decode_endpoint(seed).address for seed in decoded.seeds),
+        store=decode_endpoint(decoded.platform.address),
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         link_mbps=decoded.limits.link_mbps,
         bounds=_decode_bounds(decoded.bounds),
     )
 
 
-def parse_endpoint(text: str) -> Endpoint:
+def decode_endpoint(text: str) -> Endpoint:
     """Return address and port of `address:port`; raise SettingsError."""
-    address, _, port = text.rpartition(':')
     try:
-        return Endpoint(address=address, port=int(port))
+        return parse_endpoint(text)
     except ValueError as error:
         raise SettingsError(text, 'must be address:port') from error
 
@@ -125,7 +124,6 @@
 def _decode_bounds(bounds: _Bounds) -> NodeBounds:
     return NodeBounds(
         stop_s=bounds.grace_s,
-        drain_s=bounds.drain_ms / _MS_PER_S,
         settings_s=bounds.config_apply_ms / _MS_PER_S,
         key_s=bounds.revoke_ms / _MS_PER_S,
         extra_ratio=bounds.retry_budget_ratio,
--- a/jacinthcart/quota/__init__.py
+++ b/jacinthcart/quota/__init__.py
@@ -1,7 +1,7 @@
 """Fleet-wide allotments of workspaces, granted by one home VM each."""
 
-from jacinthcart.quota._home import QuotaHome, QuotaTerms
 from jacinthcart.quota._client import KIND_GRANT, KIND_TAKE, QuotaClient
+from jacinthcart.quota._home import QuotaHome, QuotaTerms
 
 __all__ = [
     'KIND_GRANT',
--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -7,10 +7,9 @@
 
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.fleet import MemberTable
-from jacinthcart.network import BaseDatagrams
+from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.program import Clock
 from jacinthcart.quota._home import QuotaHome
-from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Metrics
 
 KIND_TAKE = 'take'
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -4,9 +4,9 @@
 
 from jacinthcart.catalogue import CatalogueBook, WorkspaceTerms
 from jacinthcart.fleet import MemberTable
-from jacinthcart.tokens import TokenBucket
 from jacinthcart.program import Clock
 from jacinthcart.telemetry import Metrics
+from jacinthcart.tokens import TokenBucket
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,8 +21,6 @@
     start_share: float = 0.5
     #: Least tokens that a bucket holds, so that small rates can be used.
     least_capacity: float = 1.0
-    #: Share of a VM's part of the rate that it may use without its home.
-    fallback_share: float = 1.0
 
 
 class QuotaHome:
@@ -65,7 +63,7 @@
 
     def take_own_part(self, workspace: str, count: int) -> int:
         """Return how many are granted of this VM's part, without a home."""
-        share = self._terms.fallback_share / self._members.count_members()
+        share = 1 / self._members.count_members()
         buckets = self._own_bucket_by_workspace
         return self._take(buckets, workspace, share, count)
 
--- a/jacinthcart/readings/_lease.py
+++ b/jacinthcart/readings/_lease.py
@@ -19,7 +19,6 @@
         """Start without proof."""
         self.listeners: list[Callable[[float], None]] = []
         self.proof_at = -math.inf
-        self.own_proof_at = -math.inf
         self.peer_proof_at = -math.inf
         self.clock = clock
 
@@ -39,7 +38,6 @@
 
     def note_own_reading(self, sent_at: float) -> None:
         """Take a call to the store sent at `sent_at` that was answered."""
-        self.own_proof_at = max(self.own_proof_at, sent_at)
         self._extend(sent_at)
 
     def note_peer_reading(self, asked_at: float, age_s: float) -> None:
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -9,10 +9,10 @@
 import pydantic
 
 from jacinthcart.errors import InvalidMessageError, WireError
+from jacinthcart.network import Endpoint
 from jacinthcart.readings._lease import ReadingLease
 from jacinthcart.readings._source import Item
 from jacinthcart.readings._table import ItemTable
-from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Logger, Metrics
 from jacinthcart.wire import HttpConnection, decode_json, encode_json
 
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -90,7 +90,6 @@
         self._random = random.Random()
         self._watched_from: int | None = None
         self._is_available = True
-        self._served = False
 
     def has_duty(self) -> bool:
         """Return whether this VM has to read now."""
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -50,13 +50,11 @@
     def __init__(
         self,
         number: int,
-        service: str,
         searcher: Searcher,
         on_end: Callable[['Attempt'], None],
     ) -> None:
         """Prepare; SearcherCalls starts it."""
         self.number = number
-        self.service = service
         self.searcher = searcher
         self.started_at = 0.0
         self.outcome: Outcome | None = None
@@ -116,13 +114,12 @@
     def start(
         self,
         context: CallContext,
-        service: str,
         searcher: Searcher,
         on_end: Callable[[Attempt], None],
     ) -> Attempt:
         """Start sending a request to a searcher."""
         self._attempts += 1
-        attempt = Attempt(self._attempts, service, searcher, on_end)
+        attempt = Attempt(self._attempts, searcher, on_end)
         attempt.started_at = self.clock()
         evidence = self.table.find_evidence(searcher)
         evidence.started_at_by_attempt[attempt.number] = attempt.started_at
--- a/jacinthcart/routing/_choice.py
+++ b/jacinthcart/routing/_choice.py
@@ -20,9 +20,6 @@
     failed_target_share: float = 2.0
     #: Part of the usual latency that a cold searcher costs more.
     cold_share: float = 0.6
-    #: Slots that a request for which the choice is made needs beyond
-    #: the expected excess.
-    slots_floor: int = 1
 
 
 def estimate_cost_s(
@@ -43,9 +40,8 @@
     """
     slowness = evidence.find_slowness(now)
     expected_s = usual_s * slowness
-    usable_slots = max(slots, terms.slots_floor)
-    waiting = evidence.find_excess(now, usable_slots, expected_s)
-    cost_s = expected_s * (1 + waiting / usable_slots)
+    waiting = evidence.find_excess(now, slots, expected_s)
+    cost_s = expected_s * (1 + waiting / slots)
     overdue_s = evidence.find_oldest_age_s(now) - 1.5 * expected_s
     if overdue_s > 0:
         cost_s += overdue_s + expected_s
--- a/jacinthcart/routing/_evidence.py
+++ b/jacinthcart/routing/_evidence.py
@@ -102,13 +102,12 @@
         self._clock = clock
         self._evidence_by_process: dict[tuple[str, int], SearcherEvidence] = {}
 
-    def find(self, searcher_id: str, born: int) -> SearcherEvidence:
+    def find(self, process: tuple[str, int]) -> SearcherEvidence:
         """Return the evidence about one process of a searcher."""
-        key = (searcher_id, born)
-        found = self._evidence_by_process.get(key)
+        found = self._evidence_by_process.get(process)
         if found is None:
             found = SearcherEvidence()
-            self._evidence_by_process[key] = found
+            self._evidence_by_process[process] = found
         return found
 
     def forget_except(self, processes: set[tuple[str, int]]) -> None:
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,7 +1,6 @@
 """Kept connections to searchers."""
 
 import dataclasses
-import select
 from typing import Any
 
 import anyio
@@ -16,13 +15,9 @@
     ResponseHead,
     SearcherResponse,
 )
+from jacinthcart.streams import STREAM_FAILURES, is_readable
 
 _RECEIVE_BYTES = 65536
-_CLOSING_FAILURES = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
 _BODYLESS_STATUSES = frozenset((204, 304))
 #: Answers to earlier requests that may be skipped before the own one.
 _MOST_SKIPPED = 4
@@ -128,12 +123,7 @@
 
     def is_quiet(self) -> bool:
         """Return whether neither bytes nor an end arrived while idle."""
-        descriptor = self._socket.fileno()
-        if descriptor < 0:
-            return False
-        poller = select.poll()
-        poller.register(descriptor, select.POLLIN)
-        return not poller.poll(0)
+        return not is_readable(self._socket)
 
     async def exchange(
         self, message: bytes, request_id: str
@@ -161,7 +151,7 @@
     async def _send(self, message: bytes) -> None:
         try:
             await self._stream.send(message)
-        except _CLOSING_FAILURES as error:
+        except STREAM_FAILURES as error:
             raise OutcomeUnknownError(f'send: {error!r}') from error
 
     async def _receive(self) -> tuple[ResponseHead, bytes]:
@@ -179,7 +169,7 @@
             self._parser.finish()
             if not self._parser.complete:
                 raise OutcomeUnknownError('connection closed') from error
-        except _CLOSING_FAILURES as error:
+        except STREAM_FAILURES as error:
             raise OutcomeUnknownError(f'receive: {error!r}') from error
         return b''
 
@@ -216,7 +206,7 @@
         runs_once: bool,
     ) -> SearcherConnection:
         """Return an idle or a new connection; raise NotSentError."""
-        idle = self._idle_by_process.get((searcher.searcher_id, searcher.born))
+        idle = self._idle_by_process.get(searcher.process)
         now = self._clock()
         while idle:
             connection = idle.pop()
@@ -244,8 +234,8 @@
             idle_s = min(idle_s, idle_timeout_s * self._terms.idle_share)
         connection.used_at = now
         connection.idle_until = now + idle_s
-        key = (searcher.searcher_id, searcher.born)
-        self._idle_by_process.setdefault(key, []).append(connection)
+        idle = self._idle_by_process.setdefault(searcher.process, [])
+        idle.append(connection)
 
     async def close_idle(self) -> None:
         """Close connections that were idle for long."""
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -5,7 +5,6 @@
 
 from jacinthcart.catalogue import CatalogueBook, Searcher
 from jacinthcart.fleet import MemberTable
-from jacinthcart.ownership import rank_owners
 from jacinthcart.program import Clock
 from jacinthcart.routing._choice import ChoiceTerms, estimate_cost_s
 from jacinthcart.routing._evidence import Evidence, SearcherEvidence
@@ -47,7 +46,7 @@
 
     def find_evidence(self, searcher: Searcher) -> SearcherEvidence:
         """Return the evidence about a searcher's process."""
-        return self._evidence.find(searcher.searcher_id, searcher.born)
+        return self._evidence.find(searcher.process)
 
     def choose(
         self,
@@ -78,8 +77,7 @@
 
     def is_cold(self, searcher: Searcher, now: float) -> bool:
         """Return whether a searcher's cold start goes on."""
-        key = (searcher.searcher_id, searcher.born)
-        return self._cold_until.get(key, now) > now
+        return self._cold_until.get(searcher.process, now) > now
 
     def _estimate_s(
         self,
@@ -104,18 +102,16 @@
         rate = self._find_cold_rate(searcher)
         if not rate or not self.is_cold(searcher, now):
             return True
-        alive = [record.address for record in self._members.list_alive()]
-        sender = rank_owners(f'cold/{searcher.searcher_id}', alive, 1)
-        if sender != [self._members.own.address]:
+        ranked = self._members.rank(f'cold/{searcher.searcher_id}')
+        if ranked[:1] != [self._members.own.address]:
             return False
-        key = (searcher.searcher_id, searcher.born)
-        return now >= self._next_cold_send.get(key, now)
+        return now >= self._next_cold_send.get(searcher.process, now)
 
     def _count_cold_send(self, searcher: Searcher, now: float) -> None:
         rate = self._find_cold_rate(searcher)
         if rate and self.is_cold(searcher, now):
-            key = (searcher.searcher_id, searcher.born)
-            self._next_cold_send[key] = now + 1 / (rate * _COLD_RATE_SHARE)
+            next_send = now + 1 / (rate * _COLD_RATE_SHARE)
+            self._next_cold_send[searcher.process] = next_send
 
     def _find_cold_rate(self, searcher: Searcher) -> float:
         catalogue = self._book.catalogue
@@ -128,7 +124,7 @@
         now = self._clock()
         processes = set()
         for searcher in self._book.searchers_by_id.values():
-            key = (searcher.searcher_id, searcher.born)
+            key = searcher.process
             processes.add(key)
             if searcher.cold_left_ms > 0 and key not in self._cold_until:
                 until = now + searcher.cold_left_ms / _MS_PER_S
--- a/jacinthcart/serving/__init__.py
+++ b/jacinthcart/serving/__init__.py
@@ -13,7 +13,7 @@
     SendReport,
     ServedAnswer,
 )
-from jacinthcart.serving._service_run import ServiceRun, SendTerms
+from jacinthcart.serving._service_run import SendTerms, ServiceRun
 
 __all__ = [
     'Admission',
--- a/jacinthcart/serving/_admission.py
+++ b/jacinthcart/serving/_admission.py
@@ -32,8 +32,6 @@
     route: Route
     #: Workspace of the key; None on public routes.
     workspace: str | None
-    #: Rank, 0 is the most urgent.
-    priority: int
 
 
 class Admission:
@@ -68,7 +66,7 @@
             self._check_denial('unknown route')
             raise RefusalError(RefusalCode.UNKNOWN_ROUTE)
         if route.is_public or not catalogue.needs_keys:
-            return Admitted(route, None, route.priority)
+            return Admitted(route, None)
         workspace = self._find_workspace(catalogue, request)
         self.check_key_lease()
         if not await self._quota.take(workspace):
@@ -80,9 +78,7 @@
                     min(max(wait_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS),
                 ),
             )
-        own = catalogue.workspaces_by_name[workspace].priority
-        priority = route.priority if own is None else own
-        return Admitted(route, workspace, priority)
+        return Admitted(route, workspace)
 
     def is_key_proven(self) -> bool:
         """Return whether keys may be used now."""
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -56,7 +56,6 @@
         self.response: SearcherResponse | None = None
         self.failure: Outcome | None = None
         self.may_have_run = False
-        self.was_sent = False
         self.wake_at = math.inf
         self._context = context
         self._calls = calls
@@ -77,6 +76,11 @@
         """Return whether there is an answer or a final failure."""
         return self.response is not None or self.failure is not None
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether any send was started."""
+        return self._sends > 0
+
     def describe(self) -> str:
         """Return why there is no answer, for logs."""
         if self.failure is not None:
@@ -87,12 +91,15 @@
     def start(self) -> None:
         """Send to the first searcher."""
         self._budget.earn(self.service, self._count_members())
-        if not self._send_to_next():
-            self.failure = Outcome(
-                OutcomeKind.NOT_RUN,
-                'no searcher',
-                was_sent=False,
-            )
+        searcher = self._choose(allows_paused=True)
+        if searcher is not None:
+            self._send(searcher)
+            return
+        self.failure = Outcome(
+            OutcomeKind.NOT_RUN,
+            'no searcher',
+            was_sent=False,
+        )
 
     def tick(self, now: float) -> None:
         """Do what is due at `now`: a hedge or another try."""
@@ -198,13 +205,6 @@
         else:
             self.failure = outcome
 
-    def _send_to_next(self) -> bool:
-        searcher = self._choose(allows_paused=True)
-        if searcher is None:
-            return False
-        self._send(searcher)
-        return True
-
     def _choose(self, *, allows_paused: bool) -> Searcher | None:
         route = self._context.route
         return self._calls.table.choose(
@@ -218,10 +218,8 @@
     def _send(self, searcher: Searcher) -> None:
         self._excluded.add(searcher.searcher_id)
         self._sends += 1
-        self.was_sent = True
         attempt = self._calls.start(
             self._context,
-            self.service,
             searcher,
             self._on_end,
         )
--- a/jacinthcart/telemetry/__init__.py
+++ b/jacinthcart/telemetry/__init__.py
@@ -13,13 +13,11 @@
     create_histogram,
 )
 from jacinthcart.telemetry._output import NonBlockingOutput
-from jacinthcart.telemetry._volume import LineBudget
 
 __all__ = [
     'Decision',
     'DecisionLog',
     'HistogramKey',
-    'LineBudget',
     'Logger',
     'Metrics',
     'NonBlockingOutput',
--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -1,7 +1,6 @@
 """One kept HTTP/1.1 connection, driven by the h11 codec."""
 
 import dataclasses
-import select
 from collections.abc import Iterable
 
 import anyio
@@ -9,13 +8,12 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from jacinthcart.errors import NotSentError, OutcomeUnknownError
+from jacinthcart.streams import STREAM_FAILURES, is_readable
 
 _RECEIVE_BYTES = 65536
 _SUCCESS_STATUS = 200
 _FAILURES = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
+    *STREAM_FAILURES,
     anyio.EndOfStream,
     h11.RemoteProtocolError,
 )
@@ -73,7 +71,7 @@
     @property
     def is_reusable(self) -> bool:
         """Return whether another request may be sent."""
-        return self._usable and not self._is_closed_by_peer()
+        return self._usable and not is_readable(self._raw_socket)
 
     async def request(
         self,
@@ -164,13 +162,3 @@
             return
         self._codec.start_next_cycle()
         self._usable = True
-
-    def _is_closed_by_peer(self) -> bool:
-        # Nothing is expected between two requests: an idle socket that is
-        # readable has an end of stream or bytes outside a response.
-        descriptor = self._raw_socket.fileno()
-        if descriptor < 0:
-            return True
-        poller = select.poll()
-        poller.register(descriptor, select.POLLIN)
-        return bool(poller.poll(0))
--- a/jacinthcart/wire/_pool.py
+++ b/jacinthcart/wire/_pool.py
@@ -14,10 +14,18 @@
     reach another caller.
     """
 
-    def __init__(self, address: str, port: int, limit: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        limit: int,
+        *,
+        connect_timeout_s: float = 1,
+    ) -> None:
         """Keep the server's address; connections open on demand."""
         self.address = address
         self.port = port
+        self._connect_timeout_s = connect_timeout_s
         self._limiter = anyio.Semaphore(limit)
         self._idle: list[HttpConnection] = []
         self._closed = False
@@ -62,7 +70,11 @@
             if connection.is_reusable:
                 return connection
             await connection.close()
-        return await HttpConnection.open(self.address, self.port)
+        return await HttpConnection.open(
+            self.address,
+            self.port,
+            self._connect_timeout_s,
+        )
 
     async def _release(self, connection: HttpConnection) -> None:
         if connection.is_reusable and not self._closed:
--- a/jacinthcart_emulator/platform_searcher.py
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -9,13 +9,13 @@
 import h11
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
+from jacinthcart.streams import STREAM_FAILURES
+
 _RECEIVE_BYTES = 65536
 _RECORD_BYTES = 16
 _PREFIX = 'x-jacinthcart-'
 _GONE = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
+    *STREAM_FAILURES,
     anyio.EndOfStream,
     h11.RemoteProtocolError,
 )
@@ -91,7 +91,8 @@
 
     async def _accept(self, listener: SocketListener, tasks: TaskGroup) -> None:
         try:
-            await listener.serve(self._run_connection, tasks)
+            async with listener:
+                await listener.serve(self._run_connection, tasks)
         except anyio.ClosedResourceError:
             # The searcher was closed.
             return
--- a/jacinthcart_emulator/platform_store.py
+++ b/jacinthcart_emulator/platform_store.py
@@ -3,28 +3,27 @@
 import base64
 import dataclasses
 import enum
-from urllib.parse import parse_qsl
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
+from jacinthcart.catalogue import FrontLimits
 from jacinthcart.front import (
     BaseRequestHandler,
     FrontServer,
-    FrontTerms,
     RawRequest,
     RawResponse,
 )
-from jacinthcart.program import read_boot_clock
 from jacinthcart.network import Endpoint
+from jacinthcart.program import read_boot_clock
 from jacinthcart.telemetry import create_logger
 from jacinthcart.wire import encode_json
 
 _MS_PER_S = 1000
 _PAGE_ITEMS = 50
 _JSON = ((b'Content-Type', b'application/json'),)
-_TERMS = FrontTerms(65536, 1 << 20, 10, 600)
+_LIMITS = FrontLimits(65536, 1 << 20, 10, 600)
 
 
 class StoreFault(enum.StrEnum):
@@ -59,9 +58,9 @@
         self._history_from = 0
         self._changed = anyio.Event()
 
-    def find_terms(self) -> FrontTerms:
+    def find_limits(self) -> FrontLimits:
         """Return generous limits."""
-        return _TERMS
+        return _LIMITS
 
     def put(self, key: str, value: Any) -> int:
         """Write a JSON value and return its revision."""
@@ -102,11 +101,10 @@
             await anyio.sleep(30)
         if self.fault is StoreFault.SLOW:
             await anyio.sleep(0.25)
-        path, _, query = request.target.decode().partition('?')
-        fields = dict(parse_qsl(query))
-        if path == '/jacinthcart/kv-range':
+        fields = request.query
+        if request.path == '/jacinthcart/kv-range':
             return self._range(fields)
-        if path == '/jacinthcart/kv-watch':
+        if request.path == '/jacinthcart/kv-watch':
             return await self._watch(fields)
         return RawResponse(404)
 
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -75,8 +75,8 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start the store and every searcher and publish them."""
-        self._ports = _find_ports(self.addresses[0], _PORTS)
-        self._store_port = _find_ports(_STORE_ADDRESS, 1)[0]
+        self._ports = find_ports(self.addresses[0], _PORTS)
+        self._store_port = find_ports(_STORE_ADDRESS, 1)[0]
         endpoint = Endpoint(address=_STORE_ADDRESS, port=self._store_port)
         await start_store(self.store, endpoint, tasks)
         for service in self.list_services():
@@ -227,7 +227,8 @@
                 await searcher.close()
 
 
-def _find_ports(address: str, count: int) -> list[int]:
+def find_ports(address: str, count: int) -> list[int]:
+    """Return free TCP ports of a local address."""
     sockets = []
     for _ in range(count):
         probe = socket.socket()
--- a/jacinthcart_lab/soak/_proxy.py
+++ b/jacinthcart_lab/soak/_proxy.py
@@ -6,15 +6,11 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from jacinthcart.network import Endpoint
+from jacinthcart.streams import STREAM_FAILURES
 
 _BYTES = 65536
 _DELAY_S = 0.2
-_GONE = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-)
+_GONE = (*STREAM_FAILURES, anyio.EndOfStream)
 
 
 class ProxyMode(enum.StrEnum):
@@ -57,7 +53,8 @@
         listener: Listener[SocketStream],
         tasks: TaskGroup,
     ) -> None:
-        await listener.serve(self._run, tasks)
+        async with listener:
+            await listener.serve(self._run, tasks)
 
     async def _run(self, client: SocketStream) -> None:
         if self.mode is ProxyMode.RESET:
--- a/jacinthcart_lab/soak/_run.py
+++ b/jacinthcart_lab/soak/_run.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import signal
-import socket
 import tempfile
 import time
 
@@ -16,6 +15,7 @@
 from jacinthcart_lab.platform_deployment import (
     DeploymentTerms,
     PlatformDeployment,
+    find_ports,
 )
 from jacinthcart_lab.soak._callers import SoakCallers
 from jacinthcart_lab.soak._checks import check_calls
@@ -103,7 +103,9 @@
             tasks.start_soon(self._callers.run)
 
     async def _create_vm(self, number: int, tasks: TaskGroup) -> SoakVm:
-        endpoint = Endpoint(address=_PROXY_ADDRESS, port=_free_port())
+        endpoint = Endpoint(
+            address=_PROXY_ADDRESS, port=find_ports(_PROXY_ADDRESS, 1)[0]
+        )
         proxy = FaultProxy(endpoint, self._deployment.store_endpoint)
         await proxy.start(tasks)
         settings = self._deployment.write_settings(
@@ -170,9 +172,3 @@
             for log in folder.glob('*.log'):
                 (target / log.name).write_bytes(log.read_bytes())
     return soak.report
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((_PROXY_ADDRESS, 0))
-        return int(probe.getsockname()[1])
--- a/jacinthcart_lab/soak/_vm.py
+++ b/jacinthcart_lab/soak/_vm.py
@@ -1,13 +1,12 @@
 """One process of the system, started and signalled by the soak."""
 
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 
 import anyio
 
+from jacinthcart_lab._processes import spawn
 from jacinthcart_lab.soak._proxy import FaultProxy
 
 _STOPPED_PAUSE_S = 0.05
@@ -32,15 +31,11 @@
 
     def start(self) -> None:
         """Start the process."""
-        environment = {**os.environ, 'JACINTHCART_CONFIG': str(self._settings)}
-        with self.log.open('ab') as log:
-            self._process = subprocess.Popen(
-                [sys.executable, '-m', 'jacinthcart.platform'],
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        self._process = spawn(
+            self.log,
+            'jacinthcart.platform',
+            environment={'JACINTHCART_CONFIG': str(self._settings)},
+        )
         self.is_expected_to_run = True
 
     def send(self, number: signal.Signals) -> None:
--- a/tests/directory/test_answers.py
+++ b/tests/directory/test_answers.py
@@ -8,7 +8,7 @@
     choose_addresses,
     estimate_capacity,
 )
-from jacinthcart.fleet import MemberRecord, MemberState
+from tests.support import create_member
 
 _ZONE_BY_ADDRESS = {
     '10.0.0.1': 'a',
@@ -27,11 +27,9 @@
 ) -> set[str]:
     """Return the addresses named to a caller of a data centre."""
     members = [
-        MemberRecord(
-            address=address,
+        create_member(
+            address,
             data_centre=found,
-            incarnation=1,
-            state=MemberState.ALIVE,
         )
         for address, found in _ZONE_BY_ADDRESS.items()
         if address not in without
@@ -67,11 +65,9 @@
     def test_strongest_vms_of_a_large_data_centre_are_named(self) -> None:
         """A thin link makes each query over many shards slow."""
         members = [
-            MemberRecord(
-                address=f'10.0.1.{number}',
+            create_member(
+                f'10.0.1.{number}',
                 data_centre='a',
-                incarnation=1,
-                state=MemberState.ALIVE,
                 capacity=estimate_capacity(1 + number / 20, 10 * number),
             )
             for number in range(1, 21)
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -9,16 +9,13 @@
 from jacinthcart.fleet import (
     FleetGossip,
     GossipTerms,
-    MemberRecord,
-    MemberState,
     MemberTable,
     MemberTerms,
 )
-from jacinthcart.network import BaseDatagrams
+from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.readings import Item, ItemTable, ReadingLease
-from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import create_logger
-from tests.support import run_in_virtual_time
+from tests.support import create_member, run_in_virtual_time
 
 _SEEDS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
 _PORT = 7740
@@ -86,18 +83,20 @@
     """The membership part of one VM."""
 
     def __init__(
-        self, network: FakeNetwork, address: str, data_centre: str
+        self,
+        network: FakeNetwork,
+        address: str,
+        data_centre: str,
+        seeds: tuple[str, ...] = _SEEDS,
     ) -> None:
         """Join the network."""
         network.vms[address] = self
         self.table = ItemTable()
         self.lease = ReadingLease(anyio.current_time)
         self.members = MemberTable(
-            MemberRecord(
-                address=address,
+            create_member(
+                address,
                 data_centre=data_centre,
-                incarnation=1,
-                state=MemberState.ALIVE,
             ),
             anyio.current_time,
             create_logger('test'),
@@ -107,7 +106,7 @@
             self.members,
             FakeDatagrams(network, address),
             FakePuller(network, self),  # type: ignore[arg-type]
-            seeds=_SEEDS,
+            seeds=seeds,
             port=_PORT,
             random_source=random.Random(address),
             terms=GossipTerms(),
@@ -146,6 +145,16 @@
         ages = run_in_virtual_time(self._read_elsewhere, 40)
         self.assertLess(max(ages), 3)
 
+    def test_vm_without_seeds_goes_on_alone(self) -> None:
+        """The choice of a seed to ask now and then ended the process."""
+        self.assertEqual(run_in_virtual_time(self._live_without_seeds), 1)
+
+    async def _live_without_seeds(self) -> int:
+        vm = FakeVm(FakeNetwork(), '10.0.0.1', 'zone-1', seeds=())
+        with anyio.move_on_after(120):
+            await vm.gossip.run()
+        return len(vm.members.list_alive())
+
     async def _read_elsewhere(self, count: int) -> list[float]:
         network = _create_network(count)
         async with anyio.create_task_group() as tasks:
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -3,27 +3,12 @@
 import unittest
 
 from jacinthcart.fleet import (
-    MemberRecord,
     MemberState,
     MemberTable,
     MemberTerms,
 )
 from jacinthcart.telemetry import create_logger
-from tests.support import ManualClock
-
-
-def create_record(
-    address: str,
-    state: MemberState = MemberState.ALIVE,
-    incarnation: int = 1,
-) -> MemberRecord:
-    """Return a record of a VM in the data centre `near`."""
-    return MemberRecord(
-        address=address,
-        data_centre='near',
-        incarnation=incarnation,
-        state=state,
-    )
+from tests.support import ManualClock, create_member
 
 
 class MemberTableTests(unittest.TestCase):
@@ -33,7 +18,7 @@
         """Create the table of one VM whose start is over."""
         self.clock = ManualClock()
         self.members = MemberTable(
-            create_record('10.0.0.1'),
+            create_member('10.0.0.1'),
             self.clock,
             create_logger('test'),
             MemberTerms(),
@@ -42,7 +27,7 @@
 
     def test_suspect_takes_no_work_but_keeps_its_rights(self) -> None:
         """A VM that is cut off may still use its part of a limit."""
-        self.members.merge(create_record('10.0.0.2'))
+        self.members.merge(create_member('10.0.0.2'))
         self.members.suspect('10.0.0.2')
         self.assertEqual(len(self.members.list_alive()), 1)
         self.assertEqual(self.members.count_members(), 2)
@@ -50,7 +35,7 @@
 
     def test_suspect_is_forgotten_after_a_while(self) -> None:
         """The part of a VM that is gone must come back."""
-        self.members.merge(create_record('10.0.0.2'))
+        self.members.merge(create_member('10.0.0.2'))
         self.members.suspect('10.0.0.2')
         self.clock.move(MemberTerms().forget_s + 1)
         self.members.forget_old()
@@ -58,38 +43,38 @@
 
     def test_old_news_does_not_revive_a_suspect(self) -> None:
         """Records of the same incarnation arrive late and repeatedly."""
-        self.members.merge(create_record('10.0.0.2'))
+        self.members.merge(create_member('10.0.0.2'))
         self.members.suspect('10.0.0.2')
-        self.members.merge(create_record('10.0.0.2'))
+        self.members.merge(create_member('10.0.0.2'))
         self.assertEqual(len(self.members.list_alive()), 1)
 
     def test_restart_revives_a_member(self) -> None:
         """A new process has a higher incarnation."""
-        self.members.merge(create_record('10.0.0.2'))
+        self.members.merge(create_member('10.0.0.2'))
         self.members.suspect('10.0.0.2')
-        self.members.merge(create_record('10.0.0.2', incarnation=2))
+        self.members.merge(create_member('10.0.0.2', incarnation=2))
         self.assertEqual(len(self.members.list_alive()), 2)
 
     def test_false_suspicion_is_refuted(self) -> None:
         """A VM that was frozen must be taken back by the others."""
-        self.members.merge(create_record('10.0.0.1', MemberState.SUSPECT))
+        self.members.merge(create_member('10.0.0.1', MemberState.SUSPECT))
         self.assertEqual(self.members.own.incarnation, 2)
         self.assertIs(self.members.own.state, MemberState.ALIVE)
 
     def test_start_behind_a_clock_step_is_not_ignored(self) -> None:
         """A clock that was set back gives a new process a lower number."""
-        self.members.merge(create_record('10.0.0.1', incarnation=50))
+        self.members.merge(create_member('10.0.0.1', incarnation=50))
         self.assertEqual(self.members.own.incarnation, 51)
 
     def test_leaving_member_has_no_rights(self) -> None:
         """A VM that stops as planned uses nothing more."""
-        self.members.merge(create_record('10.0.0.2', MemberState.LEAVING))
+        self.members.merge(create_member('10.0.0.2', MemberState.LEAVING))
         self.assertEqual(self.members.count_members(), 1)
 
     def test_new_process_assumes_a_fleet(self) -> None:
         """A process that knows no one yet must not use a whole limit."""
         members = MemberTable(
-            create_record('10.0.0.1'),
+            create_member('10.0.0.1'),
             self.clock,
             create_logger('test'),
             MemberTerms(),
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -8,15 +8,15 @@
 import anyio
 from anyio.abc import SocketStream
 
+from jacinthcart.catalogue import FrontLimits
 from jacinthcart.front import (
     BaseRequestHandler,
     FrontServer,
-    FrontTerms,
     RawRequest,
     RawResponse,
 )
-from jacinthcart.program import read_boot_clock
 from jacinthcart.network import Endpoint
+from jacinthcart.program import read_boot_clock
 from jacinthcart.telemetry import create_logger
 
 _GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -34,9 +34,9 @@
         self.bodies: list[bytes] = []
         self.left = 0
 
-    def find_terms(self) -> FrontTerms:
+    def find_limits(self) -> FrontLimits:
         """Return small limits."""
-        return FrontTerms(1024, 2048, 0.3, 5)
+        return FrontLimits(1024, 2048, 0.3, 5)
 
     async def handle(self, request: RawRequest) -> RawResponse:
         """Wait for the gate and answer with the target."""
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -11,12 +11,12 @@
 import anyio
 import httpx
 
+from jacinthcart.node import run_node
 from jacinthcart.platform.assembly import create_node
 from jacinthcart.platform.settings_file import decode_settings
-from jacinthcart.node import run_node
 from jacinthcart.serving import merge_records
-from jacinthcart_emulator.platform_store import StoreFault
 from jacinthcart_emulator.platform_searcher import create_part
+from jacinthcart_emulator.platform_store import StoreFault
 from jacinthcart_lab.platform_deployment import (
     DeploymentTerms,
     PlatformDeployment,
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -8,16 +8,18 @@
 
 from jacinthcart.catalogue import CatalogueBook
 from jacinthcart.fleet import (
-    MemberRecord,
-    MemberState,
     MemberTable,
     MemberTerms,
 )
-from jacinthcart.network import BaseDatagrams
+from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.quota import QuotaClient, QuotaHome, QuotaTerms
-from jacinthcart.network import Endpoint
 from jacinthcart.telemetry import Metrics, create_logger
-from tests.support import create_catalogue, create_route, run_in_virtual_time
+from tests.support import (
+    create_catalogue,
+    create_member,
+    create_route,
+    run_in_virtual_time,
+)
 
 _RATE = 40.0
 _WINDOW_S = 5.0
@@ -61,15 +63,7 @@
         logger = create_logger('test')
         metrics = Metrics()
         book = CatalogueBook(clock, logger)
-        records = [
-            MemberRecord(
-                address=f'10.0.0.{number}',
-                data_centre='near',
-                incarnation=1,
-                state=MemberState.ALIVE,
-            )
-            for number in range(count)
-        ]
+        records = [create_member(f'10.0.0.{number}') for number in range(count)]
         own = next(one for one in records if one.address == address)
         self.members = MemberTable(own, clock, logger, MemberTerms(settle_s=0))
         for record in records:
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -5,8 +5,6 @@
 
 from jacinthcart.catalogue import CatalogueBook
 from jacinthcart.fleet import (
-    MemberRecord,
-    MemberState,
     MemberTable,
     MemberTerms,
 )
@@ -15,6 +13,7 @@
 from tests.support import (
     ManualClock,
     create_catalogue,
+    create_member,
     create_route,
     create_searcher,
 )
@@ -32,12 +31,7 @@
         logger = create_logger('test')
         self.book = CatalogueBook(self.clock, logger)
         self.evidence = Evidence(self.clock)
-        own = MemberRecord(
-            address='10.0.0.1',
-            data_centre='near',
-            incarnation=1,
-            state=MemberState.ALIVE,
-        )
+        own = create_member('10.0.0.1')
         self.members = MemberTable(own, self.clock, logger, MemberTerms())
         self.table = RoutingTable(
             self.book,
@@ -112,12 +106,7 @@
         cold = create_searcher('cold', service='shard-1', cold_left_ms=3000)
         self.book.put_searchers({'cold': cold})
         self.members.merge(
-            MemberRecord(
-                address='10.0.0.2',
-                data_centre='near',
-                incarnation=1,
-                state=MemberState.ALIVE,
-            ),
+            create_member('10.0.0.2'),
         )
         self.book.put_catalogue(
             create_catalogue(
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,12 +1,8 @@
 """Helpers shared by the tests of the node's slices."""
 
-import functools
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import anyio
-from trio.testing import MockClock
-
 from jacinthcart.catalogue import (
     Catalogue,
     FrontLimits,
@@ -17,6 +13,8 @@
     TrafficShare,
     WorkspaceTerms,
 )
+from jacinthcart.fleet import MemberRecord, MemberState
+from jacinthcart_lab import _virtual_time as virtual_time
 
 
 class ManualClock:
@@ -39,11 +37,23 @@
     function: Callable[..., Awaitable[Any]],
     *arguments: Any,
 ) -> Any:
-    """Run an async test; waiting takes no time."""
-    return anyio.run(
-        functools.partial(function, *arguments),
-        backend='trio',
-        backend_options={'clock': MockClock(autojump_threshold=0)},
+    """Run an async test; waiting takes no time, and tasks keep their order."""
+    return virtual_time.run_in_virtual_time(function, *arguments, seed=1)
+
+
+def create_member(
+    address: str,
+    state: MemberState = MemberState.ALIVE,
+    incarnation: int = 1,
+    **changes: Any,
+) -> MemberRecord:
+    """Return a record of a VM in the data centre `near`."""
+    fields = {'data_centre': 'near', **changes}
+    return MemberRecord(
+        address=address,
+        incarnation=incarnation,
+        state=state,
+        **fields,
     )
 
 
@@ -95,7 +105,7 @@
         version=version,
         routes_by_host={'shop.example': routes},
         services_by_name={
-            name: ServiceTerms(name, 26, 3, cold_rate) for name in services
+            name: ServiceTerms(name, 26, cold_rate) for name in services
         },
         workspaces_by_name={'mill': WorkspaceTerms('mill', None, rate, rate)},
         workspace_name_by_key={'key-1': 'mill'},
--- a/tests/telemetry/test_output.py
+++ b/tests/telemetry/test_output.py
@@ -1,11 +1,10 @@
-"""Tests of log output and its volume."""
+"""Tests of log output."""
 
 import io
 import threading
 import unittest
 
-from jacinthcart.telemetry import LineBudget, NonBlockingOutput
-from tests.support import ManualClock
+from jacinthcart.telemetry import NonBlockingOutput
 
 
 class StalledStream(io.StringIO):
@@ -35,16 +34,3 @@
         stream.gate.set()
         output.close(5)
         self.assertIn('lines dropped', stream.getvalue())
-
-
-class LineBudgetTests(unittest.TestCase):
-    """The volume of lines is bounded, and what is left out is counted."""
-
-    def test_lines_beyond_the_rate_are_counted(self) -> None:
-        """The next line tells how many are missing."""
-        clock = ManualClock()
-        budget = LineBudget(clock, 5)
-        passed = [budget.take() for _ in range(20)]
-        self.assertEqual(sum(one is not None for one in passed), 5)
-        clock.move(1)
-        self.assertEqual(budget.take(), 15)
