Do not cancel a request at a searcher that is being warmed

A trace of the emulated searcher's arrivals (scratch copy) shows the warming VM itself sending a second request 24 ms after its first one, which took 40 ms: the hedge had won, the first was cancelled and its slot freed, while the searcher still ran it. Each cancelled copy adds one request too many.

Ruled out: late news between VMs (the second request came from the same VM), and the rights' count of unanswered requests (reset by the next answer).

Change: a copy that loses to its hedge is left to finish while this VM warms the searcher, as was done for copies that carry the only evidence.

--- a/jacinthcart/dispatch/_dispatcher.py
+++ b/jacinthcart/dispatch/_dispatcher.py
@@ -1,5 +1,6 @@
 """Runs calls to parts on the searchers that this VM may use."""
 
+import functools
 import random
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
@@ -17,7 +18,7 @@
 from jacinthcart.dispatch._part_run import PartRun
 from jacinthcart.dispatch._probe import Prober
 from jacinthcart.dispatch._replicas import build_replica_index
-from jacinthcart.dispatch._rights import Rights
+from jacinthcart.dispatch._rights import Rights, must_finish
 from jacinthcart.dispatch._sender import Sender
 from jacinthcart.errors import RefusalCode, RefusalError, WireError
 from jacinthcart.feed import StateFeed, WarmEntry
@@ -73,7 +74,7 @@
             feed,
             metrics,
             decisions,
-            self._rights.needs_evidence,
+            functools.partial(must_finish, self._rights),
         )
         self._retries_by_service: dict[str, ShareBudget] = {}
         self._view = feed.view
--- a/jacinthcart/dispatch/_hedging.py
+++ b/jacinthcart/dispatch/_hedging.py
@@ -69,8 +69,9 @@
 
     The extra requests are a bounded share of the ordinary ones. The copy
     that loses is cancelled, unless its response is the only evidence of the
-    searcher's state: otherwise a searcher that turned cold, and slower than
-    every hedge, would be sent requests without ever being found cold.
+    searcher's state, or the searcher is being warmed: otherwise a searcher
+    that turned cold, and slower than every hedge, would be sent requests
+    without ever being found cold, or more than it bears.
     """
 
     def __init__(
@@ -78,12 +79,12 @@
         feed: StateFeed,
         metrics: Metrics,
         decisions: DecisionLog,
-        needs_evidence: Callable[[Replica], bool],
+        must_finish: Callable[[Replica], bool],
     ) -> None:
         """Start without latencies and without budget."""
         #: Runs copies that outlive their call; None outside of `run`.
         self.background: TaskGroup | None = None
-        self._needs_evidence = needs_evidence
+        self._must_finish = must_finish
         self._feed = feed
         self._metrics = metrics
         self._decisions = decisions
@@ -171,7 +172,7 @@
         link: SearcherLink,
         sending: anyio.Event,
     ) -> None:
-        if self._needs_evidence(link.replica) and self.background:
+        if self._must_finish(link.replica) and self.background:
             tasks = self.background
         tasks.start_soon(race.run, link, sending)
 
--- a/jacinthcart/dispatch/_rights.py
+++ b/jacinthcart/dispatch/_rights.py
@@ -163,3 +163,12 @@
         if is_trusted and seen.says_draining:
             return 'reported draining'
         return ''
+
+
+def must_finish(rights: Rights, replica: Replica) -> bool:
+    """Return whether a request must not be cancelled for its hedge.
+
+    A searcher may go on with a cancelled request. While it is cold, the
+    next request would find it busy and exceed what it bears.
+    """
+    return rights.needs_evidence(replica) or rights.is_ramping(replica)
--- a/tests/dispatch/test_hedging.py
+++ b/tests/dispatch/test_hedging.py
@@ -6,6 +6,7 @@
 import anyio
 
 from jacinthcart.errors import OutcomeUnknownError
+from jacinthcart.feed import WarmEntry
 from tests.dispatch.support import (
     Fleet,
     S0,
@@ -50,6 +51,31 @@
 
         run_virtual(scenario)
 
+    def test_copy_at_a_searcher_that_is_warmed_is_not_cancelled(self) -> None:
+        """Guards against a second request beside one that still runs cold."""
+
+        async def scenario() -> None:
+            fleet = Fleet(
+                policy={
+                    'hedge_quantile': 0.5,
+                    'hedge_budget': 1,
+                    'ramp_step_ms': 60000,
+                    'evidence_max_age_ms': 60000,
+                },
+                service={'cold_allowance': 1},
+            )
+            fleet.table[S0] = WarmEntry(2, warm=False, generation='g1')
+            fleet.apply()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.dispatchers[0].run)
+                await _run_straggling(fleet, 0.3)
+                tasks.cancel_scope.cancel()
+            self.assertGreater(len(fleet.searchers[S0].messages), 5)
+            self.assertGreater(_count(fleet, 'hedge'), 5)
+            self.assertEqual(fleet.searchers[S0].cancelled, 0)
+
+        run_virtual(scenario)
+
     def test_hedges_stay_within_their_budget(self) -> None:
         """Guards against hedges that double the load when all is slow."""
 
