Count targets from the caller's start; hold back parts at overloaded searchers

Each query sent to it, its queue stood at 12 of 12, so 138 of 196 answers lacked the part; it reset 307 connections over its cap. 16 of 28 late answers of the seconds 6 to 8 were late by less than 17 ms: the answer left at the target, counted from the request's arrival, but the caller had spent 7 to 22 ms on connecting and asking for an address (its time limit says so). All callers were sent to the two VMs of one data centre, which had a few more searchers near.

Change: CallerAges reads from the time limit what a caller has spent, and the answer leaves that much earlier. HoldPolicy holds back a part whose searcher would answer after the target, while the answer may do without it; each VM keeps one request there. Callers are sent away from their data centre only where it lacks half of the searchers, not 0.3 of them.

Tried and left out: counting latency beyond 0.35 of the target three times in the choice between near and far searchers.

--- a/jacinthcart/directory/_answers.py
+++ b/jacinthcart/directory/_answers.py
@@ -29,8 +29,10 @@
     ttl_s: float = 2.0
     #: Share of a request's services by which another data centre must have
     #: more searchers before its VMs are named: a request over shards
-    #: crosses data centres once for each shard that is not near.
-    coverage_gain: float = 0.3
+    #: crosses data centres once for each shard that is not near. Smaller
+    #: differences are borne, because the callers of all data centres at the
+    #: VMs and near searchers of one make queues there.
+    coverage_gain: float = 0.5
 
 
 #: Link of a VM in Mbit/s that one core can keep busy with queries.
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -14,7 +14,7 @@
     CallerRequest,
     SearcherResponse,
 )
-from jacinthcart.routing._delays import DelayTracker
+from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._evidence import Evidence, SearcherEvidence
 from jacinthcart.routing._outcome import Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
@@ -80,7 +80,7 @@
         pools: SearcherPools,
         table: RoutingTable,
         evidence: Evidence,
-        delays: DelayTracker,
+        delays: QuantileTracker,
         codec: BaseSearcherCodec,
         clock: Clock,
         metrics: Metrics,
--- a/jacinthcart/routing/_choice.py
+++ b/jacinthcart/routing/_choice.py
@@ -22,29 +22,45 @@
     cold_share: float = 0.6
 
 
-def estimate_cost_s(
+def estimate_latency_s(
     evidence: SearcherEvidence,
     *,
     now: float,
     usual_s: float,
-    target_s: float,
     slots: int,
-    is_far: bool,
-    is_cold: bool,
-    terms: ChoiceTerms,
 ) -> float:
-    """Return the expected latency in seconds, penalties included.
+    """Return the expected latency of a request in seconds.
 
     A send that has been unanswered for longer than usual counts with its
     age: the searcher pauses or hangs, whatever it reported before.
     """
-    slowness = evidence.find_slowness(now)
-    expected_s = usual_s * slowness
+    expected_s = usual_s * evidence.find_slowness(now)
     waiting = evidence.find_excess(now, slots, expected_s)
-    cost_s = expected_s * (1 + waiting / slots)
+    latency_s = expected_s * (1 + waiting / slots)
     overdue_s = evidence.find_oldest_age_s(now) - 1.5 * expected_s
     if overdue_s > 0:
-        cost_s += overdue_s + expected_s
+        latency_s += overdue_s + expected_s
+    return latency_s
+
+
+def estimate_cost_s(
+    evidence: SearcherEvidence,
+    *,
+    now: float,
+    usual_s: float,
+    target_s: float,
+    slots: int,
+    is_far: bool,
+    is_cold: bool,
+    terms: ChoiceTerms,
+) -> float:
+    """Return the expected latency in seconds, penalties included."""
+    cost_s = estimate_latency_s(
+        evidence,
+        now=now,
+        usual_s=usual_s,
+        slots=slots,
+    )
     failed_share = evidence.find_failed_share(now)
     cost_s += failed_share * target_s * terms.failed_target_share
     if is_far:
--- a/jacinthcart/routing/_delays.py
+++ b/jacinthcart/routing/_quantiles.py
@@ -1,4 +1,4 @@
-"""Usual latencies of searchers, by route."""
+"""Quantiles of recent durations, by route."""
 
 import collections
 
@@ -8,35 +8,35 @@
 
 
 class _Window:
-    """Latest latencies of one route."""
+    """Latest durations of one route."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.latencies_s: collections.deque[float] = collections.deque(
+        self.durations_s: collections.deque[float] = collections.deque(
             maxlen=_KEPT,
         )
         self.sorted_s: list[float] = []
         self.added = 0
 
 
-class DelayTracker:
-    """Quantiles over the last latencies of each route's sends."""
+class QuantileTracker:
+    """Quantiles over the last durations of each route."""
 
     def __init__(self) -> None:
-        """Start without latencies."""
+        """Start without durations."""
         self._window_by_route: dict[str, _Window] = {}
 
-    def add(self, route: str, latency_s: float) -> None:
-        """Count one latency."""
+    def add(self, route: str, duration_s: float) -> None:
+        """Count one duration in seconds."""
         window = self._window_by_route.get(route)
         if window is None:
             window = _Window()
             self._window_by_route[route] = window
-        window.latencies_s.append(latency_s)
+        window.durations_s.append(duration_s)
         window.added += 1
         if window.added >= _REFRESH_COUNT or not window.sorted_s:
             window.added = 0
-            window.sorted_s = sorted(window.latencies_s)
+            window.sorted_s = sorted(window.durations_s)
 
     def quantile_s(
         self, route: str, quantile: float, default_s: float
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -6,7 +6,11 @@
 from jacinthcart.catalogue import CatalogueBook, Searcher
 from jacinthcart.fleet import MemberTable
 from jacinthcart.program import Clock
-from jacinthcart.routing._choice import ChoiceTerms, estimate_cost_s
+from jacinthcart.routing._choice import (
+    ChoiceTerms,
+    estimate_cost_s,
+    estimate_latency_s,
+)
 from jacinthcart.routing._evidence import Evidence, SearcherEvidence
 
 _MS_PER_S = 1000
@@ -75,6 +79,15 @@
         self._count_cold_send(best, now)
         return best
 
+    def estimate_latency_s(self, searcher: Searcher, usual_s: float) -> float:
+        """Return the latency in seconds that a request sent now would have."""
+        return estimate_latency_s(
+            self.find_evidence(searcher),
+            now=self._clock(),
+            usual_s=usual_s,
+            slots=searcher.slots,
+        )
+
     def is_cold(self, searcher: Searcher, now: float) -> bool:
         """Return whether a searcher's cold start goes on."""
         return self._cold_until.get(searcher.process, now) > now
--- a/jacinthcart/serving/__init__.py
+++ b/jacinthcart/serving/__init__.py
@@ -5,7 +5,12 @@
     AdmissionTerms,
     Admitted,
 )
-from jacinthcart.serving._policy import AnswerPolicy, AnswerTerms
+from jacinthcart.serving._caller_age import CallerAges, CallerAgeTerms
+from jacinthcart.serving._policy import (
+    AnswerPolicy,
+    AnswerTerms,
+    HoldPolicy,
+)
 from jacinthcart.serving._records import merge_records
 from jacinthcart.serving._request_run import RequestServer, ServingTerms
 from jacinthcart.serving._results import (
@@ -21,6 +26,9 @@
     'Admitted',
     'AnswerPolicy',
     'AnswerTerms',
+    'CallerAgeTerms',
+    'CallerAges',
+    'HoldPolicy',
     'MergedAnswer',
     'RequestServer',
     'SendReport',
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -16,7 +16,12 @@
     SearcherCalls,
 )
 from jacinthcart.serving._admission import Admission, Admitted
-from jacinthcart.serving._policy import AnswerPolicy, AnswerTerms
+from jacinthcart.serving._caller_age import CallerAges
+from jacinthcart.serving._policy import (
+    AnswerPolicy,
+    AnswerTerms,
+    HoldPolicy,
+)
 from jacinthcart.serving._records import merge_records
 from jacinthcart.serving._results import (
     MergedAnswer,
@@ -26,6 +31,8 @@
 from jacinthcart.serving._service_run import SendTerms, ServiceRun
 
 _RETRY_MS = 100
+#: For requests to one service: there is nothing to answer without.
+_NEVER_HOLD = HoldPolicy(0, 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +81,7 @@
         self._count_members = count_members
         self._random = random_source
         self._terms = terms
+        self._ages = CallerAges()
 
     async def serve(
         self,
@@ -102,6 +110,11 @@
             request.received_at + route.timeout_s,
         )
 
+    def _find_answer_time(self, request: CallerRequest, route: Route) -> float:
+        age_s = self._ages.find_age_s(request, route.name, route.target_s)
+        target_at = request.received_at - age_s + route.target_s
+        return target_at - self._terms.answer.reserve_s
+
     def _create_check(self, admitted: Admitted) -> Callable[[], bool]:
         if admitted.workspace is None:
             return _always
@@ -110,7 +123,7 @@
     async def _send_to_one(self, context: CallContext) -> ServedAnswer:
         wakeup = _Wakeup()
         service = self._choose_service(context.route)
-        run = self._create_run(context, service, wakeup)
+        run = self._create_run(context, service, _NEVER_HOLD, wakeup)
         try:
             run.start()
             await self._wait_for_end(context, run, wakeup)
@@ -141,17 +154,16 @@
     async def _scatter(self, context: CallContext) -> MergedAnswer:
         wakeup = _Wakeup()
         route = context.route
-        runs = [
-            self._create_run(context, service, wakeup)
-            for service in route.shards
-        ]
         policy = AnswerPolicy(
-            len(runs),
+            len(route.shards),
             route.min_shard_share,
-            context.request.received_at
-            + route.target_s
-            - self._terms.answer.reserve_s,
+            self._find_answer_time(context.request, route),
         )
+        hold_policy = HoldPolicy(policy.spare_parts, policy.answer_at)
+        runs = [
+            self._create_run(context, service, hold_policy, wakeup)
+            for service in route.shards
+        ]
         try:
             for run in runs:
                 run.start()
@@ -206,6 +218,7 @@
         self,
         context: CallContext,
         service: str,
+        hold_policy: HoldPolicy,
         wakeup: _Wakeup,
     ) -> ServiceRun:
         return ServiceRun(
@@ -215,6 +228,7 @@
             self._budget,
             self._count_members,
             self._terms.send,
+            hold_policy,
             wakeup.notify,
         )
 
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -14,6 +14,8 @@
     SearcherCalls,
     SearcherResponse,
 )
+from jacinthcart.serving._candidates import Candidates
+from jacinthcart.serving._policy import HoldPolicy
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +51,7 @@
         budget: ExtraSendBudget,
         count_members: Callable[[], int],
         terms: SendTerms,
+        hold_policy: HoldPolicy,
         on_change: Callable[[], None],
     ) -> None:
         """Prepare; `start` sends."""
@@ -65,7 +68,7 @@
         self._on_change = on_change
         self.ended_sends: list[str] = []
         self._pending: list[Attempt] = []
-        self._excluded: set[str] = set()
+        self._candidates = Candidates(context, service, calls, hold_policy)
         self._runs = 0
         self._arrivals = 0
         self._sends = 0
@@ -85,21 +88,15 @@
         """Return why there is no answer, for logs."""
         if self.failure is not None:
             return f'{self.service}: {self.failure.reason}'
+        if not self.was_sent:
+            return f'{self.service}: held back, its searchers are overloaded'
         waiting = [attempt.searcher.searcher_id for attempt in self._pending]
         return f'{self.service}: no answer of {", ".join(waiting)}'
 
     def start(self) -> None:
-        """Send to the first searcher."""
+        """Send to the first searcher, or hold the request back."""
         self._budget.earn(self.service, self._count_members())
-        searcher = self._choose(allows_paused=True)
-        if searcher is not None:
-            self._send(searcher)
-            return
-        self.failure = Outcome(
-            OutcomeKind.NOT_RUN,
-            'no searcher',
-            was_sent=False,
-        )
+        self._send_first()
 
     def tick(self, now: float) -> None:
         """Do what is due at `now`: a hedge or another try."""
@@ -108,8 +105,10 @@
         self.wake_at = math.inf
         if self._pending:
             self._hedge(now)
+        elif not self.was_sent:
+            self._send_first()
         else:
-            self._excluded.clear()
+            self._candidates.met.clear()
             self._resend(Outcome(OutcomeKind.NOT_RUN, 'all refused'))
 
     def abandon(self) -> None:
@@ -124,13 +123,26 @@
             self._calls.cancel(attempt)
         self._pending.clear()
 
+    def _send_first(self) -> None:
+        searcher = self._candidates.choose(allows_paused=True)
+        if searcher is None:
+            self.failure = Outcome(
+                OutcomeKind.NOT_RUN,
+                'no searcher',
+                was_sent=False,
+            )
+        elif self._candidates.should_hold(searcher):
+            self.wake_at = self._calls.clock() + self._terms.retry_s
+        else:
+            self._send(searcher)
+
     def _hedge(self, now: float) -> None:
         route = self._context.route
         if self._has_hedged or not route.is_idempotent:
             return
         if self._runs + len(self._pending) >= route.attempts:
             return
-        searcher = self._choose(allows_paused=False)
+        searcher = self._candidates.choose(allows_paused=False)
         members = self._count_members()
         if searcher is None or not self._budget.take(
             self.service,
@@ -186,7 +198,7 @@
         if is_spent:
             self.failure = outcome
             return
-        searcher = self._choose(allows_paused=True)
+        searcher = self._candidates.choose(allows_paused=True)
         if searcher is None:
             self._wait_or_fail(outcome, now)
             return
@@ -198,25 +210,15 @@
         self._send(searcher)
 
     def _wait_or_fail(self, outcome: Outcome, now: float) -> None:
-        has_others = bool(self._excluded)
+        has_others = bool(self._candidates.met)
         is_refused = outcome.kind is OutcomeKind.NOT_RUN and outcome.was_sent
         if has_others and is_refused:
             self.wake_at = now + self._terms.retry_s
         else:
             self.failure = outcome
 
-    def _choose(self, *, allows_paused: bool) -> Searcher | None:
-        route = self._context.route
-        return self._calls.table.choose(
-            self.service,
-            self._excluded,
-            self._calls.usual_s(route),
-            route.target_s,
-            allows_paused=allows_paused,
-        )
-
     def _send(self, searcher: Searcher) -> None:
-        self._excluded.add(searcher.searcher_id)
+        self._candidates.met.add(searcher.searcher_id)
         self._sends += 1
         attempt = self._calls.start(
             self._context,
--- a/tests/directory/test_answers.py
+++ b/tests/directory/test_answers.py
@@ -58,6 +58,11 @@
         self.assertNotIn('10.0.0.5', named)
         self.assertEqual(len(named), 4)
 
+    def test_somewhat_better_data_centre_gets_no_others(self) -> None:
+        """All callers at the VMs of one data centre make queues there."""
+        named = choose('a', {'a': 0.55, 'b': 0.9, 'd': 0.6})
+        self.assertEqual(named, {'10.0.0.1', '10.0.0.2'})
+
     def test_unknown_data_centre_gets_any_vm(self) -> None:
         """A caller from elsewhere must be served too."""
         self.assertTrue(choose('x', _EVEN))
--- /dev/null
+++ b/tests/serving/test_caller_age.py
@@ -0,0 +1,56 @@
+"""Tests of how long callers had waited before their requests arrived."""
+
+import unittest
+
+from jacinthcart.routing import CallerRequest
+from jacinthcart.serving import CallerAges
+
+_LIMIT_S = 1.0
+_TARGET_S = 0.1
+
+
+def _create_request(limit_s: float) -> CallerRequest:
+    return CallerRequest(
+        request_id='1',
+        method='GET',
+        target='/a/',
+        host='shop.example',
+        path='/a/',
+        headers=(),
+        body=b'',
+        credential=None,
+        received_at=100,
+        deadline=100 + limit_s,
+    )
+
+
+class CallerAgesTests(unittest.TestCase):
+    """A shorter time limit than usual shows time that a caller spent."""
+
+    def setUp(self) -> None:
+        """Learn the usual time limit of a route."""
+        self.ages = CallerAges()
+        for _ in range(30):
+            self._find_age(_LIMIT_S)
+
+    def test_caller_that_connected_first_is_older(self) -> None:
+        """Its target would be missed by the time of the handshake."""
+        self.assertAlmostEqual(self._find_age(_LIMIT_S - 0.015), 0.015)
+
+    def test_caller_with_all_of_its_time_is_new(self) -> None:
+        """Callers that wait for longer than others are new, too."""
+        self.assertEqual(self._find_age(_LIMIT_S), 0)
+        self.assertEqual(self._find_age(2 * _LIMIT_S), 0)
+
+    def test_caller_with_a_limit_of_its_own_is_new(self) -> None:
+        """A much shorter limit says nothing about its age."""
+        self.assertEqual(self._find_age(_LIMIT_S / 2), 0)
+
+    def test_unknown_route_has_no_usual_limit(self) -> None:
+        """The first requests of a process must not be misjudged."""
+        request = _create_request(_LIMIT_S - 0.015)
+        self.assertEqual(self.ages.find_age_s(request, 'b', _TARGET_S), 0)
+
+    def _find_age(self, limit_s: float) -> float:
+        request = _create_request(limit_s)
+        return self.ages.find_age_s(request, 'a', _TARGET_S)
--- a/tests/serving/test_policy.py
+++ b/tests/serving/test_policy.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from jacinthcart.serving import AnswerPolicy, merge_records
+from jacinthcart.serving import AnswerPolicy, HoldPolicy, merge_records
 
 
 class AnswerPolicyTests(unittest.TestCase):
@@ -33,6 +33,33 @@
         self.assertEqual(AnswerPolicy(20, 0.85, 0).least_parts, 17)
 
 
+class HoldPolicyTests(unittest.TestCase):
+    """Parts that would come too late are held back while they may miss."""
+
+    def setUp(self) -> None:
+        """One part may be missing, the answer leaves at second 5."""
+        self.policy = HoldPolicy(1, answer_at=5)
+
+    def test_late_part_is_held_until_it_can_come_in_time(self) -> None:
+        """A queue that is too long gets nothing that it makes late."""
+        self.assertTrue(self.policy.should_hold('a', 1, 0.2, 4.9))
+        self.assertFalse(self.policy.should_hold('a', 1, 0.05, 4.9))
+
+    def test_first_request_of_a_vm_is_never_held(self) -> None:
+        """Only an answer shows that the searcher has recovered."""
+        self.assertFalse(self.policy.should_hold('a', 0, 9, 4))
+
+    def test_parts_that_the_answer_needs_are_sent(self) -> None:
+        """A late answer is better than none."""
+        self.assertTrue(self.policy.should_hold('a', 1, 9, 4))
+        self.assertFalse(self.policy.should_hold('b', 1, 9, 4))
+        self.assertFalse(HoldPolicy(0, 5).should_hold('a', 1, 9, 4))
+
+    def test_nothing_is_held_after_the_target(self) -> None:
+        """The answer waits for enough parts then."""
+        self.assertFalse(self.policy.should_hold('a', 1, 9, 5))
+
+
 class MergeRecordsTests(unittest.TestCase):
     """The greatest records of all parts, greatest first."""
 
