Leave searchers that refuse; give the budget of extra sends to VMs with callers

A refusal was followed by a pause of 30 ms that the next success ended, so a refusing searcher was asked as often as a sound one, and each refusal took an extra send. The slack of the budget was divided among 75 VMs, of which 8 have callers: 2.15 of 161 sends each. 444 parts and 592 tries ended for lack of budget.

Ruled out: searchers out of room (load 0 to 2 of 6 slots when refusing).

Change: a refusal counts as a failed end of a send, and the newest end weighs 0.25 instead of 0.15. An abandoned send is counted once in the evidence of slowness, not again at its end.

--- a/jacinthcart/directory/__init__.py
+++ b/jacinthcart/directory/__init__.py
@@ -5,5 +5,11 @@
     choose_addresses,
     estimate_capacity,
 )
+from jacinthcart.directory._share import ServingShares
 
-__all__ = ['DirectoryTerms', 'choose_addresses', 'estimate_capacity']
+__all__ = [
+    'DirectoryTerms',
+    'ServingShares',
+    'choose_addresses',
+    'estimate_capacity',
+]
--- a/jacinthcart/directory/_answers.py
+++ b/jacinthcart/directory/_answers.py
@@ -57,29 +57,40 @@
     far more of the searchers that the caller's requests need. The rest only
     fills an answer that would be too short.
     """
-    by_data_centre: dict[str, list[MemberRecord]] = {}
-    for record in members:
-        by_data_centre.setdefault(record.data_centre, []).append(record)
+    strongest = list_strongest(members, terms)
     named = _choose_data_centres(
-        set(by_data_centre),
+        set(strongest),
         data_centre,
         coverage_by_data_centre,
         terms,
     )
     near: list[str] = []
     far: list[str] = []
-    for one, records in by_data_centre.items():
-        strongest = _choose_strongest(records, terms)
+    for one, addresses in strongest.items():
         if one in named:
-            near.extend(strongest)
+            near.extend(addresses)
         else:
-            far.extend(strongest)
+            far.extend(addresses)
     source.shuffle(near)
     source.shuffle(far)
     missing = max(0, terms.least - len(near))
     return [*near[: terms.most], *far[:missing]]
 
 
+def list_strongest(
+    members: Iterable[MemberRecord],
+    terms: DirectoryTerms,
+) -> dict[str, list[str]]:
+    """Return the addresses that may be named, by data centre."""
+    by_data_centre: dict[str, list[MemberRecord]] = {}
+    for record in members:
+        by_data_centre.setdefault(record.data_centre, []).append(record)
+    return {
+        data_centre: _choose_strongest(records, terms)
+        for data_centre, records in by_data_centre.items()
+    }
+
+
 def _choose_strongest(
     records: list[MemberRecord],
     terms: DirectoryTerms,
--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -54,8 +54,8 @@
 
     #: Members that take work.
     alive: list[MemberRecord]
-    #: Members that may hold rights, this VM included.
-    counted: int
+    #: Members that may hold rights, this VM and silent ones included.
+    counted: list[MemberRecord]
     #: Addresses of live members in the order for a key.
     ranked_by_key: dict[str, list[str]] = dataclasses.field(
         default_factory=dict,
@@ -139,6 +139,10 @@
         """Return the members that take work, this VM included."""
         return self._find_view().alive
 
+    def list_counted(self) -> list[MemberRecord]:
+        """Return the members that may hold rights, silent ones included."""
+        return self._find_view().counted
+
     def list_recent(self) -> list[MemberRecord]:
         """Return the records that changed lately, newest first."""
         since = self._clock() - self._terms.spread_s
@@ -156,7 +160,7 @@
         A process that has just started assumes a fleet of some size until
         it had time to find the others.
         """
-        counted = self._find_view().counted
+        counted = len(self._find_view().counted)
         if self._clock() - self._started_at < self._terms.settle_s:
             return max(counted, self._terms.settle_members)
         return counted
@@ -191,10 +195,10 @@
             alive = [one for one in records if one.state is MemberState.ALIVE]
             if self.own.state is MemberState.ALIVE:
                 alive.append(self.own)
-            counted = sum(
-                one.state is not MemberState.LEAVING for one in records
-            )
-            self._view = _View(alive, counted + 1)
+            counted = [
+                one for one in records if one.state is not MemberState.LEAVING
+            ]
+            self._view = _View(alive, [*counted, self.own])
         return self._view
 
     def _refute(self, record: MemberRecord) -> None:
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -9,7 +9,11 @@
 from anyio.abc import TaskGroup
 
 from jacinthcart.catalogue import CatalogueBook, FrontLimits
-from jacinthcart.directory import DirectoryTerms, estimate_capacity
+from jacinthcart.directory import (
+    DirectoryTerms,
+    ServingShares,
+    estimate_capacity,
+)
 from jacinthcart.errors import InvalidMessageError, RefusalError
 from jacinthcart.fleet import (
     READERS_KEY,
@@ -314,7 +318,7 @@
                 clock,
             ),
             self._admission,
-            self.members.count_members,
+            ServingShares(self.members, self.directory_terms).find_own,
             source,
             ServingTerms(),
         )
--- a/jacinthcart/routing/_budget.py
+++ b/jacinthcart/routing/_budget.py
@@ -26,6 +26,7 @@
     Each first send earns the ratio, and the bucket never holds more than
     the VM's part of the slack. So in any window the fleet's extra sends
     stay within ratio x first sends + slack, with no message between VMs.
+    `share` is this VM's part of the fleet's slack, above 0 and at most 1.
     """
 
     def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
@@ -38,21 +39,21 @@
         self._started_at = clock()
         self._tokens_by_service: dict[str, float] = {}
 
-    def earn(self, service: str, members: int) -> None:
+    def earn(self, service: str, share: float) -> None:
         """Count the first send of a request to the service."""
         terms = self._terms
-        capacity = self._find_capacity(members)
+        capacity = self._find_capacity(share)
         tokens = self._find_tokens(service, capacity)
         earned = terms.ratio * terms.used_share
         self._tokens_by_service[service] = min(tokens + earned, capacity)
 
-    def take(self, service: str, members: int, reserve: float = 0) -> bool:
+    def take(self, service: str, share: float, reserve: float = 0) -> bool:
         """Return whether one extra send may leave; count it.
 
         `reserve` is the part of the bucket, from 0 to 1, that is left for
         more urgent sends.
         """
-        capacity = self._find_capacity(members)
+        capacity = self._find_capacity(share)
         tokens = self._find_tokens(service, capacity)
         if tokens < 1 + reserve * (capacity - 1):
             return False
@@ -66,6 +67,6 @@
         is_new = self._clock() - self._started_at < self._terms.window_s
         return 1.0 if is_new else capacity
 
-    def _find_capacity(self, members: int) -> float:
+    def _find_capacity(self, share: float) -> float:
         terms = self._terms
-        return max(1.0, terms.slack * terms.used_share / max(1, members))
+        return max(1.0, terms.slack * terms.used_share * share)
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -58,6 +58,8 @@
         self.searcher = searcher
         self.started_at = 0.0
         self.outcome: Outcome | None = None
+        #: Whether its latency was counted before it ended.
+        self.is_counted = False
         self.scope = anyio.CancelScope()
         self._on_end: Callable[[Attempt], None] | None = on_end
 
@@ -140,6 +142,7 @@
         elapsed_s = self.clock() - attempt.started_at
         evidence = self.table.find_evidence(attempt.searcher)
         if elapsed_s > self.usual_s(route):
+            attempt.is_counted = True
             self._evidence.note_latency(
                 evidence,
                 elapsed_s,
@@ -255,5 +258,6 @@
         route = context.route
         usual_s = self.usual_s(route)
         self._evidence.note_success(evidence)
-        self._evidence.note_latency(evidence, latency_s, usual_s)
+        if not attempt.is_counted:
+            self._evidence.note_latency(evidence, latency_s, usual_s)
         self.delays.add(route.name, latency_s)
--- a/jacinthcart/routing/_evidence.py
+++ b/jacinthcart/routing/_evidence.py
@@ -12,7 +12,7 @@
 _SLOWNESS_HALF_LIFE_S = 4.0
 _SLOWNESS_MOST = 50.0
 #: Weight of the newest end of a send in the share of failures.
-_NEWEST_END_WEIGHT = 0.15
+_NEWEST_END_WEIGHT = 0.25
 #: Seconds in which the evidence of failures halves.
 _FAILED_HALF_LIFE_S = 5.0
 #: First pause after a failure, doubled with each further one in a row.
@@ -145,7 +145,12 @@
         evidence.paused_until = max(evidence.paused_until, until)
 
     def note_shed(self, evidence: SearcherEvidence) -> None:
-        """Take a refusal for load."""
+        """Take a refusal for load.
+
+        It counts as a failure, too: a searcher that refuses now and then
+        while others don't would otherwise look as good as them.
+        """
+        self._note_end(evidence, failed=True)
         pause_s = _SHED_PAUSE_S * 2 ** min(evidence.sheds, _MAX_DOUBLINGS)
         evidence.sheds += 1
         until = self._clock() + min(pause_s, _SHED_PAUSE_MOST_S)
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -70,7 +70,7 @@
         calls: SearcherCalls,
         budget: ExtraSendBudget,
         admission: Admission,
-        count_members: Callable[[], int],
+        find_share: Callable[[], float],
         random_source: random.Random,
         terms: ServingTerms,
     ) -> None:
@@ -78,7 +78,7 @@
         self._calls = calls
         self._budget = budget
         self._admission = admission
-        self._count_members = count_members
+        self._find_share = find_share
         self._random = random_source
         self._terms = terms
         self._ages = CallerAges()
@@ -226,7 +226,7 @@
             service,
             self._calls,
             self._budget,
-            self._count_members,
+            self._find_share,
             self._terms.send,
             hold_policy,
             wakeup.notify,
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -49,7 +49,7 @@
         service: str,
         calls: SearcherCalls,
         budget: ExtraSendBudget,
-        count_members: Callable[[], int],
+        find_share: Callable[[], float],
         terms: SendTerms,
         hold_policy: HoldPolicy,
         on_change: Callable[[], None],
@@ -63,7 +63,7 @@
         self._context = context
         self._calls = calls
         self._budget = budget
-        self._count_members = count_members
+        self._find_share = find_share
         self._terms = terms
         self._on_change = on_change
         self.ended_sends: list[str] = []
@@ -95,7 +95,7 @@
 
     def start(self) -> None:
         """Send to the first searcher, or hold the request back."""
-        self._budget.earn(self.service, self._count_members())
+        self._budget.earn(self.service, self._find_share())
         self._send_first()
 
     def tick(self, now: float) -> None:
@@ -143,10 +143,10 @@
         if self._runs + len(self._pending) >= route.attempts:
             return
         searcher = self._candidates.choose(allows_paused=False)
-        members = self._count_members()
+        share = self._find_share()
         if searcher is None or not self._budget.take(
             self.service,
-            members,
+            share,
             self._terms.hedge_reserve,
         ):
             self.wake_at = now + max(
@@ -203,8 +203,8 @@
             self._wait_or_fail(outcome, now)
             return
         is_extra = self._arrivals > 0
-        members = self._count_members()
-        if is_extra and not self._budget.take(self.service, members):
+        share = self._find_share()
+        if is_extra and not self._budget.take(self.service, share):
             self.failure = outcome
             return
         self._send(searcher)
--- /dev/null
+++ b/tests/directory/test_share.py
@@ -0,0 +1,84 @@
+"""Tests of how rights are divided among the VMs that callers use."""
+
+import itertools
+import unittest
+
+from jacinthcart.directory import DirectoryTerms, ServingShares
+from jacinthcart.fleet import MemberRecord, MemberTable, MemberTerms
+from jacinthcart.telemetry import create_logger
+from tests.support import ManualClock, create_member
+
+_SETTLED_S = 60
+_STRONG = 4
+_WEAK = 16
+
+
+class ServingSharesTests(unittest.TestCase):
+    """VMs without callers leave their part to those with callers."""
+
+    def setUp(self) -> None:
+        """Four strong VMs, of which answers name all, and weak ones."""
+        self.clock = ManualClock()
+        self.records = [
+            create_member(f'10.0.0.{number}', capacity=capacity)
+            for number, capacity in enumerate(
+                [
+                    *itertools.repeat(2.0, _STRONG),
+                    *itertools.repeat(0.4, _WEAK),
+                ],
+                start=1,
+            )
+        ]
+
+    def test_named_vm_has_most(self) -> None:
+        """Equal parts would leave most of a right unused."""
+        share = self._find_share(0)
+        self.assertGreater(share, 2 / len(self.records))
+
+    def test_parts_add_up_to_the_right(self) -> None:
+        """No more than the whole right may be in use."""
+        shares = [
+            self._find_share(number) for number in range(len(self.records))
+        ]
+        self.assertAlmostEqual(sum(shares), 1)
+
+    def test_equal_vms_have_equal_parts(self) -> None:
+        """In a small fleet answers name every VM."""
+        self.records = self.records[:_STRONG]
+        self.assertAlmostEqual(self._find_share(1), 1 / _STRONG)
+
+    def test_silent_members_keep_their_parts(self) -> None:
+        """They may still serve callers on the other side of a cut."""
+        members = self._create_members(0)
+        shares = ServingShares(members, DirectoryTerms())
+        before = shares.find_own()
+        members.suspect(self.records[1].address)
+        self.assertEqual(shares.find_own(), before)
+
+    def test_new_process_takes_a_small_part(self) -> None:
+        """It may not have found the others yet."""
+        self.records = self.records[:1]
+        members = self._create_members(0, age_s=0)
+        shares = ServingShares(members, DirectoryTerms())
+        self.assertLess(shares.find_own(), 0.5)
+
+    def _find_share(self, number: int) -> float:
+        members = self._create_members(number)
+        return ServingShares(members, DirectoryTerms()).find_own()
+
+    def _create_members(
+        self,
+        number: int,
+        age_s: float = _SETTLED_S,
+    ) -> MemberTable:
+        own: MemberRecord = self.records[number]
+        members = MemberTable(
+            own,
+            self.clock,
+            create_logger('test'),
+            MemberTerms(),
+        )
+        for record in self.records:
+            members.merge(record)
+        self.clock.move(age_s)
+        return members
--- a/tests/routing/test_budget.py
+++ b/tests/routing/test_budget.py
@@ -44,10 +44,10 @@
         for member, is_first in events:
             budget = budgets[member % members]
             if is_first:
-                budget.earn('shard-0', members)
+                budget.earn('shard-0', 1 / members)
                 history.append((1, 0))
             else:
-                taken = budget.take('shard-0', members)
+                taken = budget.take('shard-0', 1 / members)
                 history.append((0, int(taken)))
         for start in range(0, max(1, len(history) - _WINDOW)):
             window = history[start : start + _WINDOW]
@@ -59,22 +59,22 @@
     def test_restarted_process_has_little_budget(self) -> None:
         """Its predecessor may have used everything in the same window."""
         budget = create_budget(age_s=1)
-        self.assertTrue(budget.take('shard-0', 8))
-        self.assertFalse(budget.take('shard-0', 8))
+        self.assertTrue(budget.take('shard-0', 1 / 8))
+        self.assertFalse(budget.take('shard-0', 1 / 8))
 
     def test_hedges_leave_a_reserve_to_resends(self) -> None:
         """A refused request is more urgent than a slow one."""
         budget = create_budget()
         self._spend(budget, 0.5)
-        self.assertTrue(budget.take('shard-0', 8))
+        self.assertTrue(budget.take('shard-0', 1 / 8))
 
     def test_services_have_budgets_of_their_own(self) -> None:
         """The budget is counted for each shard."""
         budget = create_budget()
         self._spend(budget, 0)
-        self.assertTrue(budget.take('shard-1', 8))
+        self.assertTrue(budget.take('shard-1', 1 / 8))
 
     def _spend(self, budget: ExtraSendBudget, reserve: float) -> None:
         is_left = True
         while is_left:
-            is_left = budget.take('shard-0', 8, reserve)
+            is_left = budget.take('shard-0', 1 / 8, reserve)
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -91,6 +91,17 @@
         self.clock.move(0.5)
         self.assertEqual(self._choose(), 'far')
 
+    def test_searcher_that_refuses_now_and_then_is_left(self) -> None:
+        """Each refusal costs one of few extra sends."""
+        found = self.table.find_evidence(self.near)
+        for number in range(10):
+            if number % 2 == 0:
+                self.evidence.note_shed(found)
+            else:
+                self.evidence.note_success(found)
+        self.clock.move(1)
+        self.assertEqual(self._choose(), 'far')
+
     def test_new_process_of_a_failed_searcher_is_not_blamed(self) -> None:
         """Evidence belongs to a process, not to an id."""
         self.evidence.note_failure(self.table.find_evidence(self.near))
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -51,13 +51,19 @@
         work_s: float,
         source: random.Random,
         queue: int = 12,
+        refused_share: float = 0,
     ) -> None:
-        """Start idle; `work_s` is the mean time of a request."""
+        """Start idle; `work_s` is the mean time of a request.
+
+        `refused_share` is the share of requests that it refuses for no
+        reason that a caller can see.
+        """
         self.searcher = searcher
         self.work_s = work_s
         self.arrivals = 0
         self._random = source
         self._queue = queue
+        self._refused_share = refused_share
         self._running = 0
         self._waiting = 0
         self._slots = anyio.Semaphore(searcher.slots)
@@ -65,7 +71,8 @@
     async def answer(self) -> SearcherResponse:
         """Wait for a slot and work."""
         self.arrivals += 1
-        if self._waiting >= self._queue:
+        is_refused = self._random.random() < self._refused_share
+        if is_refused or self._waiting >= self._queue:
             return self._respond(_STATUS_FULL)
         self._waiting += 1
         try:
@@ -192,7 +199,7 @@
             self._calls,
             ExtraSendBudget(_BUDGET, clock),
             mock.create_autospec(Admission, instance=True),
-            lambda: 1,
+            lambda: 1.0,
             source,
             ServingTerms(),
         )
