Share a searcher's connections among the VMs

Each VM opened as many as it had requests; ConnectionTerms.used_share was never read.

Change: a VM sends to a searcher without a free connection of its part only when nothing else is left. The part follows ServingShares, so VMs without callers keep little. The arguments of the cost became a type.

--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -263,6 +263,10 @@
     ) -> None:
         bounds = self.settings.bounds
         clock = self.clock
+        find_share = ServingShares(
+            self.members,
+            self.directory_terms,
+        ).find_own
         self._home = QuotaHome(
             self.book,
             self.members,
@@ -298,6 +302,7 @@
                 evidence,
                 clock,
                 source,
+                find_share,
                 ChoiceTerms(),
             ),
             evidence,
@@ -318,7 +323,7 @@
                 clock,
             ),
             self._admission,
-            ServingShares(self.members, self.directory_terms).find_own,
+            find_share,
             source,
             ServingTerms(),
         )
--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from jacinthcart.routing._budget import BudgetTerms, ExtraSendBudget
 from jacinthcart.routing._call import Attempt, CallContext, SearcherCalls
-from jacinthcart.routing._choice import ChoiceTerms, estimate_cost_s
+from jacinthcart.routing._choice import Candidate, ChoiceTerms, estimate_cost_s
 from jacinthcart.routing._codec import (
     BaseSearcherCodec,
     CallerRequest,
@@ -21,6 +21,7 @@
     'BudgetTerms',
     'CallContext',
     'CallerRequest',
+    'Candidate',
     'ChoiceTerms',
     'ConnectionTerms',
     'QuantileTerms',
--- a/jacinthcart/routing/_choice.py
+++ b/jacinthcart/routing/_choice.py
@@ -20,6 +20,26 @@
     failed_target_share: float = 2.0
     #: Part of the usual latency that a cold searcher costs more.
     cold_share: float = 0.6
+    #: Part of a searcher's connections that the fleet uses together; it
+    #: accepts fewer than it states while its queue is long.
+    connections_share: float = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """A searcher as this VM sees it now."""
+
+    #: Evidence about the searcher's process.
+    evidence: SearcherEvidence
+    #: Requests that it runs at once.
+    slots: int
+    #: Whether it stands in another data centre.
+    is_far: bool
+    #: Whether its cold start goes on.
+    is_cold: bool
+    #: Whether this VM may open another connection to it; the searcher
+    #: resets what comes beyond its limit.
+    has_connection: bool
 
 
 def estimate_latency_s(
@@ -44,29 +64,29 @@
 
 
 def estimate_cost_s(
-    evidence: SearcherEvidence,
+    candidate: Candidate,
     *,
     now: float,
     usual_s: float,
     target_s: float,
-    slots: int,
-    is_far: bool,
-    is_cold: bool,
     terms: ChoiceTerms,
 ) -> float:
     """Return the expected latency in seconds, penalties included."""
+    evidence = candidate.evidence
     cost_s = estimate_latency_s(
         evidence,
         now=now,
         usual_s=usual_s,
-        slots=slots,
+        slots=candidate.slots,
     )
     failed_share = evidence.find_failed_share(now)
     cost_s += failed_share * target_s * terms.failed_target_share
-    if is_far:
+    if candidate.is_far:
         cost_s += target_s * terms.far_target_share
-    if is_cold:
+    if candidate.is_cold:
         cost_s += usual_s * terms.cold_share
+    if not candidate.has_connection:
+        cost_s += _PAUSED_COST_S
     if evidence.paused_until > now:
         cost_s += _PAUSED_COST_S + (evidence.paused_until - now)
     return cost_s
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -37,8 +37,6 @@
     #: Seconds of idleness after which a connection is too old for a request
     #: that may run only once: the searcher may have dropped it.
     fresh_s: float = 0.4
-    #: Part of a searcher's connections that the fleet uses together.
-    used_share: float = 0.8
 
 
 class _ResponseParser:
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -1,12 +1,13 @@
 """The searchers of each service, with evidence and cold allowances."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
-from jacinthcart.catalogue import CatalogueBook, Searcher
+from jacinthcart.catalogue import CatalogueBook, Searcher, ServiceTerms
 from jacinthcart.fleet import MemberTable
 from jacinthcart.program import Clock
 from jacinthcart.routing._choice import (
+    Candidate,
     ChoiceTerms,
     estimate_cost_s,
     estimate_latency_s,
@@ -35,14 +36,17 @@
         evidence: Evidence,
         clock: Clock,
         random_source: random.Random,
+        find_share: Callable[[], float],
         terms: ChoiceTerms,
     ) -> None:
-        """Keep the collaborators."""
+        """Keep the collaborators; `find_share` returns this VM's part, from
+        0 to 1, of what the fleet may use together."""
         self._book = book
         self._members = members
         self._evidence = evidence
         self._clock = clock
         self._random = random_source
+        self._find_share = find_share
         self._terms = terms
         self._cold_until: dict[tuple[str, int], float] = {}
         self._next_cold_send: dict[tuple[str, int], float] = {}
@@ -99,14 +103,19 @@
         usual_s: float,
         target_s: float,
     ) -> float:
+        evidence = self.find_evidence(searcher)
+        limit = self._find_connections(searcher)
         cost_s = estimate_cost_s(
-            self.find_evidence(searcher),
+            Candidate(
+                evidence=evidence,
+                slots=searcher.slots,
+                is_far=searcher.data_centre != self._members.own.data_centre,
+                is_cold=self.is_cold(searcher, now),
+                has_connection=evidence.in_flight < limit,
+            ),
             now=now,
             usual_s=usual_s,
             target_s=target_s,
-            slots=searcher.slots,
-            is_far=searcher.data_centre != self._members.own.data_centre,
-            is_cold=self.is_cold(searcher, now),
             terms=self._terms,
         )
         return cost_s * (1 + _JITTER * self._random.random())
@@ -127,11 +136,21 @@
             self._next_cold_send[searcher.process] = next_send
 
     def _find_cold_rate(self, searcher: Searcher) -> float:
+        terms = self._find_terms(searcher)
+        return terms.cold_rate_per_s if terms else 0
+
+    def _find_connections(self, searcher: Searcher) -> int:
+        terms = self._find_terms(searcher)
+        if terms is None:
+            return 1
+        share = self._terms.connections_share * self._find_share()
+        return max(1, int(terms.max_connections * share))
+
+    def _find_terms(self, searcher: Searcher) -> ServiceTerms | None:
         catalogue = self._book.catalogue
         if catalogue is None:
-            return 0
-        terms = catalogue.services_by_name.get(searcher.service)
-        return terms.cold_rate_per_s if terms else 0
+            return None
+        return catalogue.services_by_name.get(searcher.service)
 
     def _note_searchers(self) -> None:
         now = self._clock()
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -39,6 +39,7 @@
             self.evidence,
             self.clock,
             random.Random(1),
+            lambda: 0.1,
             ChoiceTerms(),
         )
         self.near = create_searcher('near')
@@ -102,6 +103,15 @@
         self.clock.move(1)
         self.assertEqual(self._choose(), 'far')
 
+    def test_searcher_without_a_free_connection_is_left(self) -> None:
+        """All VMs together must stay below what it accepts."""
+        self.book.put_catalogue(create_catalogue(create_route('a')))
+        found = self.table.find_evidence(self.near)
+        found.started_at_by_attempt[1] = self.clock()
+        self.assertEqual(self._choose(), 'near')
+        found.started_at_by_attempt[2] = self.clock()
+        self.assertEqual(self._choose(), 'far')
+
     def test_new_process_of_a_failed_searcher_is_not_blamed(self) -> None:
         """Evidence belongs to a process, not to an id."""
         self.evidence.note_failure(self.table.find_evidence(self.near))
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -187,7 +187,15 @@
         by_id = {one.searcher.searcher_id: one for one in searchers}
         self._calls = SearcherCalls(
             _Pools(by_id, clock),
-            RoutingTable(book, members, evidence, clock, source, ChoiceTerms()),
+            RoutingTable(
+                book,
+                members,
+                evidence,
+                clock,
+                source,
+                lambda: 1.0,
+                ChoiceTerms(),
+            ),
             evidence,
             QuantileTracker(),
             mock.create_autospec(BaseSearcherCodec, instance=True),
