Hedge in time for the target; let resends wait for budget until it

When answers were lost on 67 searchers, a resend without budget ended its part at once; two of 36 such parts ended the query with 502.

Change: a hedge leaves at the latest two usual latencies before the target. A resend without budget waits, and is tried each 20 ms until the target; after it the request ends at once. The outcome that decided is kept for the log instead of "all refused".

A refused request whose budget comes 40 ms later is answered now (tests/serving/test_hedging.py).

--- a/jacinthcart/serving/__init__.py
+++ b/jacinthcart/serving/__init__.py
@@ -6,6 +6,7 @@
     Admitted,
 )
 from jacinthcart.serving._caller_age import CallerAges, CallerAgeTerms
+from jacinthcart.serving._hedging import SendTerms, find_hedge_delay_s
 from jacinthcart.serving._policy import (
     AnswerPolicy,
     AnswerTerms,
@@ -18,7 +19,7 @@
     SendReport,
     ServedAnswer,
 )
-from jacinthcart.serving._service_run import SendTerms, ServiceRun
+from jacinthcart.serving._service_run import ServiceRun
 
 __all__ = [
     'Admission',
@@ -36,5 +37,6 @@
     'ServedAnswer',
     'ServiceRun',
     'ServingTerms',
+    'find_hedge_delay_s',
     'merge_records',
 ]
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -17,6 +17,7 @@
 )
 from jacinthcart.serving._admission import Admission, Admitted
 from jacinthcart.serving._caller_age import CallerAges
+from jacinthcart.serving._hedging import SendTerms
 from jacinthcart.serving._policy import (
     AnswerPolicy,
     AnswerTerms,
@@ -28,7 +29,7 @@
     SendReport,
     ServedAnswer,
 )
-from jacinthcart.serving._service_run import SendTerms, ServiceRun
+from jacinthcart.serving._service_run import ServiceRun
 
 _RETRY_MS = 100
 #: For requests to one service: there is nothing to answer without.
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -1,6 +1,5 @@
 """One request at one service: first send, resends and a hedge."""
 
-import dataclasses
 import math
 from collections.abc import Callable
 
@@ -15,27 +14,10 @@
     SearcherResponse,
 )
 from jacinthcart.serving._candidates import Candidates
+from jacinthcart.serving._hedging import SendTerms, find_hedge_delay_s
 from jacinthcart.serving._policy import HoldPolicy
 
 
-@dataclasses.dataclass(frozen=True)
-class SendTerms:
-    """When a request is sent again."""
-
-    #: Quantile of the route's latencies after which a hedge is sent.
-    hedge_quantile: float = 0.9
-    #: A hedge waits at least this many usual latencies.
-    hedge_usual: float = 1.4
-    #: Seconds that a hedge waits at least.
-    hedge_least_s: float = 0.002
-    #: Part of the budget that hedges leave to resends after failures.
-    hedge_reserve: float = 0.3
-    #: Sends of one request at most, refused ones included.
-    sends: int = 5
-    #: Seconds until another try when every searcher refused.
-    retry_s: float = 0.02
-
-
 class ServiceRun:
     """Carries one request to an answer of one service.
 
@@ -73,6 +55,8 @@
         self._arrivals = 0
         self._sends = 0
         self._has_hedged = False
+        self._last_outcome = Outcome(OutcomeKind.NOT_RUN, 'not sent')
+        self._target_at = context.request.received_at + context.route.target_s
 
     @property
     def is_done(self) -> bool:
@@ -108,8 +92,7 @@
         elif not self.was_sent:
             self._send_first()
         else:
-            self._candidates.met.clear()
-            self._resend(Outcome(OutcomeKind.NOT_RUN, 'all refused'))
+            self._resend(self._last_outcome)
 
     def abandon(self) -> None:
         """Stop waiting for sends whose answers are not needed."""
@@ -187,6 +170,7 @@
             self._resend(outcome)
 
     def _resend(self, outcome: Outcome) -> None:
+        self._last_outcome = outcome
         route = self._context.route
         now = self._calls.clock()
         is_spent = (
@@ -200,19 +184,31 @@
             return
         searcher = self._candidates.choose(allows_paused=True)
         if searcher is None:
-            self._wait_or_fail(outcome, now)
+            is_refused = (
+                outcome.kind is OutcomeKind.NOT_RUN and outcome.was_sent
+            )
+            may_wait = is_refused and bool(self._candidates.met)
+            self._candidates.met.clear()
+            self._wait_or_fail(outcome, now, may_wait=may_wait)
             return
         is_extra = self._arrivals > 0
         share = self._find_share()
         if is_extra and not self._budget.take(self.service, share):
-            self.failure = outcome
+            # Other requests earn budget meanwhile. After the target an
+            # answer brings little, so the request ends at once.
+            may_wait = now + self._terms.retry_s < self._target_at
+            self._wait_or_fail(outcome, now, may_wait=may_wait)
             return
         self._send(searcher)
 
-    def _wait_or_fail(self, outcome: Outcome, now: float) -> None:
-        has_others = bool(self._candidates.met)
-        is_refused = outcome.kind is OutcomeKind.NOT_RUN and outcome.was_sent
-        if has_others and is_refused:
+    def _wait_or_fail(
+        self,
+        outcome: Outcome,
+        now: float,
+        *,
+        may_wait: bool,
+    ) -> None:
+        if may_wait:
             self.wake_at = now + self._terms.retry_s
         else:
             self.failure = outcome
@@ -226,14 +222,10 @@
             self._on_end,
         )
         self._pending.append(attempt)
-        route = self._context.route
-        if route.is_idempotent and not self._has_hedged:
-            usual_s = self._calls.usual_s(route)
-            delay_s = self._calls.delays.quantile_s(
-                route.name,
-                self._terms.hedge_quantile,
-                2 * usual_s,
+        if self._context.route.is_idempotent and not self._has_hedged:
+            self.wake_at = attempt.started_at + find_hedge_delay_s(
+                self._calls,
+                self._context.route,
+                self._target_at - attempt.started_at,
+                self._terms,
             )
-            least_s = usual_s * self._terms.hedge_usual
-            delay_s = max(delay_s, least_s, self._terms.hedge_least_s)
-            self.wake_at = attempt.started_at + delay_s
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -164,7 +164,12 @@
 class Load:
     """One VM's request server over queued searchers."""
 
-    def __init__(self, route: Route, searchers: list[QueuedSearcher]) -> None:
+    def __init__(
+        self,
+        route: Route,
+        searchers: list[QueuedSearcher],
+        budget: ExtraSendBudget | None = None,
+    ) -> None:
         """Compose the real decisions; use inside a running loop."""
         clock = anyio.current_time
         logger = create_logger('test')
@@ -205,7 +210,7 @@
         )
         self._server = RequestServer(
             self._calls,
-            ExtraSendBudget(_BUDGET, clock),
+            budget or ExtraSendBudget(_BUDGET, clock),
             mock.create_autospec(Admission, instance=True),
             lambda: 1.0,
             source,
--- /dev/null
+++ b/tests/serving/test_hedging.py
@@ -0,0 +1,82 @@
+"""Tests of when a request is sent again."""
+
+import itertools
+import random
+import unittest
+from unittest import mock
+
+from jacinthcart.routing import ExtraSendBudget, SearcherCalls
+from jacinthcart.serving import SendTerms, find_hedge_delay_s
+from tests.serving.support import Load, QueuedSearcher, Results
+from tests.support import create_route, create_searcher, run_in_virtual_time
+
+_USUAL_S = 0.02
+_TERMS = SendTerms()
+
+
+def _find_delay(quantile_s: float, time_left_s: float) -> float:
+    calls = mock.create_autospec(SearcherCalls, instance=True)
+    calls.usual_s.return_value = _USUAL_S
+    calls.delays = mock.Mock()
+    calls.delays.quantile_s.return_value = quantile_s
+    return find_hedge_delay_s(calls, create_route('a'), time_left_s, _TERMS)
+
+
+class HedgeDelayTests(unittest.TestCase):
+    """A hedge follows the slow share of sends, and the target."""
+
+    def test_hedge_follows_the_quantile(self) -> None:
+        """Earlier hedges would double the load."""
+        self.assertEqual(_find_delay(0.04, 0.1), 0.04)
+
+    def test_hedge_leaves_time_for_its_answer(self) -> None:
+        """Slow searchers raise the quantile up to the target."""
+        self.assertAlmostEqual(_find_delay(0.095, 0.1), 0.1 - 2 * _USUAL_S)
+
+    def test_hedge_waits_for_the_usual_time(self) -> None:
+        """A late request must not be sent twice at once."""
+        self.assertAlmostEqual(
+            _find_delay(0.095, 0),
+            _USUAL_S * _TERMS.hedge_usual,
+        )
+
+
+async def _ask_once(refused_takes: int) -> Results:
+    budget = mock.create_autospec(ExtraSendBudget, instance=True)
+    budget.take.side_effect = [*itertools.repeat(False, refused_takes), True]
+    route = create_route(
+        'a',
+        shares=(),
+        shards=('shard-0',),
+        is_public=True,
+        min_shard_share=1,
+    )
+    searchers = [
+        QueuedSearcher(
+            create_searcher(name, data_centre=data_centre),
+            _USUAL_S,
+            random.Random(1),
+            refused_share=refused_share,
+        )
+        for name, data_centre, refused_share in (
+            ('refusing', 'near', 1),
+            ('sound', 'far', 0),
+        )
+    ]
+    load = Load(route, searchers, budget)
+    await load.play(1, 0.1)
+    return load.results
+
+
+class BudgetTests(unittest.TestCase):
+    """A resend waits for budget while the target is ahead."""
+
+    def test_refused_request_waits_for_budget(self) -> None:
+        """Other requests earn it within milliseconds."""
+        results = run_in_virtual_time(_ask_once, 2)
+        self.assertEqual(results.refused, 0)
+
+    def test_request_ends_when_no_budget_comes(self) -> None:
+        """It must not be held until its deadline."""
+        results = run_in_virtual_time(_ask_once, 20)
+        self.assertEqual(results.refused, 1)
