--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -2,8 +2,8 @@
 
 import itertools
 import random
-import unittest
-from unittest import mock
+
+from unittest import TestCase, mock
 
 from jacinthcart.routing import ExtraSendBudget, SearcherCalls
 from jacinthcart.serving import SendTerms, find_hedge_delay_s
@@ -22,7 +22,7 @@
     return find_hedge_delay_s(calls, create_route('a'), time_left_s, _TERMS)
 
 
-class HedgeDelayTests(unittest.TestCase):
+class HedgeDelayTests(TestCase):
     """A hedge follows the slow share of sends, and the target."""
 
     def test_hedge_follows_the_quantile(self) -> None:
@@ -68,7 +68,7 @@
     return load.results
 
 
-class BudgetTests(unittest.TestCase):
+class BudgetTests(TestCase):
     """A resend waits for budget while the target is ahead."""
 
     def test_refused_request_waits_for_budget(self) -> None:
