Notice a searcher that turns cold again

Cause: found by reading. The end of a cold start was kept for the life of a searcher's process, and an announcement was counted only when none was kept, so a second cold start of the same process got the whole load.

Change: the cold time is counted once for each announcement, told apart by its number; an old announcement that stays in the catalogue changes nothing.

Before and after: test_searcher_may_turn_cold_again fails without the change.

--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -50,6 +50,7 @@
         self._terms = terms
         self._cold_until: dict[tuple[str, int], float] = {}
         self._next_cold_send: dict[tuple[str, int], float] = {}
+        self._sequence_by_process: dict[tuple[str, int], int] = {}
         book.listeners.append(self._note_searchers)
 
     def find_evidence(self, searcher: Searcher) -> SearcherEvidence:
@@ -156,12 +157,21 @@
         now = self._clock()
         processes = set()
         for searcher in self._book.searchers_by_id.values():
-            key = searcher.process
-            processes.add(key)
-            if searcher.cold_left_ms > 0 and key not in self._cold_until:
-                until = now + searcher.cold_left_ms / _MS_PER_S
-                self._cold_until[key] = until
-        for key in set(self._cold_until) - processes:
-            self._cold_until.pop(key)
+            processes.add(searcher.process)
+            self._note_cold(searcher, now)
+        for key in set(self._sequence_by_process) - processes:
+            self._sequence_by_process.pop(key)
+            self._cold_until.pop(key, None)
             self._next_cold_send.pop(key, None)
         self._evidence.forget_except(processes)
+
+    def _note_cold(self, searcher: Searcher, now: float) -> None:
+        # The time is counted from the announcement, which stays in the
+        # catalogue when its time is over. A searcher may turn cold again.
+        key = searcher.process
+        if self._sequence_by_process.get(key) == searcher.sequence:
+            return
+        self._sequence_by_process[key] = searcher.sequence
+        if searcher.cold_left_ms > 0:
+            until = now + searcher.cold_left_ms / _MS_PER_S
+            self._cold_until[key] = until
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -143,6 +143,32 @@
             self.clock.move(0.01)
         self.assertLessEqual(sent, 2)
 
+    def test_searcher_may_turn_cold_again(self) -> None:
+        """A second cold start would get the whole load."""
+        for sequence in (2, 3):
+            self._announce_cold(sequence)
+            self.assertTrue(self._is_cold())
+            self.clock.move(4)
+            self.assertFalse(self._is_cold())
+
+    def test_old_announcement_does_not_prolong_the_cold_start(self) -> None:
+        """Its entry stays in the catalogue when the searcher is warm."""
+        self._announce_cold(2)
+        self.assertTrue(self._is_cold())
+        self.clock.move(4)
+        self.book.put_searchers({'other': create_searcher('other')})
+        self.assertFalse(self._is_cold())
+
+    def _announce_cold(self, sequence: int) -> None:
+        cold = create_searcher('near', cold_left_ms=3000, sequence=sequence)
+        self.book.put_searchers({'near': cold})
+
+    def _is_cold(self) -> bool:
+        return self.table.is_cold(
+            self.book.searchers_by_id['near'],
+            self.clock(),
+        )
+
     def _choose(self) -> str | None:
         chosen = self.table.choose('shard-0', (), _USUAL_S, _TARGET_S)
         return chosen.searcher_id if chosen else None
