Refuse queries whose shards have no searchers before anything is sent

Cause: a query of which too many shards had no searcher at all was sent to the others first and refused after that, so it took their room, its connections were closed for the cancellation, and the refusal could not promise that nothing had run.

Change: such a query is refused at once with Retry-After, as not run.

Tried and left out: counting a searcher that stays silent for five usual latencies as failed.

--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -84,6 +84,10 @@
         self._count_cold_send(best, now)
         return best
 
+    def has_searchers(self, service: str) -> bool:
+        """Return whether any searcher of a service is in use."""
+        return bool(self._book.list_searchers(service))
+
     def estimate_latency_s(self, searcher: Searcher, usual_s: float) -> float:
         """Return the latency in seconds that a request sent now would have."""
         return estimate_latency_s(
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -32,6 +32,8 @@
 from jacinthcart.serving._service_run import ServiceRun
 
 _RETRY_MS = 100
+#: Searchers announce themselves about each second.
+_UNSERVED_RETRY_MS = 300
 #: For requests to one service: there is nothing to answer without.
 _NEVER_HOLD = HoldPolicy(0, 0)
 
@@ -160,6 +162,7 @@
             route.min_shard_share,
             self._find_answer_time(context.request, route),
         )
+        self._check_shards(route, policy)
         hold_policy = HoldPolicy(policy.spare_parts, policy.answer_at)
         runs = [
             self._create_run(context, service, hold_policy, wakeup)
@@ -178,6 +181,22 @@
             run.abandon()
         return answer
 
+    def _check_shards(self, route: Route, policy: AnswerPolicy) -> None:
+        # Nothing is sent for a query that can't be answered: its parts
+        # would only take room from others.
+        table = self._calls.table
+        unserved = [
+            service
+            for service in route.shards
+            if not table.has_searchers(service)
+        ]
+        if policy.is_hopeless(len(unserved)):
+            raise RefusalError(
+                RefusalCode.OVERLOADED,
+                detail=f'no searcher of {", ".join(unserved)}',
+                retry_after_ms=_UNSERVED_RETRY_MS,
+            )
+
     async def _collect(
         self,
         context: CallContext,
--- a/tests/serving/test_overload.py
+++ b/tests/serving/test_overload.py
@@ -138,3 +138,22 @@
             )
             most = results.total * (1 + _EXTRA_RATIO) + _EXTRA_SLACK
             self.assertLessEqual(arrivals, most)
+
+
+async def _play_unserved() -> tuple[Results, list[QueuedSearcher]]:
+    searchers = [
+        searcher
+        for searcher in _create_calm_searchers(but=_SHARDS[3])
+        if searcher.searcher.service != _SHARDS[4]
+    ]
+    return await _play(searchers), searchers
+
+
+class UnservedShardsTests(unittest.TestCase):
+    """Two shards have no searcher, and one part may be missing."""
+
+    def test_nothing_is_sent_for_queries_without_hope(self) -> None:
+        """Their parts would take room from other queries."""
+        results, searchers = run_in_virtual_time(_play_unserved)
+        self.assertEqual(results.refused, results.total)
+        self.assertEqual(sum(one.arrivals for one in searchers), 0)
