--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -68,8 +68,15 @@
     ) -> Searcher | None:
         """Return the cheapest searcher that may get a request now."""
         now = self._clock()
+        connections = self._find_connections(service)
         cost_s_by_searcher = {
-            searcher: self._estimate_s(searcher, now, usual_s, target_s)
+            searcher: self._estimate_s(
+                searcher,
+                now,
+                usual_s,
+                target_s,
+                connections,
+            )
             for searcher in self._book.list_searchers(service)
             if searcher.searcher_id not in excluded
             and self._may_send(searcher, now)
@@ -107,16 +114,16 @@
         now: float,
         usual_s: float,
         target_s: float,
+        connections: int,
     ) -> float:
         evidence = self.find_evidence(searcher)
-        limit = self._find_connections(searcher)
         cost_s = estimate_cost_s(
             Candidate(
                 evidence=evidence,
                 slots=searcher.slots,
                 is_far=searcher.data_centre != self._members.own.data_centre,
                 is_cold=self.is_cold(searcher, now),
-                has_connection=evidence.in_flight < limit,
+                has_connection=evidence.in_flight < connections,
             ),
             now=now,
             usual_s=usual_s,
@@ -141,21 +148,21 @@
             self._next_cold_send[searcher.process] = next_send
 
     def _find_cold_rate(self, searcher: Searcher) -> float:
-        terms = self._find_terms(searcher)
+        terms = self._find_terms(searcher.service)
         return terms.cold_rate_per_s if terms else 0
 
-    def _find_connections(self, searcher: Searcher) -> int:
-        terms = self._find_terms(searcher)
+    def _find_connections(self, service: str) -> int:
+        terms = self._find_terms(service)
         if terms is None:
             return 1
         share = self._terms.connections_share * self._find_share()
         return max(1, int(terms.max_connections * share))
 
-    def _find_terms(self, searcher: Searcher) -> ServiceTerms | None:
+    def _find_terms(self, service: str) -> ServiceTerms | None:
         catalogue = self._book.catalogue
         if catalogue is None:
             return None
-        return catalogue.services_by_name.get(searcher.service)
+        return catalogue.services_by_name.get(service)
 
     def _note_searchers(self) -> None:
         now = self._clock()
