Keep a crashed searcher of the soak away

Change: it is announced only if it still runs.

Before and after: the new test fails without the change.

--- a/jacinthcart_lab/soak/_faults.py
+++ b/jacinthcart_lab/soak/_faults.py
@@ -146,7 +146,9 @@
         self._note(f'searcher {searcher_id} drains and returns')
         self._deployment.announce(searcher_id, 'draining')
         await anyio.sleep(self._random.uniform(1, 4))
-        self._deployment.announce(searcher_id)
+        # It may have crashed meanwhile; its successor has another id.
+        if searcher_id in self._deployment.searchers_by_id:
+            self._deployment.announce(searcher_id)
 
     async def _crash_searcher(self, tasks: TaskGroup) -> None:
         deployment = self._deployment
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -5,12 +5,18 @@
 """
 
 import dataclasses
-import unittest
+import random
+from unittest import TestCase, mock
+
+import anyio
 
 from jacinthcart.serving import merge_records
 from jacinthcart_emulator.platform_searcher import Execution, create_part
+from jacinthcart_lab.platform_deployment import PlatformDeployment
 from jacinthcart_lab.soak import SoakTerms, run_soak
 from jacinthcart_lab.soak._checks import Call, check_calls
+from jacinthcart_lab.soak._faults import SoakFaults
+from tests.support import run_in_virtual_time
 
 _SHARDS = ['shard0', 'shard1']
 _KEY_BOUND_S = 3.0
@@ -48,7 +54,7 @@
     return check_calls(calls, executions, _SHARDS, revoked, _KEY_BOUND_S)
 
 
-class CheckCallsTests(unittest.TestCase):
+class CheckCallsTests(TestCase):
     """Each promise is checked from outside of the system."""
 
     def test_whole_answers_break_nothing(self) -> None:
@@ -91,7 +97,26 @@
         self.assertTrue(check([], [create_execution('r9')]))
 
 
-class SoakTests(unittest.TestCase):
+class SoakFaultsTests(TestCase):
+    """Faults overlap."""
+
+    def test_searcher_that_crashes_while_it_drains_stays_away(self) -> None:
+        """Seed 3012 ended the soak when the drained searcher returned."""
+        run_in_virtual_time(self._crash_while_draining)
+
+    async def _crash_while_draining(self) -> None:
+        deployment = mock.create_autospec(PlatformDeployment, instance=True)
+        deployment.searchers_by_id = {'shard0-2': mock.Mock()}
+        faults = SoakFaults(deployment, [], random.Random(1))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(faults._drain_searcher)
+            await anyio.sleep(0.1)
+            deployment.searchers_by_id.clear()
+        states = [call.args[1:] for call in deployment.announce.call_args_list]
+        self.assertEqual(states, [('draining',)])
+
+
+class SoakTests(TestCase):
     """Real processes keep the promises under a seeded series of faults."""
 
     def test_short_soak_breaks_nothing(self) -> None:
