--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -15,7 +15,6 @@
 from jacinthcart.routing import (
     BaseSearcherCodec,
     BudgetTerms,
-    CallerRequest,
     ChoiceTerms,
     ConnectionTerms,
     Evidence,
@@ -35,7 +34,11 @@
     ServingTerms,
 )
 from jacinthcart.telemetry import Metrics, create_logger
-from tests.support import create_catalogue, create_member
+from tests.support import (
+    create_catalogue,
+    create_member,
+    create_request,
+)
 
 _SPREAD = 0.35
 _STATUS_FULL = 503
@@ -230,21 +233,9 @@
 
     async def _ask(self) -> None:
         now = anyio.current_time()
-        request = CallerRequest(
-            request_id='1',
-            method='GET',
-            target='/a/',
-            host='shop.example',
-            path='/a/',
-            headers=(),
-            body=b'',
-            credential=None,
-            received_at=now,
-            deadline=now + 1,
-        )
         try:
             answer = await self._server.serve(
-                request,
+                create_request(now),
                 Admitted(self._route, None),
             )
         except RefusalError:
--- a/tests/serving/test_caller_age.py
+++ b/tests/serving/test_caller_age.py
@@ -2,28 +2,13 @@
 
 import unittest
 
-from jacinthcart.routing import CallerRequest
 from jacinthcart.serving import CallerAges
+from tests.support import create_request
 
 _LIMIT_S = 1.0
 _TARGET_S = 0.1
 
 
-def _create_request(limit_s: float) -> CallerRequest:
-    return CallerRequest(
-        request_id='1',
-        method='GET',
-        target='/a/',
-        host='shop.example',
-        path='/a/',
-        headers=(),
-        body=b'',
-        credential=None,
-        received_at=100,
-        deadline=100 + limit_s,
-    )
-
-
 class CallerAgesTests(unittest.TestCase):
     """A shorter time limit than usual shows time that a caller spent."""
 
@@ -52,9 +37,9 @@
 
     def test_unknown_route_has_no_usual_limit(self) -> None:
         """The first requests of a process must not be misjudged."""
-        request = _create_request(_LIMIT_S - 0.015)
+        request = create_request(0, _LIMIT_S - 0.015)
         self.assertEqual(self.ages.find_age_s(request, 'b', _TARGET_S), 0)
 
     def _find_age(self, limit_s: float) -> float:
-        request = _create_request(limit_s)
+        request = create_request(0, limit_s)
         return self.ages.find_age_s(request, 'a', _TARGET_S)
--- a/tests/support.py
+++ b/tests/support.py
@@ -14,6 +14,7 @@
     WorkspaceTerms,
 )
 from jacinthcart.fleet import MemberRecord, MemberState
+from jacinthcart.routing import CallerRequest
 from jacinthcart_lab import _virtual_time as virtual_time
 
 
@@ -74,6 +75,22 @@
     return Searcher(**{**fields, **changes})
 
 
+def create_request(received_at: float, limit_s: float = 1) -> CallerRequest:
+    """Return a request whose caller waits `limit_s` seconds more."""
+    return CallerRequest(
+        request_id='1',
+        method='GET',
+        target='/a/',
+        host='shop.example',
+        path='/a/',
+        headers=(),
+        body=b'',
+        credential=None,
+        received_at=received_at,
+        deadline=received_at + limit_s,
+    )
+
+
 def create_route(name: str, **changes: Any) -> Route:
     """Return an idempotent route of one service."""
     fields: dict[str, Any] = {
