Say in the log what a part without a send in flight waits for

Cause: an answer that left while a part waited for budget logged "no answer of" without a searcher.

Change: the line gives the last outcome.

Before and after: log text only.

--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -74,6 +74,9 @@
             return f'{self.service}: {self.failure.reason}'
         if not self.was_sent:
             return f'{self.service}: held back, its searchers are overloaded'
+        if not self._pending:
+            reason = self._last_outcome.reason
+            return f'{self.service}: {reason}, waits to be sent again'
         waiting = [attempt.searcher.searcher_id for attempt in self._pending]
         return f'{self.service}: no answer of {", ".join(waiting)}'
 
