Do not take a growing member list for the whole fleet

Replayed with a line for each grant: 60 % of the processes restart, and for two seconds four VMs are home of the workspace at once. Three of them knew 15, 28 and 30 of 75 members, counted these as the fleet and granted the whole rate; eight were assumed at least, which is too few for a large fleet.

Ruled out: a second home by rank (the homes are different first ones of short lists), and the parts of single VMs (none was granted).

Change: in the first 8 s of a process, until no new member came for 1 s, three unknown members are assumed for each known one beyond eight. The pace of messages follows the known members, as before.

--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -38,6 +38,13 @@
     settle_s: float = 3.0
     #: Members assumed while the fleet may be larger than known.
     settle_members: int = 8
+    #: Seconds after the start in which the list of a large fleet may grow.
+    growth_s: float = 8.0
+    #: Seconds without a new member after which the list is complete.
+    quiet_s: float = 1.0
+    #: Unknown members assumed for each known one beyond `settle_members`
+    #: while the list grows.
+    growth_factor: int = 3
 
 
 @dataclasses.dataclass
@@ -81,6 +88,7 @@
         self._recent: collections.deque[_Entry] = collections.deque()
         self._view: _View | None = None
         self._started_at = clock()
+        self._grown_at = self._started_at
 
     def merge(self, record: MemberRecord) -> None:
         """Take a record unless a newer one is known."""
@@ -91,6 +99,8 @@
         if entry is not None and not _is_newer(record, entry.record):
             return
         changed = _Entry(record, self._clock())
+        if entry is None:
+            self._grown_at = changed.changed_at
         self._entry_by_address[record.address] = changed
         self._recent.append(changed)
         self._view = None
@@ -157,12 +167,19 @@
     def count_members(self) -> int:
         """Return how many VMs may hold rights, silent ones included.
 
-        A process that has just started assumes a fleet of some size until
-        it had time to find the others.
+        A process that has just started assumes a larger fleet than it knows
+        until it had time to find the others: several new homes of one
+        workspace would otherwise each grant its whole rate.
         """
-        counted = len(self._find_view().counted)
-        if self._clock() - self._started_at < self._terms.settle_s:
-            return max(counted, self._terms.settle_members)
+        terms = self._terms
+        counted = len(self.list_counted())
+        now = self._clock()
+        age_s = now - self._started_at
+        if age_s < terms.growth_s and now - self._grown_at < terms.quiet_s:
+            beyond = max(0, counted - terms.settle_members)
+            counted += beyond * terms.growth_factor
+        if age_s < terms.settle_s:
+            return max(counted, terms.settle_members)
         return counted
 
     @property
@@ -226,5 +243,5 @@
     A message costs each VM the same, but a large fleet has more of them on
     links that are priced, and its bounds are longer.
     """
-    share = members.count_members() / _PACE_MEMBERS
+    share = len(members.list_counted()) / _PACE_MEMBERS
     return max(1.0, min(_SLOWEST_PACE, share))
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -80,3 +80,18 @@
             MemberTerms(),
         )
         self.assertEqual(members.count_members(), 8)
+
+    def test_growing_list_is_not_taken_for_the_whole_fleet(self) -> None:
+        """New processes of a large fleet each granted a whole limit."""
+        members = MemberTable(
+            create_member('10.0.0.1'),
+            self.clock,
+            create_logger('test'),
+            MemberTerms(),
+        )
+        self.clock.move(4)
+        for number in range(2, 31):
+            members.merge(create_member(f'10.0.0.{number}'))
+        self.assertLess(members.alive_share, 0.5)
+        self.clock.move(MemberTerms().quiet_s)
+        self.assertEqual(members.alive_share, 1)
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -8,6 +8,7 @@
 
 from jacinthcart.catalogue import CatalogueBook
 from jacinthcart.fleet import (
+    MemberRecord,
     MemberTable,
     MemberTerms,
 )
@@ -27,6 +28,14 @@
 _BOUND = (_RATE * _WINDOW_S + _RATE) * 1.25 + 20
 
 
+#: Members that a new process learns in half a second.
+_LEARNED = 12
+
+
+def _create_records(count: int) -> list[MemberRecord]:
+    return [create_member(f'10.0.0.{number}') for number in range(count)]
+
+
 class _Net:
     """Delivers datagrams between VMs of one side of a split."""
 
@@ -63,10 +72,14 @@
         logger = create_logger('test')
         metrics = Metrics()
         book = CatalogueBook(clock, logger)
-        records = [create_member(f'10.0.0.{number}') for number in range(count)]
-        own = next(one for one in records if one.address == address)
-        self.members = MemberTable(own, clock, logger, MemberTerms(settle_s=0))
-        for record in records:
+        terms = MemberTerms(settle_s=0, growth_s=0) if count else MemberTerms()
+        self.members = MemberTable(
+            create_member(address),
+            clock,
+            logger,
+            terms,
+        )
+        for record in _create_records(count):
             self.members.merge(record)
         home = QuotaHome(book, self.members, clock, metrics, QuotaTerms())
         self.client = QuotaClient(
@@ -80,6 +93,34 @@
         book.put_catalogue(create_catalogue(create_route('a'), rate=_RATE))
 
 
+class _RestartedVm(_Vm):
+    """A VM whose new process finds the others little by little."""
+
+    def __init__(
+        self,
+        net: _Net,
+        address: str,
+        count: int,
+        source: random.Random,
+    ) -> None:
+        super().__init__(net, address, 0)
+        self._source = source
+        self._unknown = [
+            record
+            for record in _create_records(count)
+            if record.address != address
+        ]
+        source.shuffle(self._unknown)
+
+    async def join(self) -> None:
+        """Learn a few members each half second, as in a large fleet."""
+        while self._unknown:
+            for _ in range(_LEARNED):
+                if self._unknown:
+                    self.members.merge(self._unknown.pop())
+            await anyio.sleep(0.5)
+
+
 class AllotmentTests(unittest.TestCase):
     """Counted at the callers, over every window."""
 
@@ -104,6 +145,37 @@
         granted = run_in_virtual_time(_play, 8, 6 * _RATE, 8, tuple(range(8)))
         self.assertLessEqual(_find_most(granted), _BOUND)
 
+    def test_restarted_vms_of_a_large_fleet_stay_within_the_rate(self) -> None:
+        """New processes with short lists each took themselves for the home."""
+        granted = run_in_virtual_time(_play_restart)
+        self.assertLessEqual(_find_most(granted), _BOUND)
+
+
+async def _play_restart() -> list[float]:
+    source = random.Random(4)
+    net = _Net()
+    count = 75
+    for number in range(count):
+        _Vm(net, f'10.0.0.{number}', count)
+    granted: list[float] = []
+    await anyio.sleep(5)
+
+    async def ask(vm: _Vm) -> None:
+        if await vm.client.take('mill'):
+            granted.append(anyio.current_time())
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(45):
+            vm = _RestartedVm(net, f'10.0.0.{number}', count, source)
+            tasks.start_soon(vm.join)
+        until = anyio.current_time() + 10
+        while anyio.current_time() < until:
+            # Callers use eight VMs, which all have restarted.
+            entry = net.vms[f'10.0.0.{source.randrange(8)}']
+            tasks.start_soon(ask, entry)
+            await anyio.sleep(source.expovariate(6 * _RATE))
+    return granted
+
 
 async def _play(
     count: int,
