Let the budget know its share; choose among usable searchers at once

Cause: read through the whole change. The VM's share of the slack was handed through the request server and each service run only to be passed back to the budget with every call. A choice for a hedge estimated paused searchers first and dropped them after that. ServingShares counted the members twice.

Change: ExtraSendBudget takes find_share once; paused searchers are left out before they are estimated; the count is kept. The tests keep their assertions; the budget's tests give the share at creation.

Before and after: no change of behaviour meant.

--- a/jacinthcart/directory/_share.py
+++ b/jacinthcart/directory/_share.py
@@ -29,8 +29,9 @@
             self._computed_for = records
             self._share = self._compute(records)
         # More members are assumed than known just after a start.
-        if self._members.count_members() > len(records):
-            return min(self._share, 1 / self._members.count_members())
+        assumed = self._members.count_members()
+        if assumed > len(records):
+            return min(self._share, 1 / assumed)
         return self._share
 
     def _compute(self, records: list[MemberRecord]) -> float:
--- a/jacinthcart/routing/_budget.py
+++ b/jacinthcart/routing/_budget.py
@@ -1,6 +1,7 @@
 """Budget of sends beyond the first of each request, for each service."""
 
 import dataclasses
+from collections.abc import Callable
 
 from jacinthcart.program import Clock
 
@@ -26,34 +27,40 @@
     Each first send earns the ratio, and the bucket never holds more than
     the VM's part of the slack. So in any window the fleet's extra sends
     stay within ratio x first sends + slack, with no message between VMs.
-    `share` is this VM's part of the fleet's slack, above 0 and at most 1.
     """
 
-    def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
+    def __init__(
+        self,
+        terms: BudgetTerms,
+        find_share: Callable[[], float],
+        clock: Clock,
+    ) -> None:
         """Start with one extra send a service.
 
-        A predecessor of this process may have used all in the same window.
+        `find_share` returns this VM's part of the fleet's slack, above 0 and
+        at most 1. A predecessor of this process may have used all in the same window.
         """
         self._terms = terms
+        self._find_share = find_share
         self._clock = clock
         self._started_at = clock()
         self._tokens_by_service: dict[str, float] = {}
 
-    def earn(self, service: str, share: float) -> None:
+    def earn(self, service: str) -> None:
         """Count the first send of a request to the service."""
         terms = self._terms
-        capacity = self._find_capacity(share)
+        capacity = self._find_capacity()
         tokens = self._find_tokens(service, capacity)
         earned = terms.ratio * terms.used_share
         self._tokens_by_service[service] = min(tokens + earned, capacity)
 
-    def take(self, service: str, share: float, reserve: float = 0) -> bool:
+    def take(self, service: str, reserve: float = 0) -> bool:
         """Return whether one extra send may leave; count it.
 
         `reserve` is the part of the bucket, from 0 to 1, that is left for
         more urgent sends.
         """
-        capacity = self._find_capacity(share)
+        capacity = self._find_capacity()
         tokens = self._find_tokens(service, capacity)
         if tokens < 1 + reserve * (capacity - 1):
             return False
@@ -67,6 +74,6 @@
         is_new = self._clock() - self._started_at < self._terms.window_s
         return 1.0 if is_new else capacity
 
-    def _find_capacity(self, share: float) -> float:
+    def _find_capacity(self) -> float:
         terms = self._terms
-        return max(1.0, terms.slack * terms.used_share * share)
+        return max(1.0, terms.slack * terms.used_share * self._find_share())
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -79,12 +79,9 @@
             )
             for searcher in self._book.list_searchers(service)
             if searcher.searcher_id not in excluded
+            and (allows_paused or not self._is_paused(searcher, now))
             and self._may_send(searcher, now)
         }
-        if not allows_paused:
-            for searcher in list(cost_s_by_searcher):
-                if self.find_evidence(searcher).paused_until > now:
-                    cost_s_by_searcher.pop(searcher)
         if not cost_s_by_searcher:
             return None
         best = min(cost_s_by_searcher, key=cost_s_by_searcher.__getitem__)
@@ -132,6 +129,9 @@
         )
         return cost_s * (1 + _JITTER * self._random.random())
 
+    def _is_paused(self, searcher: Searcher, now: float) -> bool:
+        return self.find_evidence(searcher).paused_until > now
+
     def _may_send(self, searcher: Searcher, now: float) -> bool:
         rate = self._find_cold_rate(searcher)
         if not rate or not self.is_cold(searcher, now):
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -73,7 +73,6 @@
         calls: SearcherCalls,
         budget: ExtraSendBudget,
         admission: Admission,
-        find_share: Callable[[], float],
         random_source: random.Random,
         terms: ServingTerms,
     ) -> None:
@@ -81,7 +80,6 @@
         self._calls = calls
         self._budget = budget
         self._admission = admission
-        self._find_share = find_share
         self._random = random_source
         self._terms = terms
         self._ages = CallerAges()
@@ -246,7 +244,6 @@
             service,
             self._calls,
             self._budget,
-            self._find_share,
             self._terms.send,
             hold_policy,
             wakeup.notify,
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -31,7 +31,6 @@
         service: str,
         calls: SearcherCalls,
         budget: ExtraSendBudget,
-        find_share: Callable[[], float],
         terms: SendTerms,
         hold_policy: HoldPolicy,
         on_change: Callable[[], None],
@@ -45,7 +44,6 @@
         self._context = context
         self._calls = calls
         self._budget = budget
-        self._find_share = find_share
         self._terms = terms
         self._on_change = on_change
         self.ended_sends: list[str] = []
@@ -82,7 +80,7 @@
 
     def start(self) -> None:
         """Send to the first searcher, or hold the request back."""
-        self._budget.earn(self.service, self._find_share())
+        self._budget.earn(self.service)
         self._send_first()
 
     def tick(self, now: float) -> None:
@@ -129,10 +127,8 @@
         if self._runs + len(self._pending) >= route.attempts:
             return
         searcher = self._candidates.choose(allows_paused=False)
-        share = self._find_share()
         if searcher is None or not self._budget.take(
             self.service,
-            share,
             self._terms.hedge_reserve,
         ):
             self.wake_at = now + max(
@@ -195,8 +191,7 @@
             self._wait_or_fail(outcome, now, may_wait=may_wait)
             return
         is_extra = self._arrivals > 0
-        share = self._find_share()
-        if is_extra and not self._budget.take(self.service, share):
+        if is_extra and not self._budget.take(self.service):
             # Other requests earn budget meanwhile. After the target an
             # answer brings little, so the request ends at once.
             may_wait = now + self._terms.retry_s < self._target_at
--- a/tests/routing/test_budget.py
+++ b/tests/routing/test_budget.py
@@ -11,10 +11,13 @@
 _TERMS = BudgetTerms(ratio=0.2, slack=56)
 
 
-def create_budget(age_s: float = 60) -> ExtraSendBudget:
+def create_budget(
+    age_s: float = 60,
+    members: int = 8,
+) -> ExtraSendBudget:
     """Return the budget of a process that runs since `age_s` seconds."""
     clock = ManualClock()
-    budget = ExtraSendBudget(_TERMS, clock)
+    budget = ExtraSendBudget(_TERMS, lambda: 1 / members, clock)
     clock.move(age_s)
     return budget
 
@@ -39,15 +42,15 @@
         events: list[tuple[int, bool]],
     ) -> None:
         """Each VM counts alone; the sum must hold for the fleet."""
-        budgets = [create_budget() for _ in range(members)]
+        budgets = [create_budget(members=members) for _ in range(members)]
         history = []
         for member, is_first in events:
             budget = budgets[member % members]
             if is_first:
-                budget.earn('shard-0', 1 / members)
+                budget.earn('shard-0')
                 history.append((1, 0))
             else:
-                taken = budget.take('shard-0', 1 / members)
+                taken = budget.take('shard-0')
                 history.append((0, int(taken)))
         for start in range(0, max(1, len(history) - _WINDOW)):
             window = history[start : start + _WINDOW]
@@ -59,22 +62,22 @@
     def test_restarted_process_has_little_budget(self) -> None:
         """Its predecessor may have used everything in the same window."""
         budget = create_budget(age_s=1)
-        self.assertTrue(budget.take('shard-0', 1 / 8))
-        self.assertFalse(budget.take('shard-0', 1 / 8))
+        self.assertTrue(budget.take('shard-0'))
+        self.assertFalse(budget.take('shard-0'))
 
     def test_hedges_leave_a_reserve_to_resends(self) -> None:
         """A refused request is more urgent than a slow one."""
         budget = create_budget()
         self._spend(budget, 0.5)
-        self.assertTrue(budget.take('shard-0', 1 / 8))
+        self.assertTrue(budget.take('shard-0'))
 
     def test_services_have_budgets_of_their_own(self) -> None:
         """The budget is counted for each shard."""
         budget = create_budget()
         self._spend(budget, 0)
-        self.assertTrue(budget.take('shard-1', 1 / 8))
+        self.assertTrue(budget.take('shard-1'))
 
     def _spend(self, budget: ExtraSendBudget, reserve: float) -> None:
         is_left = True
         while is_left:
-            is_left = budget.take('shard-0', 1 / 8, reserve)
+            is_left = budget.take('shard-0', reserve)
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -213,9 +213,8 @@
         )
         self._server = RequestServer(
             self._calls,
-            budget or ExtraSendBudget(_BUDGET, clock),
+            budget or ExtraSendBudget(_BUDGET, lambda: 1.0, clock),
             mock.create_autospec(Admission, instance=True),
-            lambda: 1.0,
             source,
             ServingTerms(),
         )
