Share a cold searcher's rate among several VMs with callers

The right was counted when the searcher was chosen, even if the request was then held back, and a request that came shortly before the next right was refused.

Change: routing/_cold.py takes cold starts out of the table. Sends are counted when they leave; a request waits for its VM's next right if that comes before the target, otherwise it is refused at once.

The played loads show the bound for equal lists and for a split.

--- a/jacinthcart/directory/_share.py
+++ b/jacinthcart/directory/_share.py
@@ -1,5 +1,7 @@
 """This VM's part of rights that only VMs with callers use."""
 
+import itertools
+
 from jacinthcart.directory._answers import DirectoryTerms, list_strongest
 from jacinthcart.fleet import MemberRecord, MemberTable
 
@@ -21,6 +23,7 @@
         self._terms = terms
         self._computed_for: list[MemberRecord] = []
         self._share = 1.0
+        self._named: frozenset[str] = frozenset()
 
     def find_own(self) -> float:
         """Return this VM's part of a right, above 0 and at most 1."""
@@ -34,11 +37,25 @@
             return min(self._share, 1 / assumed)
         return self._share
 
+    def rank_named(self, key: str) -> list[str]:
+        """Return the live VMs with callers in the order for `key`.
+
+        All live VMs are returned if none of the named ones lives, and none
+        while this VM is still finding the others: each new process would
+        take itself for the first.
+        """
+        if not self._members.growth.is_complete:
+            return []
+        self.find_own()
+        ranked = self._members.rank(key)
+        named = [address for address in ranked if address in self._named]
+        return named or ranked
+
     def _compute(self, records: list[MemberRecord]) -> float:
         strongest = list_strongest(records, self._terms)
-        named = sum(len(addresses) for addresses in strongest.values())
-        own = self._members.own
-        is_named = own.address in strongest[own.data_centre]
+        self._named = frozenset(itertools.chain(*strongest.values()))
+        named = len(self._named)
+        is_named = self._members.own.address in self._named
         others = len(records) - named
         if not others:
             return 1 / named
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -51,6 +51,7 @@
     BudgetTerms,
     CallerRequest,
     ChoiceTerms,
+    ColdStarts,
     ConnectionTerms,
     Evidence,
     ExtraSendBudget,
@@ -180,11 +181,10 @@
 
     def list_cold(self) -> list[str]:
         """Return the ids of searchers whose cold start goes on."""
-        now = self.clock()
         return sorted(
             searcher.searcher_id
             for searcher in self.book.searchers_by_id.values()
-            if self._calls.table.is_cold(searcher, now)
+            if self._calls.table.is_cold(searcher)
         )
 
     def describe_allotments(self) -> dict[str, dict[str, Any]]:
@@ -263,10 +263,7 @@
     ) -> None:
         bounds = self.settings.bounds
         clock = self.clock
-        find_share = ServingShares(
-            self.members,
-            self.directory_terms,
-        ).find_own
+        shares = ServingShares(self.members, self.directory_terms)
         self._home = QuotaHome(
             self.book,
             self.members,
@@ -300,9 +297,10 @@
                 self.book,
                 self.members,
                 evidence,
+                ColdStarts(self.members.own.address, shares.rank_named, clock),
                 clock,
                 source,
-                find_share,
+                shares.find_own,
                 ChoiceTerms(),
             ),
             evidence,
@@ -320,7 +318,7 @@
                     bounds.extra_slack,
                     bounds.extra_window_s,
                 ),
-                find_share,
+                shares.find_own,
                 clock,
             ),
             self._admission,
--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -9,10 +9,11 @@
     ResponseHead,
     SearcherResponse,
 )
-from jacinthcart.routing._quantiles import QuantileTerms, QuantileTracker
+from jacinthcart.routing._cold import ColdStarts, RankSenders
 from jacinthcart.routing._evidence import Evidence, SearcherEvidence
 from jacinthcart.routing._outcome import Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionTerms, SearcherPools
+from jacinthcart.routing._quantiles import QuantileTerms, QuantileTracker
 from jacinthcart.routing._table import RoutingTable
 
 __all__ = [
@@ -23,6 +24,7 @@
     'CallerRequest',
     'Candidate',
     'ChoiceTerms',
+    'ColdStarts',
     'ConnectionTerms',
     'QuantileTerms',
     'QuantileTracker',
@@ -30,6 +32,7 @@
     'ExtraSendBudget',
     'Outcome',
     'OutcomeKind',
+    'RankSenders',
     'ResponseHead',
     'RoutingTable',
     'SearcherCalls',
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -14,10 +14,10 @@
     CallerRequest,
     SearcherResponse,
 )
-from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._evidence import Evidence, SearcherEvidence
 from jacinthcart.routing._outcome import Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
+from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.telemetry import Logger, Metrics
 
@@ -127,6 +127,7 @@
         evidence.started_at_by_attempt[attempt.number] = attempt.started_at
         if self._tasks is None:
             raise NotSentError('searcher calls are not running')
+        self.table.note_send(searcher)
         self._tasks.start_soon(self._run, attempt, context, evidence)
         return attempt
 
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -1,5 +1,6 @@
 """The searchers of each service, with evidence and cold allowances."""
 
+import math
 import random
 from collections.abc import Callable, Collection
 
@@ -12,28 +13,22 @@
     estimate_cost_s,
     estimate_latency_s,
 )
+from jacinthcart.routing._cold import ColdStarts
 from jacinthcart.routing._evidence import Evidence, SearcherEvidence
 
-_MS_PER_S = 1000
-#: Part of a cold searcher's rate that its one sender uses.
-_COLD_RATE_SHARE = 0.9
 #: Random part of a cost, so that equal searchers share the load.
 _JITTER = 0.1
 
 
 class RoutingTable:
-    """Chooses searchers for requests.
-
-    A cold searcher with a limited rate gets requests from one VM only, the
-    first in the members' order for it, so that the fleet needs no message
-    to keep within the rate.
-    """
+    """Chooses searchers for requests."""
 
     def __init__(
         self,
         book: CatalogueBook,
         members: MemberTable,
         evidence: Evidence,
+        cold_starts: ColdStarts,
         clock: Clock,
         random_source: random.Random,
         find_share: Callable[[], float],
@@ -44,13 +39,11 @@
         self._book = book
         self._members = members
         self._evidence = evidence
+        self._cold_starts = cold_starts
         self._clock = clock
         self._random = random_source
         self._find_share = find_share
         self._terms = terms
-        self._cold_until: dict[tuple[str, int], float] = {}
-        self._next_cold_send: dict[tuple[str, int], float] = {}
-        self._sequence_by_process: dict[tuple[str, int], int] = {}
         book.listeners.append(self._note_searchers)
 
     def find_evidence(self, searcher: Searcher) -> SearcherEvidence:
@@ -84,9 +77,30 @@
         }
         if not cost_s_by_searcher:
             return None
-        best = min(cost_s_by_searcher, key=cost_s_by_searcher.__getitem__)
-        self._count_cold_send(best, now)
-        return best
+        return min(cost_s_by_searcher, key=cost_s_by_searcher.__getitem__)
+
+    def find_opening(self, service: str, excluded: Collection[str]) -> float:
+        """Return the second from which any searcher may get a request.
+
+        It is infinite if this VM may send to none of them.
+        """
+        rate = self._find_cold_rate(service)
+        return min(
+            (
+                self._cold_starts.find_opening(searcher, rate)
+                for searcher in self._book.list_searchers(service)
+                if searcher.searcher_id not in excluded
+            ),
+            default=math.inf,
+        )
+
+    def is_cold(self, searcher: Searcher) -> bool:
+        """Return whether a searcher's cold start goes on."""
+        return self._cold_starts.is_cold(searcher)
+
+    def note_send(self, searcher: Searcher) -> None:
+        """Count a request that leaves for a searcher."""
+        self._cold_starts.note_send(searcher)
 
     def has_searchers(self, service: str) -> bool:
         """Return whether any searcher of a service is in use."""
@@ -101,10 +115,6 @@
             slots=searcher.slots,
         )
 
-    def is_cold(self, searcher: Searcher, now: float) -> bool:
-        """Return whether a searcher's cold start goes on."""
-        return self._cold_until.get(searcher.process, now) > now
-
     def _estimate_s(
         self,
         searcher: Searcher,
@@ -119,7 +129,7 @@
                 evidence=evidence,
                 slots=searcher.slots,
                 is_far=searcher.data_centre != self._members.own.data_centre,
-                is_cold=self.is_cold(searcher, now),
+                is_cold=self.is_cold(searcher),
                 has_connection=evidence.in_flight < connections,
             ),
             now=now,
@@ -133,22 +143,11 @@
         return self.find_evidence(searcher).paused_until > now
 
     def _may_send(self, searcher: Searcher, now: float) -> bool:
-        rate = self._find_cold_rate(searcher)
-        if not rate or not self.is_cold(searcher, now):
-            return True
-        ranked = self._members.rank(f'cold/{searcher.searcher_id}')
-        if ranked[:1] != [self._members.own.address]:
-            return False
-        return now >= self._next_cold_send.get(searcher.process, now)
-
-    def _count_cold_send(self, searcher: Searcher, now: float) -> None:
-        rate = self._find_cold_rate(searcher)
-        if rate and self.is_cold(searcher, now):
-            next_send = now + 1 / (rate * _COLD_RATE_SHARE)
-            self._next_cold_send[searcher.process] = next_send
-
-    def _find_cold_rate(self, searcher: Searcher) -> float:
-        terms = self._find_terms(searcher.service)
+        rate = self._find_cold_rate(searcher.service)
+        return now >= self._cold_starts.find_opening(searcher, rate)
+
+    def _find_cold_rate(self, service: str) -> float:
+        terms = self._find_terms(service)
         return terms.cold_rate_per_s if terms else 0
 
     def _find_connections(self, service: str) -> int:
@@ -165,24 +164,9 @@
         return catalogue.services_by_name.get(service)
 
     def _note_searchers(self) -> None:
-        now = self._clock()
         processes = set()
         for searcher in self._book.searchers_by_id.values():
             processes.add(searcher.process)
-            self._note_cold(searcher, now)
-        for key in set(self._sequence_by_process) - processes:
-            self._sequence_by_process.pop(key)
-            self._cold_until.pop(key, None)
-            self._next_cold_send.pop(key, None)
+            self._cold_starts.note(searcher)
+        self._cold_starts.forget_except(processes)
         self._evidence.forget_except(processes)
-
-    def _note_cold(self, searcher: Searcher, now: float) -> None:
-        # The time is counted from the announcement, which stays in the
-        # catalogue when its time is over. A searcher may turn cold again.
-        key = searcher.process
-        if self._sequence_by_process.get(key) == searcher.sequence:
-            return
-        self._sequence_by_process[key] = searcher.sequence
-        if searcher.cold_left_ms > 0:
-            until = now + searcher.cold_left_ms / _MS_PER_S
-            self._cold_until[key] = until
--- a/jacinthcart/serving/_candidates.py
+++ b/jacinthcart/serving/_candidates.py
@@ -32,6 +32,10 @@
             allows_paused=allows_paused,
         )
 
+    def find_opening(self) -> float:
+        """Return the second from which any of them may get a request."""
+        return self._calls.table.find_opening(self._service, self.met)
+
     def should_hold(self, searcher: Searcher) -> bool:
         """Return whether the request is held back from a searcher for now."""
         table = self._calls.table
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -110,11 +110,15 @@
     def _send_first(self) -> None:
         searcher = self._candidates.choose(allows_paused=True)
         if searcher is None:
-            self.failure = Outcome(
+            opening = self._candidates.find_opening()
+            outcome = Outcome(
                 OutcomeKind.NOT_RUN,
                 'no searcher',
                 was_sent=False,
             )
+            self._wait_or_fail(
+                outcome, opening, may_wait=opening < self._target_at
+            )
         elif self._candidates.should_hold(searcher):
             self.wake_at = self._calls.clock() + self._terms.retry_s
         else:
@@ -188,26 +192,28 @@
             )
             may_wait = is_refused and bool(self._candidates.met)
             self._candidates.met.clear()
-            self._wait_or_fail(outcome, now, may_wait=may_wait)
+            wake_at = now + self._terms.retry_s
+            self._wait_or_fail(outcome, wake_at, may_wait=may_wait)
             return
         is_extra = self._arrivals > 0
         if is_extra and not self._budget.take(self.service):
             # Other requests earn budget meanwhile. After the target an
             # answer brings little, so the request ends at once.
             may_wait = now + self._terms.retry_s < self._target_at
-            self._wait_or_fail(outcome, now, may_wait=may_wait)
+            wake_at = now + self._terms.retry_s
+            self._wait_or_fail(outcome, wake_at, may_wait=may_wait)
             return
         self._send(searcher)
 
     def _wait_or_fail(
         self,
         outcome: Outcome,
-        now: float,
+        wake_at: float,
         *,
         may_wait: bool,
     ) -> None:
         if may_wait:
-            self.wake_at = now + self._terms.retry_s
+            self.wake_at = wake_at
         else:
             self.failure = outcome
 
--- a/tests/directory/test_share.py
+++ b/tests/directory/test_share.py
@@ -62,6 +62,24 @@
         shares = ServingShares(members, DirectoryTerms())
         self.assertLess(shares.find_own(), 0.5)
 
+    def test_named_vms_are_ranked_for_a_key(self) -> None:
+        """A right was given to a VM that had no callers to use it for."""
+        members = self._create_members(0)
+        shares = ServingShares(members, DirectoryTerms())
+        ranked = shares.rank_named('cold/searcher')
+        strong = {record.address for record in self.records[:_STRONG]}
+        self.assertEqual(set(ranked), strong)
+        lost = self.records[1].address
+        members.suspect(lost)
+        ranked.remove(lost)
+        self.assertEqual(shares.rank_named('cold/searcher'), ranked)
+
+    def test_process_that_finds_the_fleet_ranks_no_one(self) -> None:
+        """Each new process took itself for the first."""
+        members = self._create_members(0, age_s=0)
+        shares = ServingShares(members, DirectoryTerms())
+        self.assertEqual(shares.rank_named('cold/searcher'), [])
+
     def _find_share(self, number: int) -> float:
         members = self._create_members(number)
         return ServingShares(members, DirectoryTerms()).find_own()
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -8,7 +8,12 @@
     MemberTable,
     MemberTerms,
 )
-from jacinthcart.routing import ChoiceTerms, Evidence, RoutingTable
+from jacinthcart.routing import (
+    ChoiceTerms,
+    ColdStarts,
+    Evidence,
+    RoutingTable,
+)
 from jacinthcart.telemetry import create_logger
 from tests.support import (
     ManualClock,
@@ -37,6 +42,7 @@
             self.book,
             self.members,
             self.evidence,
+            ColdStarts(own.address, self.members.rank, self.clock),
             self.clock,
             random.Random(1),
             lambda: 0.1,
@@ -119,29 +125,35 @@
         self.book.put_searchers({'near': again})
         self.assertEqual(self._choose(), 'near')
 
-    def test_cold_searcher_with_a_rate_has_one_sender(self) -> None:
-        """All VMs together must stay within what it bears."""
-        self.book.put_catalogue(
-            create_catalogue(create_route('a'), cold_rate=2),
+    def test_cold_searcher_gets_no_more_than_its_rate(self) -> None:
+        """A send that is not counted would be followed by the next at once."""
+        catalogue = create_catalogue(
+            create_route('a', shards=('shard-1',), shares=()),
+            cold_rate=2,
         )
+        self.book.put_catalogue(catalogue)
         cold = create_searcher('cold', service='shard-1', cold_left_ms=3000)
         self.book.put_searchers({'cold': cold})
-        self.members.merge(
-            create_member('10.0.0.2'),
-        )
-        self.book.put_catalogue(
-            create_catalogue(
-                create_route('a', shards=('shard-1',), shares=()),
-                version=2,
-                cold_rate=2,
-            ),
-        )
         sent = 0
         for _ in range(100):
             chosen = self.table.choose('shard-1', (), _USUAL_S, _TARGET_S)
-            sent += chosen is not None
+            if chosen is not None:
+                self.table.note_send(chosen)
+                sent += 1
             self.clock.move(0.01)
-        self.assertLessEqual(sent, 2)
+        self.assertEqual(sent, 2)
+        opening = self.table.find_opening('shard-1', ())
+        self.assertGreater(opening, self.clock())
+        self.assertLess(opening, self.clock() + 1)
+
+    def test_request_that_is_held_back_uses_no_right(self) -> None:
+        """The next send was counted when its searcher was chosen."""
+        self.book.put_catalogue(
+            create_catalogue(create_route('a'), cold_rate=2),
+        )
+        self._announce_cold(2)
+        for _ in range(3):
+            self.assertEqual(self._choose(), 'near')
 
     def test_searcher_may_turn_cold_again(self) -> None:
         """A second cold start would get the whole load."""
@@ -164,10 +176,7 @@
         self.book.put_searchers({'near': cold})
 
     def _is_cold(self) -> bool:
-        return self.table.is_cold(
-            self.book.searchers_by_id['near'],
-            self.clock(),
-        )
+        return self.table.is_cold(self.book.searchers_by_id['near'])
 
     def _choose(self) -> str | None:
         chosen = self.table.choose('shard-0', (), _USUAL_S, _TARGET_S)
--- /dev/null
+++ b/tests/routing/test_cold.py
@@ -0,0 +1,99 @@
+"""Tests of how VMs share what a cold searcher bears."""
+
+import math
+import random
+import unittest
+
+from jacinthcart.ownership import rank_owners
+from jacinthcart.routing import ColdStarts
+from tests.support import ManualClock, create_searcher
+
+_VMS = tuple(f'10.0.0.{number}' for number in range(8))
+_COLD_S = 6
+_STEP_S = 0.005
+#: The platform's bound for all requests in one second.
+_OVERAGE = 1.5
+_SLACK = 5
+
+
+class ColdStartsTests(unittest.TestCase):
+    """Counted at the searcher while every VM has requests for it."""
+
+    def setUp(self) -> None:
+        """Announce a cold start."""
+        self.clock = ManualClock()
+        self.searcher = create_searcher('cold', cold_left_ms=_COLD_S * 1000)
+
+    def test_fleet_stays_within_the_rate(self) -> None:
+        """VMs that know nothing of each other's sends share one limit."""
+        for rate in (1, 2, 10, 40, 100):
+            with self.subTest(rate=rate):
+                sent, _ = self._play(rate, [_VMS])
+                self.assertLessEqual(_count_most(sent), _bound(rate))
+                self.assertGreaterEqual(len(sent), 0.5 * rate * _COLD_S)
+
+    def test_two_sides_of_a_split_stay_within_the_rate(self) -> None:
+        """Each side computes its own senders."""
+        for rate in (1, 2, 10, 40, 100):
+            with self.subTest(rate=rate):
+                sent, _ = self._play(rate, [_VMS[:4], _VMS[4:]])
+                self.assertLessEqual(_count_most(sent), _bound(rate))
+
+    def test_several_vms_may_send(self) -> None:
+        """Callers of one VM only got answers after all searchers had begun
+        cold."""
+        self.assertEqual(len(self._play(2, [_VMS])[1]), 2)
+        self.assertGreater(len(self._play(40, [_VMS])[1]), 4)
+
+    def test_searcher_without_a_rate_is_open_to_all(self) -> None:
+        """Most platforms state no limit."""
+        starts = self._create(_VMS[0], _VMS)
+        self.assertEqual(starts.find_opening(self.searcher, 0), -math.inf)
+
+    def test_warm_searcher_is_open_to_all(self) -> None:
+        """The limit ends with the cold time."""
+        starts = self._create(_VMS[0], ())
+        self.assertEqual(starts.find_opening(self.searcher, 5), math.inf)
+        self.clock.move(_COLD_S)
+        self.assertEqual(starts.find_opening(self.searcher, 5), -math.inf)
+
+    def _create(self, own: str, side: tuple[str, ...]) -> ColdStarts:
+        starts = ColdStarts(
+            own, lambda key: rank_owners(key, side, len(side)), self.clock
+        )
+        starts.note(self.searcher)
+        return starts
+
+    def _play(
+        self, rate: float, sides: list[tuple[str, ...]]
+    ) -> tuple[list[float], set[int]]:
+        """Return when requests were sent, and the VMs that sent them."""
+        vms = [self._create(own, side) for side in sides for own in side]
+        order = list(enumerate(vms))
+        source = random.Random(1)
+        sent: list[float] = []
+        senders = set()
+        for _ in range(round(_COLD_S / _STEP_S) - 1):
+            source.shuffle(order)
+            for number, starts in order:
+                opening = starts.find_opening(self.searcher, rate)
+                if opening <= self.clock():
+                    starts.note_send(self.searcher)
+                    sent.append(self.clock())
+                    senders.add(number)
+            self.clock.move(_STEP_S)
+        return sent, senders
+
+
+def _bound(rate: float) -> float:
+    return rate * _OVERAGE + _SLACK
+
+
+def _count_most(sent: list[float]) -> int:
+    return max(
+        sum(start <= moment < start + 1 for moment in sent) for start in sent
+    )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -16,6 +16,7 @@
     BaseSearcherCodec,
     BudgetTerms,
     ChoiceTerms,
+    ColdStarts,
     ConnectionTerms,
     Evidence,
     ExtraSendBudget,
@@ -172,8 +173,13 @@
         route: Route,
         searchers: list[QueuedSearcher],
         budget: ExtraSendBudget | None = None,
+        cold_rate: float = 0,
     ) -> None:
-        """Compose the real decisions; use inside a running loop."""
+        """Compose the real decisions; use inside a running loop.
+
+        `cold_rate` is what a cold searcher bears per second, 0 without a
+        limit.
+        """
         clock = anyio.current_time
         logger = create_logger('test')
         source = random.Random(3)
@@ -181,10 +187,7 @@
         self._route = route
         self._random = source
         book = CatalogueBook(clock, logger)
-        book.put_catalogue(create_catalogue(route))
-        book.put_searchers(
-            {one.searcher.searcher_id: one.searcher for one in searchers},
-        )
+        book.put_catalogue(create_catalogue(route, cold_rate=cold_rate))
         evidence = Evidence(clock)
         members = MemberTable(
             create_member('10.0.0.1'),
@@ -199,6 +202,7 @@
                 book,
                 members,
                 evidence,
+                ColdStarts(members.own.address, members.rank, clock),
                 clock,
                 source,
                 lambda: 1.0,
@@ -211,6 +215,9 @@
             Metrics(),
             logger,
         )
+        book.put_searchers(
+            {one.searcher.searcher_id: one.searcher for one in searchers},
+        )
         self._server = RequestServer(
             self._calls,
             budget or ExtraSendBudget(_BUDGET, lambda: 1.0, clock),
