--- a/jacinthcart/admin/_trace_commands.py
+++ b/jacinthcart/admin/_trace_commands.py
@@ -20,6 +20,9 @@
 )
 
 _ASK_TIMEOUT_S = 2.0
+_EVENT_STARTED = 'started'
+#: Seconds between starts that are listed as one loss.
+_BURST_S = 5.0
 _PLAIN_FIELDS = frozenset(
     ('time', 'level', 'program', 'event', 'request_id', 'vm'),
 )
@@ -47,10 +50,15 @@
 
     def __call__(self) -> None:
         """Run and exit."""
-        lines = sorted(read_log_lines(self.logs), key=_find_time)
+        try:
+            lines = sorted(read_log_lines(self.logs), key=_find_time)
+        except OSError as error:
+            print_error(str(error))
+            leave(ExitCode.INVALID)
         found = select_lines(lines, self.request_id, self.around_s)
-        if not any(_concerns(line, self.request_id) for line in found):
+        if not found:
             print_error(f'no line about {self.request_id}')
+            print_table(_create_starts_table(lines))
             leave(ExitCode.FAILURE)
         if self.json:
             print_json(found)
@@ -132,6 +140,25 @@
     ]
 
 
+def find_starts(lines: list[dict[str, Any]]) -> list[tuple[str, str, int]]:
+    """Return first and last time and number of starts close to each other.
+
+    A request of which no VM knows was not read: its VM had ended or was
+    still starting, which the starts around its time show.
+    """
+    starts: list[tuple[str, str, int]] = []
+    for line in lines:
+        if line.get('event') != _EVENT_STARTED:
+            continue
+        time = _find_time(line)
+        if starts and _shift(line, _BURST_S) <= starts[-1][1]:
+            first, _, count = starts.pop()
+            starts.append((first, time, count + 1))
+        else:
+            starts.append((time, time, 1))
+    return starts
+
+
 def create_comparison(status_by_vm: dict[str, Any]) -> TableText:
     """Return a table with a row for each field and a column for each VM."""
     names = sorted({name for one in status_by_vm.values() for name in one})
@@ -173,6 +200,14 @@
     )
 
 
+def _create_starts_table(lines: list[dict[str, Any]]) -> TableText:
+    return TableText(
+        'processes that started; a request while they were away was not read',
+        ['first', 'last', 'processes'],
+        [list(one) for one in find_starts(lines)],
+    )
+
+
 def _describe(line: dict[str, Any]) -> str:
     return ', '.join(
         f'{name}={found}'
--- a/jacinthcart/platform/_documents.py
+++ b/jacinthcart/platform/_documents.py
@@ -44,6 +44,11 @@
     top_k: int = 0
     min_shard_ratio: float = 0
 
+    def count_destinations(self) -> int:
+        """Return how many kinds of destination the route names."""
+        kinds = (self.service, self.traffic_split, self.gather)
+        return sum(bool(kind) for kind in kinds)
+
     def decode(self) -> Route:
         """Return the project's form."""
         shares = [
@@ -93,7 +98,9 @@
     burst: float = 0
 
 
-class _ConfigBody(pydantic.BaseModel):
+class ConfigurationBody(pydantic.BaseModel):
+    """The configuration document; unknown fields are ignored."""
+
     version: int
     routes: list[_RouteBody]
     services: list[_ServiceBody] = []
@@ -121,7 +128,7 @@
 def decode_catalogue(content: bytes) -> Catalogue:
     """Return the configuration; raise InvalidMessageError."""
     try:
-        body = _ConfigBody.model_validate(decode_json(content))
+        body = ConfigurationBody.model_validate(decode_json(content))
     except pydantic.ValidationError as error:
         raise InvalidMessageError(str(error)) from error
     routes_by_host: dict[str, list[Route]] = {}
--- a/tests/admin/test_trace_commands.py
+++ b/tests/admin/test_trace_commands.py
@@ -11,7 +11,7 @@
 import cappa
 
 from jacinthcart.admin._command import OperatorCommand
-from jacinthcart.admin._trace_commands import create_comparison
+from jacinthcart.admin._trace_commands import create_comparison, find_starts
 
 
 def create_line(time: str, event: str, **fields: Any) -> str:
@@ -44,6 +44,7 @@
             '\n'.join(
                 (
                     create_line('01.0', 'member changed', member='x'),
+                    create_line('30.0', 'started'),
                     create_line('50.0', 'member changed', member='y'),
                     create_line('52.0', 'request refused', request_id='a1'),
                     'text of another program',
@@ -77,6 +78,24 @@
         code, _ = run('trace', 'zz', '--logs', *self.logs)
         self.assertEqual(code, 1)
 
+    def test_request_that_no_vm_read_is_shown_with_the_starts(self) -> None:
+        """A process that was killed cannot say whose requests it had."""
+        code, printed = run('trace', 'zz', '--logs', *self.logs)
+        self.assertEqual(code, 1)
+        self.assertIn('2026-12-04T12:00:30.0', printed)
+
+    def test_missing_file_is_an_error_with_its_name(self) -> None:
+        """The command ended with a traceback."""
+        code, _ = run('trace', 'a1', '--logs', 'missing.log')
+        self.assertEqual(code, 2)
+
+    def test_starts_close_to_each_other_are_one_row(self) -> None:
+        """All processes of a fleet start again after a loss."""
+        times = ('10.0', '12.0', '14.0', '40.0')
+        lines = [json.loads(create_line(one, 'started')) for one in times]
+        counts = [count for _, _, count in find_starts(lines)]
+        self.assertEqual(counts, [3, 1])
+
 
 class ComparisonTests(unittest.TestCase):
     """Differences between VMs are marked."""
