Say in a refusal over the rate which VM decided and what rate it grants

Change: the grant of a refusing home names the rate that it gives now; the refusal's detail has the deciding VM and this rate, or `alone` without a home.

Tests: a refusal tells the whole and the cut-down rate; a malformed grant (failed first with ValueError).

Before/after: a datagram of a refusal is about 12 bytes longer.

--- a/jacinthcart/quota/__init__.py
+++ b/jacinthcart/quota/__init__.py
@@ -1,12 +1,18 @@
 """Fleet-wide allotments of workspaces, granted by one home VM each."""
 
-from jacinthcart.quota._client import KIND_GRANT, KIND_TAKE, QuotaClient
+from jacinthcart.quota._client import (
+    KIND_GRANT,
+    KIND_TAKE,
+    QuotaClient,
+    QuotaDecision,
+)
 from jacinthcart.quota._home import QuotaHome, QuotaTerms
 
 __all__ = [
     'KIND_GRANT',
     'KIND_TAKE',
     'QuotaClient',
+    'QuotaDecision',
     'QuotaHome',
     'QuotaTerms',
 ]
--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -1,6 +1,7 @@
 """Asks the home of a workspace for permits."""
 
 import collections
+import dataclasses
 from typing import Any
 
 import anyio
@@ -21,6 +22,23 @@
 _HOMES_ASKED = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class QuotaDecision:
+    """Whether a request may run, and what decided it."""
+
+    is_granted: bool
+    #: Address of the VM that decided.
+    decided_by: str
+    #: Requests per second that it grants the workspace now, the whole rate
+    #: or the part of the members that it reaches. None if another VM
+    #: granted.
+    rate_per_s: float | None
+
+    def describe(self) -> str:
+        """Return what decided, for logs."""
+        return f'{self.decided_by} grants {self.rate_per_s} a second'
+
+
 class _Call:
     """One message that waits for its grant."""
 
@@ -28,6 +46,7 @@
         """Start unanswered."""
         self.answered = anyio.Event()
         self.granted = 0
+        self.rate_per_s: float | None = None
 
 
 class QuotaClient:
@@ -55,20 +74,24 @@
             collections.defaultdict(float)
         )
 
-    async def take(self, workspace: str) -> bool:
-        """Return whether one request of the workspace may run now."""
+    async def take(self, workspace: str) -> QuotaDecision:
+        """Decide whether one request of the workspace may run now."""
         own_address = self._members.own.address
         homes = self._members.rank(f'allotment/{workspace}')[:_HOMES_ASKED]
         for address in homes:
             if address == own_address:
-                return self._home.take(workspace, 1) > 0
+                granted = self._home.take(workspace, 1)
+                rate = self._home.find_rate(workspace)
+                return QuotaDecision(granted > 0, own_address, rate)
             if self._silent_until[address] > self._clock():
                 continue
-            granted = await self._ask(address, workspace)
-            if granted is not None:
-                return granted > 0
+            decision = await self._ask(address, workspace)
+            if decision is not None:
+                return decision
         self._metrics.count('allotment', 'home_silent')
-        return self._home.take_own_part(workspace, 1) > 0
+        granted = self._home.take_own_part(workspace, 1)
+        rate = self._home.find_own_rate(workspace)
+        return QuotaDecision(granted > 0, f'{own_address} alone', rate)
 
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
         """Take a question or its answer; raise InvalidMessageError."""
@@ -76,16 +99,27 @@
         if not isinstance(seq, int):
             raise InvalidMessageError('seq is not a number')
         if message['kind'] == KIND_TAKE:
-            granted = self._home.take(str(message.get('workspace')), 1)
-            reply = {'kind': KIND_GRANT, 'seq': seq, 'granted': granted}
-            await self._datagrams.send(reply, source)
+            reply = self._answer(str(message.get('workspace')))
+            await self._datagrams.send({**reply, 'seq': seq}, source)
             return
         call = self._calls_by_seq.get(seq)
-        if call is not None:
+        if call is None:
+            return
+        try:
             call.granted = int(message.get('granted', 0))
-            call.answered.set()
+            call.rate_per_s = message.get('rate')
+        except (TypeError, ValueError) as error:
+            raise InvalidMessageError('granted is not a number') from error
+        call.answered.set()
+
+    def _answer(self, workspace: str) -> dict[str, Any]:
+        granted = self._home.take(workspace, 1)
+        reply = {'kind': KIND_GRANT, 'granted': granted}
+        if not granted:
+            reply['rate'] = self._home.find_rate(workspace)
+        return reply
 
-    async def _ask(self, address: str, workspace: str) -> int | None:
+    async def _ask(self, address: str, workspace: str) -> QuotaDecision | None:
         self._seq += 1
         seq = self._seq
         call = _Call()
@@ -99,6 +133,6 @@
         finally:
             self._calls_by_seq.pop(seq)
         if call.answered.is_set():
-            return call.granted
+            return QuotaDecision(call.granted > 0, address, call.rate_per_s)
         self._silent_until[address] = self._clock() + 10 * _ANSWER_TIMEOUT_S
         return None
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -67,6 +67,14 @@
         buckets = self._own_bucket_by_workspace
         return self._take(buckets, workspace, share, count)
 
+    def find_rate(self, workspace: str) -> float:
+        """Return the requests per second that this home grants now."""
+        return _find_bucket_rate(self._bucket_by_workspace, workspace)
+
+    def find_own_rate(self, workspace: str) -> float:
+        """Return the requests per second of this VM's part."""
+        return _find_bucket_rate(self._own_bucket_by_workspace, workspace)
+
     def estimate_wait_s(self, workspace: str) -> float:
         """Return the seconds in which the rate brings one more request."""
         found = self._find_terms(workspace)
@@ -119,3 +127,8 @@
         if catalogue is None:
             return None
         return catalogue.workspaces_by_name.get(workspace)
+
+
+def _find_bucket_rate(buckets: dict[str, TokenBucket], workspace: str) -> float:
+    bucket = buckets.get(workspace)
+    return round(bucket.rate, 2) if bucket else 0
--- a/jacinthcart/serving/_admission.py
+++ b/jacinthcart/serving/_admission.py
@@ -69,11 +69,12 @@
             return Admitted(route, None)
         workspace = self._find_workspace(catalogue, request)
         self.check_key_lease()
-        if not await self._quota.take(workspace):
+        decision = await self._quota.take(workspace)
+        if not decision.is_granted:
             wait_ms = self._home.estimate_wait_s(workspace) * _MS_PER_S
             raise RefusalError(
                 RefusalCode.OVER_RATE,
-                detail=workspace,
+                detail=f'{workspace}: {decision.describe()}',
                 retry_after_ms=int(
                     min(max(wait_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS),
                 ),
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -1,12 +1,13 @@
 """Tests of allotments, counted over all VMs."""
 
 import random
-import unittest
 from typing import Any
+from unittest import TestCase, mock
 
 import anyio
 
 from jacinthcart.catalogue import CatalogueBook
+from jacinthcart.errors import InvalidMessageError
 from jacinthcart.fleet import (
     GrowthTerms,
     MemberRecord,
@@ -14,7 +15,12 @@
     MemberTerms,
 )
 from jacinthcart.network import BaseDatagrams, Endpoint
-from jacinthcart.quota import QuotaClient, QuotaHome, QuotaTerms
+from jacinthcart.quota import (
+    QuotaClient,
+    QuotaDecision,
+    QuotaHome,
+    QuotaTerms,
+)
 from jacinthcart.telemetry import Metrics, create_logger
 from tests.support import (
     create_catalogue,
@@ -124,7 +130,7 @@
             await anyio.sleep(0.5)
 
 
-class AllotmentTests(unittest.TestCase):
+class AllotmentTests(TestCase):
     """Counted at the callers, over every window."""
 
     def test_fleet_grants_the_rate_under_any_skew(self) -> None:
@@ -138,6 +144,26 @@
         granted = run_in_virtual_time(_play, 8, 0.6 * _RATE, 8, ())
         self.assertGreaterEqual(len(granted), 0.99 * 0.6 * _RATE * 20)
 
+    def test_refusal_tells_what_decided_it(self) -> None:
+        """From a refusal alone nobody saw whether the rate was cut down."""
+        whole = run_in_virtual_time(_find_refusal, ())
+        self.assertEqual(whole.rate_per_s, _RATE)
+        part = run_in_virtual_time(_find_refusal, (0, 1))
+        self.assertEqual(part.rate_per_s, _RATE * 2 / 8)
+        self.assertIn(f'grants {_RATE * 2 / 8} a second', part.describe())
+
+    def test_malformed_grant_is_refused(self) -> None:
+        """The answer of another version must not end the receiver."""
+        run_in_virtual_time(self._send_malformed_grant)
+
+    async def _send_malformed_grant(self) -> None:
+        net = _Net()
+        client = _Vm(net, '10.0.0.0', 2).client
+        client._calls_by_seq[1] = mock.Mock()
+        message = {'kind': 'grant', 'seq': 1, 'granted': 'x'}
+        with self.assertRaises(InvalidMessageError):
+            await client.handle(message, Endpoint(address='10.0.0.1', port=1))
+
     def test_split_fleet_stays_within_the_rate(self) -> None:
         """Both sides of a split have a home."""
         granted = run_in_virtual_time(_play, 8, 6 * _RATE, 8, (0, 1, 2))
@@ -154,6 +180,19 @@
         self.assertLessEqual(_find_most(granted), _BOUND)
 
 
+async def _find_refusal(cut: tuple[int, ...]) -> QuotaDecision:
+    """Return a refusal of the VM `10.0.0.0` in a fleet of eight."""
+    net = _Net()
+    for number in range(8):
+        _Vm(net, f'10.0.0.{number}', 8)
+    _split(net, cut, is_single=False)
+    client = net.vms['10.0.0.0'].client
+    while True:
+        decision = await client.take('mill')
+        if not decision.is_granted:
+            return decision
+
+
 async def _play_restart() -> list[float]:
     source = random.Random(4)
     net = _Net()
@@ -164,7 +203,7 @@
     await anyio.sleep(5)
 
     async def ask(vm: _Vm) -> None:
-        if await vm.client.take('mill'):
+        if (await vm.client.take('mill')).is_granted:
             granted.append(anyio.current_time())
 
     async with anyio.create_task_group() as tasks:
@@ -194,7 +233,7 @@
     await anyio.sleep(1)
 
     async def ask(vm: _Vm) -> None:
-        if await vm.client.take('mill'):
+        if (await vm.client.take('mill')).is_granted:
             granted.append(anyio.current_time())
 
     async with anyio.create_task_group() as tasks:
