--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -50,7 +50,7 @@
     incarnation: int = pydantic.Field(ge=0)
     state: MemberState
     #: Relative share of callers that the VM can serve.
-    capacity: float = pydantic.Field(default=1, ge=0)
+    capacity: float = pydantic.Field(default=1.0, ge=0)
 
     def pack(self) -> list[Any]:
         """Return the short form for datagrams."""
