Pass over log lines without a readable time in trace

Cause: a line of another program whose time is no ISO time ended the command with a traceback (found while reading the change). Test: such a line among the logs of the trace tests, 2 of 6 failed first.

--- a/jacinthcart/admin/_trace_commands.py
+++ b/jacinthcart/admin/_trace_commands.py
@@ -98,16 +98,18 @@
 
 
 def read_log_lines(paths: list[pathlib.Path]) -> Iterator[dict[str, Any]]:
-    """Yield the JSON objects of log files; other text is passed over.
+    """Yield the JSON objects of log files that have a time.
 
-    A line may begin with other words, such as the time and name that a
-    collector adds; the last of them is taken as the VM's name.
+    Other text is passed over. A line may begin with other words, such as
+    the time and name that a collector adds; the last of them is taken as
+    the VM's name.
     """
     for path in paths:
         for text in path.read_text(errors='replace').splitlines():
             prefix, brace, rest = text.partition('{')
             try:
                 line = json.loads(brace + rest)
+                datetime.datetime.fromisoformat(_find_time(line))
             except ValueError:
                 continue
             words = prefix.split()
--- a/tests/admin/test_trace_commands.py
+++ b/tests/admin/test_trace_commands.py
@@ -48,6 +48,7 @@
                     create_line('50.0', 'member changed', member='y'),
                     create_line('52.0', 'request refused', request_id='a1'),
                     'text of another program',
+                    '{"event": "started", "time": "noon"}',
                     create_line('53.0', 'request answered', request_id='b2'),
                 ),
             ),
