--- a/jacinthcart/admin/_trace_commands.py
+++ b/jacinthcart/admin/_trace_commands.py
@@ -106,16 +106,22 @@
     """
     for path in paths:
         for text in path.read_text(errors='replace').splitlines():
-            prefix, brace, rest = text.partition('{')
-            try:
-                line = json.loads(brace + rest)
-                datetime.datetime.fromisoformat(_find_time(line))
-            except ValueError:
-                continue
-            words = prefix.split()
-            name = words[-1] if words else line.get('program', path.stem)
-            line.setdefault('vm', name)
-            yield line
+            line = _read_line(text, path.stem)
+            if line is not None:
+                yield line
+
+
+def _read_line(text: str, file_name: str) -> dict[str, Any] | None:
+    prefix, brace, rest = text.partition('{')
+    try:
+        line: dict[str, Any] = json.loads(brace + rest)
+        datetime.datetime.fromisoformat(_find_time(line))
+    except ValueError:
+        return None
+    words = prefix.split()
+    name = words[-1] if words else line.get('program', file_name)
+    line.setdefault('vm', name)
+    return line
 
 
 def select_lines(
