Compute each thing once in the paths of this change

Found while reading the whole change again; behaviour stays.

- The place and rule of a broken model were put together in settings_file and in check: list_violations serves both.
- A granting home looked up and rounded its rate for each granted request, although only refusals state it; answering as the home stood in two places, now _take_as_home.
- A member's answer described its own list twice; the rate of cold searchers was looked up for each searcher of a choice; the time of the next try was computed in three places.
- rank_named called find_own for its side effect: both call _refresh.
- Two tests built the same route over one shard: create_shard_route.
No assertion changed.

--- a/jacinthcart/directory/_share.py
+++ b/jacinthcart/directory/_share.py
@@ -27,13 +27,10 @@
 
     def find_own(self) -> float:
         """Return this VM's part of a right, above 0 and at most 1."""
-        records = self._members.list_counted()
-        if self._computed_for is not records:
-            self._computed_for = records
-            self._share = self._compute(records)
+        self._refresh()
         # More members are assumed than known just after a start.
         assumed = self._members.count_members()
-        if assumed > len(records):
+        if assumed > len(self._computed_for):
             return min(self._share, 1 / assumed)
         return self._share
 
@@ -46,11 +43,17 @@
         """
         if not self._members.growth.is_complete:
             return []
-        self.find_own()
+        self._refresh()
         ranked = self._members.rank(key)
         named = [address for address in ranked if address in self._named]
         return named or ranked
 
+    def _refresh(self) -> None:
+        records = self._members.list_counted()
+        if self._computed_for is not records:
+            self._computed_for = records
+            self._share = self._compute(records)
+
     def _compute(self, records: list[MemberRecord]) -> float:
         strongest = list_strongest(records, self._terms)
         self._named = frozenset(itertools.chain(*strongest.values()))
--- a/jacinthcart/fleet/_joining.py
+++ b/jacinthcart/fleet/_joining.py
@@ -74,12 +74,12 @@
 
         Whole parts come first, so that the next question leaves them out.
         """
-        own = self._members.own
-        parts = self._members.log.list_unlike(own, described)
+        ours = self._describe()
+        parts = self._members.log.list_unlike(ours, described)
         self._random.shuffle(parts)
         records = itertools.chain.from_iterable(parts)
         page = list(itertools.islice(records, self.most_records))
-        return page, _compute_digest(self._describe())
+        return page, _compute_digest(ours)
 
     def note_answer(self, answer: FleetMessage, *, has_learned: bool) -> bool:
         """Take an answer whose records are known; return whether to ask on.
--- a/jacinthcart/fleet/_member_log.py
+++ b/jacinthcart/fleet/_member_log.py
@@ -68,11 +68,14 @@
         return ''.join(f'{one & _SUM_MASK:0{_SUM_DIGITS}x}' for one in sums)
 
     def list_unlike(
-        self, own: MemberRecord, described: str
+        self, described: str, other: str
     ) -> list[list[MemberRecord]]:
-        """Return the parts, without `own`, that another VM has otherwise."""
-        ours = _split(self.describe(own))
-        theirs = _split(described)
+        """Return the parts in which two descriptions differ.
+
+        `described` is of this list, `other` of another VM's.
+        """
+        ours = _split(described)
+        theirs = _split(other)
         records_by_part: dict[int, list[MemberRecord]] = {}
         for record in self.list_records():
             part = _find_part(record)
--- a/jacinthcart/platform/check.py
+++ b/jacinthcart/platform/check.py
@@ -10,7 +10,7 @@
 
 from jacinthcart.errors import InvalidMessageError, SettingsError
 from jacinthcart.platform._documents import ConfigurationBody
-from jacinthcart.platform.settings_file import decode_settings
+from jacinthcart.platform.settings_file import decode_settings, list_violations
 from jacinthcart.wire import decode_json
 
 _EXIT_INVALID = 2
@@ -69,10 +69,7 @@
     try:
         body = ConfigurationBody.model_validate(fields)
     except pydantic.ValidationError as error:
-        return [
-            f'{_join(one["loc"])}: {one["msg"]}, found {one["input"]!r}'
-            for one in error.errors()
-        ]
+        return [str(violation) for violation in list_violations(error)]
     return [
         f'routes.{number}: exactly one of service, traffic_split and gather '
         + 'must be set'
@@ -81,9 +78,5 @@
     ]
 
 
-def _join(place: tuple[int | str, ...]) -> str:
-    return '.'.join(str(part) for part in place)
-
-
 if __name__ == '__main__':
     cappa.invoke(Check)
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -84,10 +84,7 @@
     try:
         file = _SettingsFile.model_validate(fields)
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        place = '.'.join(str(part) for part in first['loc'])
-        rule = f'{first["msg"]}, found {first["input"]!r}'
-        raise SettingsError(place, rule) from error
+        raise list_violations(error)[0] from error
     decoded = file.platform_fields
     addresses = decoded.listen_addrs
     control = decode_endpoint(addresses.control) if addresses.control else None
@@ -109,6 +106,17 @@
     )
 
 
+def list_violations(error: pydantic.ValidationError) -> list[SettingsError]:
+    """Return each broken rule with its place and the value found there."""
+    return [
+        SettingsError(
+            '.'.join(str(part) for part in one['loc']),
+            f'{one["msg"]}, found {one["input"]!r}',
+        )
+        for one in error.errors()
+    ]
+
+
 def decode_endpoint(text: str) -> Endpoint:
     """Return address and port of `address:port`; raise SettingsError."""
     try:
--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -30,9 +30,8 @@
     #: Address of the VM that decided.
     decided_by: str
     #: Requests per second that it grants the workspace now, the whole rate
-    #: or the part of the members that it reaches. None if another VM
-    #: granted.
-    rate_per_s: float | None
+    #: or the part of the members that it reaches. None if it granted.
+    rate_per_s: float | None = None
 
     def describe(self) -> str:
         """Return what decided, for logs."""
@@ -80,18 +79,20 @@
         homes = self._members.rank(f'allotment/{workspace}')[:_HOMES_ASKED]
         for address in homes:
             if address == own_address:
-                granted = self._home.take(workspace, 1)
-                rate = self._home.find_rate(workspace)
-                return QuotaDecision(granted > 0, own_address, rate)
+                return self._take_as_home(workspace)
             if self._silent_until[address] > self._clock():
                 continue
             decision = await self._ask(address, workspace)
             if decision is not None:
                 return decision
         self._metrics.count('allotment', 'home_silent')
-        granted = self._home.take_own_part(workspace, 1)
+        decided_by = f'{own_address} alone'
+        if self._home.take_own_part(workspace, 1):
+            return QuotaDecision(is_granted=True, decided_by=decided_by)
         rate = self._home.find_own_rate(workspace)
-        return QuotaDecision(granted > 0, f'{own_address} alone', rate)
+        return QuotaDecision(
+            is_granted=False, decided_by=decided_by, rate_per_s=rate
+        )
 
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
         """Take a question or its answer; raise InvalidMessageError."""
@@ -99,8 +100,8 @@
         if not isinstance(seq, int):
             raise InvalidMessageError('seq is not a number')
         if message['kind'] == KIND_TAKE:
-            reply = self._answer(str(message.get('workspace')))
-            await self._datagrams.send({**reply, 'seq': seq}, source)
+            decision = self._take_as_home(str(message.get('workspace')))
+            await self._datagrams.send(_encode_grant(seq, decision), source)
             return
         call = self._calls_by_seq.get(seq)
         if call is None:
@@ -112,12 +113,14 @@
             raise InvalidMessageError('granted is not a number') from error
         call.answered.set()
 
-    def _answer(self, workspace: str) -> dict[str, Any]:
-        granted = self._home.take(workspace, 1)
-        reply = {'kind': KIND_GRANT, 'granted': granted}
-        if not granted:
-            reply['rate'] = self._home.find_rate(workspace)
-        return reply
+    def _take_as_home(self, workspace: str) -> QuotaDecision:
+        own_address = self._members.own.address
+        if self._home.take(workspace, 1):
+            return QuotaDecision(is_granted=True, decided_by=own_address)
+        rate = self._home.find_rate(workspace)
+        return QuotaDecision(
+            is_granted=False, decided_by=own_address, rate_per_s=rate
+        )
 
     async def _ask(self, address: str, workspace: str) -> QuotaDecision | None:
         self._seq += 1
@@ -136,3 +139,14 @@
             return QuotaDecision(call.granted > 0, address, call.rate_per_s)
         self._silent_until[address] = self._clock() + 10 * _ANSWER_TIMEOUT_S
         return None
+
+
+def _encode_grant(seq: int, decision: QuotaDecision) -> dict[str, Any]:
+    reply = {
+        'kind': KIND_GRANT,
+        'seq': seq,
+        'granted': int(decision.is_granted),
+    }
+    if decision.rate_per_s is not None:
+        reply['rate'] = decision.rate_per_s
+    return reply
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -62,6 +62,7 @@
         """Return the cheapest searcher that may get a request now."""
         now = self._clock()
         connections = self._find_connections(service)
+        cold_rate = self._find_cold_rate(service)
         cost_s_by_searcher = {
             searcher: self._estimate_s(
                 searcher,
@@ -73,7 +74,7 @@
             for searcher in self._book.list_searchers(service)
             if searcher.searcher_id not in excluded
             and (allows_paused or not self._is_paused(searcher, now))
-            and self._may_send(searcher, now)
+            and self._cold_starts.find_opening(searcher, cold_rate) <= now
         }
         if not cost_s_by_searcher:
             return None
@@ -142,10 +143,6 @@
     def _is_paused(self, searcher: Searcher, now: float) -> bool:
         return self.find_evidence(searcher).paused_until > now
 
-    def _may_send(self, searcher: Searcher, now: float) -> bool:
-        rate = self._find_cold_rate(searcher.service)
-        return now >= self._cold_starts.find_opening(searcher, rate)
-
     def _find_cold_rate(self, service: str) -> float:
         terms = self._find_terms(service)
         return terms.cold_rate_per_s if terms else 0
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -176,6 +176,7 @@
         self._last_outcome = outcome
         route = self._context.route
         now = self._calls.clock()
+        retry_at = now + self._terms.retry_s
         is_spent = (
             self._runs >= route.attempts
             or self._sends >= self._terms.sends
@@ -192,16 +193,14 @@
             )
             may_wait = is_refused and bool(self._candidates.met)
             self._candidates.met.clear()
-            wake_at = now + self._terms.retry_s
-            self._wait_or_fail(outcome, wake_at, may_wait=may_wait)
+            self._wait_or_fail(outcome, retry_at, may_wait=may_wait)
             return
         is_extra = self._arrivals > 0
         if is_extra and not self._budget.take(self.service):
             # Other requests earn budget meanwhile. After the target an
             # answer brings little, so the request ends at once.
-            may_wait = now + self._terms.retry_s < self._target_at
-            wake_at = now + self._terms.retry_s
-            self._wait_or_fail(outcome, wake_at, may_wait=may_wait)
+            may_wait = retry_at < self._target_at
+            self._wait_or_fail(outcome, retry_at, may_wait=may_wait)
             return
         self._send(searcher)
 
--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -132,16 +132,18 @@
         """A reader must learn that a member it knows has stopped."""
         own = create_member(_OWN)
         described = self.log.describe(own)
-        self.assertEqual(self.log.list_unlike(own, described), [])
+        unchanged = self.log.list_unlike(self.log.describe(own), described)
+        self.assertEqual(unchanged, [])
         changed = create_member('10.0.0.0', incarnation=2)
         self.log.put(changed, 5, is_news=True)
-        unlike = self.log.list_unlike(own, described)
+        unlike = self.log.list_unlike(self.log.describe(own), described)
         self.assertIn(changed, [one for part in unlike for one in part])
         self.assertEqual(len(self.log.list_records()), 3)
 
     def test_unreadable_description_differs(self) -> None:
         """Another version of the program may describe its list otherwise."""
-        unlike = self.log.list_unlike(create_member(_OWN), 'x')
+        described = self.log.describe(create_member(_OWN))
+        unlike = self.log.list_unlike(described, 'x')
         self.assertEqual(sum(len(part) for part in unlike), 3)
 
     def test_news_comes_newest_first(self) -> None:
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -39,6 +39,7 @@
     create_catalogue,
     create_member,
     create_request,
+    create_route,
 )
 
 _SPREAD = 0.35
@@ -46,6 +47,17 @@
 _BUDGET = BudgetTerms(ratio=0.2, slack=56)
 
 
+def create_shard_route(**changes: Any) -> Route:
+    """Return a public route over one shard, which must be in."""
+    fields: dict[str, Any] = {
+        'shares': (),
+        'shards': ('shard-0',),
+        'is_public': True,
+        'min_shard_share': 1,
+    }
+    return create_route('a', **{**fields, **changes})
+
+
 class QueuedSearcher:
     """Works on as many requests as it has slots; a full queue refuses."""
 
--- a/tests/serving/test_cold.py
+++ b/tests/serving/test_cold.py
@@ -4,8 +4,13 @@
 import unittest
 
 from jacinthcart.catalogue import Searcher
-from tests.serving.support import Load, QueuedSearcher, Results
-from tests.support import create_route, create_searcher, run_in_virtual_time
+from tests.serving.support import (
+    Load,
+    QueuedSearcher,
+    Results,
+    create_shard_route,
+)
+from tests.support import create_searcher, run_in_virtual_time
 
 _TARGET_S = 0.1
 _WORK_S = 0.01
@@ -32,14 +37,7 @@
 
 
 async def _play(fields: dict[str, int], rate: float = _RATE) -> Results:
-    route = create_route(
-        'a',
-        shares=(),
-        shards=('shard-0',),
-        is_public=True,
-        min_shard_share=1,
-        target_s=_TARGET_S,
-    )
+    route = create_shard_route(target_s=_TARGET_S)
     searcher: Searcher = create_searcher('cold', **fields)
     queued = QueuedSearcher(searcher, _WORK_S, random.Random(1))
     load = Load(route, [queued], cold_rate=rate)
--- a/tests/serving/test_hedging.py
+++ b/tests/serving/test_hedging.py
@@ -7,7 +7,12 @@
 
 from jacinthcart.routing import ExtraSendBudget, SearcherCalls
 from jacinthcart.serving import SendTerms, find_hedge_delay_s
-from tests.serving.support import Load, QueuedSearcher, Results
+from tests.serving.support import (
+    Load,
+    QueuedSearcher,
+    Results,
+    create_shard_route,
+)
 from tests.support import create_route, create_searcher, run_in_virtual_time
 
 _USUAL_S = 0.02
@@ -44,13 +49,7 @@
 async def _ask_once(refused_takes: int) -> Results:
     budget = mock.create_autospec(ExtraSendBudget, instance=True)
     budget.take.side_effect = [*itertools.repeat(False, refused_takes), True]
-    route = create_route(
-        'a',
-        shares=(),
-        shards=('shard-0',),
-        is_public=True,
-        min_shard_share=1,
-    )
+    route = create_shard_route()
     searchers = [
         QueuedSearcher(
             create_searcher(name, data_centre=data_centre),
