Respect searchers that leave or ask to wait

A searcher that says Server-Leaving must get nothing more from the VM that passed this on, and a searcher's 503 with Retry-After allows two requests in that time.

Change: AvailabilityTracker keeps both statements by searcher process, apart from health and catalogue. Queries that can't be answered in time are refused at once with the time at which they can. The emulator sends both headers, the soak injects them and checks the arrivals at the searchers.

--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -28,6 +28,9 @@
 _MISSING_PARTS = b'X-Jacinthcart-Missing-Parts'
 _NOT_EXECUTED = b'x-jacinthcart-not-executed'
 _LOAD = b'x-jacinthcart-server-load'
+#: Sent without the prefix that the platform's other headers have.
+_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 _STATUS_MISDIRECTED = 421
 _DEFAULT_DEADLINE_S = 30.0
 #: Hop-by-hop headers, which are not forwarded.
@@ -211,6 +214,8 @@
             load=_decode_load(by_name.get(_LOAD)),
             idle_timeout_s=_decode_timeout_s(by_name.get(b'keep-alive')),
             closes_connection=b'close' in connection,
+            is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
+            retry_after_s=_decode_retry_after_s(head.status, by_name),
         )
 
 
@@ -225,6 +230,19 @@
     return running, waiting, slots
 
 
+def _decode_retry_after_s(
+    status: int, by_name: dict[bytes, bytes]
+) -> float | None:
+    if status != _STATUS_NOT_RUN or _RETRY_AFTER not in by_name:
+        return None
+    try:
+        seconds = float(by_name[_RETRY_AFTER])
+    except ValueError:
+        # The platform sends seconds; without them there is no delay to keep.
+        return None
+    return seconds if seconds > 0 else None
+
+
 def _decode_timeout_s(content: bytes | None) -> float | None:
     if content is None:
         return None
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -44,6 +44,8 @@
     #: Returns whether this VM's configuration has been proven current
     #: recently enough to accept the caller's key; checked before each send.
     may_send: Callable[[], bool]
+    #: Priority of the request; 0 is the most urgent.
+    priority: int = 0
 
 
 class Attempt:
@@ -112,6 +114,7 @@
             while True:
                 await anyio.sleep(1)
                 await self._pools.close_idle()
+                self.table.availability.remove_expired()
 
     def estimate_median_s(self, route: Route) -> float:
         """Return the median latency in seconds of sends on `route`.
@@ -235,6 +238,8 @@
             raise NotSentError('deadline passed')
         if not context.may_send():
             raise NotSentError('freshness proof is too old to accept the key')
+        if not self.table.availability.may_send(attempt.searcher):
+            raise NotSentError('searcher has asked for no more requests')
         message = self._codec.encode_request(
             context.request,
             attempt.searcher.searcher_id,
@@ -244,6 +249,22 @@
         attempt.started_at = self.clock()
         return await connection.exchange(message, context.request.request_id)
 
+    def _record_statements(
+        self, searcher: Searcher, response: SearcherResponse
+    ) -> None:
+        availability = self.table.availability
+        if response.is_leaving and availability.record_leaving(searcher):
+            self._metrics.count('searcher', 'leaving')
+            self._logger.info(
+                'searcher leaves',
+                limit_key='searcher_leaving',
+                searcher=searcher.searcher_id,
+                born=searcher.born,
+            )
+        if response.retry_after_s is not None:
+            self._metrics.count('searcher', 'retry_after')
+            availability.record_retry_after(searcher, response.retry_after_s)
+
     def _record_outcome(
         self,
         attempt: Attempt,
@@ -257,6 +278,7 @@
             if outcome.affects_health:
                 self._health_tracker.record_failure(health)
             return
+        self._record_statements(attempt.searcher, response)
         if response.load is not None:
             self._health_tracker.record_load(health, response.load)
         if outcome.kind is OutcomeKind.NOT_RUN:
--- a/jacinthcart/routing/_codec.py
+++ b/jacinthcart/routing/_codec.py
@@ -56,6 +56,11 @@
     idle_timeout_s: float | None
     #: Whether the searcher closes the connection after this response.
     closes_connection: bool
+    #: Whether the searcher process leaves and wants no further requests.
+    is_leaving: bool = False
+    #: Seconds for which the searcher, which has rejected the request, wants
+    #: none from this VM; None if it named no delay.
+    retry_after_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -7,6 +7,7 @@
 from jacinthcart.catalogue import CatalogueState, Searcher, ServiceConfig
 from jacinthcart.fleet import MemberTable
 from jacinthcart.program import Clock
+from jacinthcart.routing._availability import AvailabilityTracker
 from jacinthcart.routing._cold import ColdStartLimiter
 from jacinthcart.routing._cost import (
     Candidate,
@@ -48,6 +49,8 @@
         self._random = random_source
         self._compute_share = compute_share
         self._params = params
+        #: What searchers have said about accepting requests.
+        self.availability = AvailabilityTracker(clock)
         catalogue_state.listeners.append(self._update_searchers)
 
     def get_health(self, searcher: Searcher) -> SearcherHealth:
@@ -82,10 +85,7 @@
             for searcher in self._catalogue_state.list_searchers(service)
             if searcher.searcher_id not in excluded
             and (includes_backed_off or not self._is_backed_off(searcher, now))
-            and self._cold_start_limiter.compute_earliest_send(
-                searcher, cold_rate
-            )
-            <= now
+            and self._compute_earliest_send(searcher, cold_rate) <= now
         }
         if not cost_s_by_searcher:
             return None
@@ -102,7 +102,7 @@
         rate = self._get_cold_rate(service)
         return min(
             (
-                self._cold_start_limiter.compute_earliest_send(searcher, rate)
+                self._compute_earliest_send(searcher, rate)
                 for searcher in self._catalogue_state.list_searchers(service)
                 if searcher.searcher_id not in excluded
             ),
@@ -117,9 +117,20 @@
         """Record that a request is being sent to `searcher`."""
         self._cold_start_limiter.record_send(searcher)
 
-    def has_searchers(self, service: str) -> bool:
-        """Return whether any searcher of the service accepts new requests."""
-        return bool(self._catalogue_state.list_searchers(service))
+    def compute_available_at(self, service: str) -> float:
+        """Return the clock time from which a searcher accepts requests.
+
+        The time is negative infinity if one does now and infinity if none of
+        the service's searchers will. Limits of cold searchers are not
+        considered.
+        """
+        return min(
+            (
+                self.availability.compute_earliest_send(searcher)
+                for searcher in self._catalogue_state.list_searchers(service)
+            ),
+            default=math.inf,
+        )
 
     def estimate_latency_s(self, searcher: Searcher, median_s: float) -> float:
         """Return the expected latency in seconds of a request sent now."""
@@ -154,6 +165,14 @@
         )
         return cost_s * (1 + _JITTER * self._random.random())
 
+    def _compute_earliest_send(
+        self, searcher: Searcher, cold_rate: float
+    ) -> float:
+        return max(
+            self._cold_start_limiter.compute_earliest_send(searcher, cold_rate),
+            self.availability.compute_earliest_send(searcher),
+        )
+
     def _is_backed_off(self, searcher: Searcher, now: float) -> bool:
         return self.get_health(searcher).backoff_until > now
 
--- a/jacinthcart/serving/__init__.py
+++ b/jacinthcart/serving/__init__.py
@@ -18,6 +18,9 @@
     AnswerParameters,
     AnswerPolicy,
     HoldPolicy,
+    RetryParameters,
+    compute_answerable_at,
+    compute_retry_after_s,
 )
 from jacinthcart.serving._records import merge_records
 from jacinthcart.serving._request_run import RequestServer, ServingParameters
@@ -39,11 +42,14 @@
     'HoldPolicy',
     'MergedAnswer',
     'RequestServer',
+    'RetryParameters',
     'SendParameters',
     'SendReport',
     'ServedAnswer',
     'ServiceRun',
     'ServingParameters',
+    'compute_answerable_at',
     'compute_hedge_delay_s',
+    'compute_retry_after_s',
     'merge_records',
 ]
--- a/jacinthcart/serving/_admission.py
+++ b/jacinthcart/serving/_admission.py
@@ -40,6 +40,8 @@
     route: Route
     #: Workspace of the key; None on public routes.
     workspace: str | None
+    #: Priority of the request; 0 is the most urgent.
+    priority: int = 0
 
 
 class Admission:
@@ -77,7 +79,7 @@
             self._check_denial('unknown route')
             raise RefusalError(RefusalCode.UNKNOWN_ROUTE)
         if route.is_public or not catalogue.needs_keys:
-            return Admitted(route, None)
+            return Admitted(route, None, route.priority)
         workspace = self._get_workspace(catalogue, request)
         self.check_key_lease()
         decision = await self._quota.take(workspace)
@@ -90,7 +92,10 @@
                     min(max(wait_ms, _MIN_RETRY_MS), _MAX_RETRY_MS),
                 ),
             )
-        return Admitted(route, workspace)
+        priority = catalogue.workspaces_by_name[workspace].priority
+        if priority is None:
+            priority = route.priority
+        return Admitted(route, workspace, priority)
 
     def is_proof_recent(self) -> bool:
         """Return whether the last proof is recent enough to accept keys."""
--- a/jacinthcart/serving/_policy.py
+++ b/jacinthcart/serving/_policy.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterable
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,6 +19,51 @@
     deadline_reserve_s: float = 0.008
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryParameters:
+    """How callers are spread over time after a refusal."""
+
+    #: Minimum period in seconds over which refused callers return.
+    min_spread_s: float = 0.1
+    #: Fraction of the wait by which the period is longer if that is more.
+    spread_fraction: float = 0.25
+    #: Number of priorities that return one after the other; requests with a
+    #: lower priority return with the last of them.
+    priorities: int = 4
+
+
+def compute_retry_after_s(
+    wait_s: float,
+    priority: int,
+    random_fraction: float,
+    params: RetryParameters,
+) -> float:
+    """Return the seconds after which a refused caller may return.
+
+    Searchers that have asked to wait accept requests again after `wait_s`. If
+    all callers returned at that moment, the searchers would reject most of
+    them again. Callers therefore return over a period, more urgent requests
+    first and at random within a priority. `random_fraction` is uniform in
+    [0, 1).
+    """
+    spread_s = max(params.min_spread_s, wait_s * params.spread_fraction)
+    turn = min(max(priority, 0), params.priorities - 1) + random_fraction
+    return wait_s + spread_s * turn / params.priorities
+
+
+def compute_answerable_at(
+    available_at: Iterable[float], optional_parts: int
+) -> float:
+    """Return the clock time from which enough shards are available.
+
+    `available_at` contains, for each shard that is not available, the time
+    from which it is, and `optional_parts` of them may be missing in an answer.
+    """
+    times = sorted(available_at)
+    required = len(times) - optional_parts
+    return times[required - 1] if required > 0 else -math.inf
+
+
 class HoldPolicy:
     """Holds back shard requests whose responses would be too late.
 
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -7,12 +7,11 @@
 import anyio
 
 from jacinthcart.catalogue import Route
-from jacinthcart.errors import Ran, RefusalCode, RefusalError
+from jacinthcart.errors import RefusalCode, RefusalError
 from jacinthcart.routing import (
     CallContext,
     CallerRequest,
     ExtraSendBudget,
-    OutcomeKind,
     SearcherClient,
 )
 from jacinthcart.serving._admission import Admission, Admitted
@@ -22,8 +21,10 @@
     AnswerParameters,
     AnswerPolicy,
     HoldPolicy,
+    RetryParameters,
 )
 from jacinthcart.serving._records import merge_records
+from jacinthcart.serving._refusals import RefusalFactory, create_timeout
 from jacinthcart.serving._results import (
     MergedAnswer,
     SendReport,
@@ -31,12 +32,6 @@
 )
 from jacinthcart.serving._service_run import ServiceRun
 
-#: Retry delay in milliseconds if sends failed or were refused, or if there was
-#: no searcher to send to.
-_RETRY_MS = 100
-#: Retry delay in milliseconds while too many shards have no searcher. Searchers
-#: publish their entries about once a second.
-_NO_SEARCHER_RETRY_MS = 300
 #: Policy of requests to a single service, which are never held back: without
 #: its response there is no answer.
 _NEVER_HOLD = HoldPolicy(0, 0)
@@ -48,6 +43,7 @@
 
     send: SendParameters = SendParameters()
     answer: AnswerParameters = AnswerParameters()
+    retry: RetryParameters = RetryParameters()
 
 
 class _Wakeup:
@@ -87,6 +83,7 @@
         self._random = random_source
         self._params = params
         self._caller_age_estimator = CallerAgeEstimator()
+        self._refusals = RefusalFactory(client, random_source, params.retry)
 
     async def serve(
         self,
@@ -105,6 +102,7 @@
             admitted.workspace,
             self._compute_deadline(request, route),
             self._create_key_check(admitted),
+            admitted.priority,
         )
         if context.deadline <= self._client.clock():
             raise RefusalError(RefusalCode.DEADLINE_PASSED)
@@ -147,7 +145,7 @@
         failure = run.failure
         if failure and failure.response and not failure.response.is_not_run:
             return ServedAnswer(failure.response, _create_report([run]))
-        raise self._create_refusal([run])
+        raise self._refusals.create(context, [run], 0)
 
     async def _wait_for_end(
         self,
@@ -158,7 +156,7 @@
         while not run.is_done:
             now = self._client.clock()
             if now >= context.deadline:
-                raise self._create_timeout([run])
+                raise create_timeout([run])
             run.tick(now)
             if not run.is_done:
                 wake_at = min(run.wake_at, context.deadline)
@@ -172,7 +170,7 @@
             route.min_shard_fraction,
             self._compute_answer_time(context.request, route),
         )
-        self._check_shards(route, policy)
+        self._check_shards(context, policy)
         hold_policy = HoldPolicy(policy.optional_parts, policy.answer_at)
         runs = [
             self._create_run(context, service, hold_policy, wakeup)
@@ -191,20 +189,27 @@
             run.abandon()
         return answer
 
-    def _check_shards(self, route: Route, policy: AnswerPolicy) -> None:
+    def _check_shards(self, context: CallContext, policy: AnswerPolicy) -> None:
         # Nothing is sent for a query that can't be answered: its shard
         # requests would only take capacity from other queries.
+        route = context.route
+        latest_send = max(
+            self._client.clock(),
+            policy.answer_at - self._client.estimate_median_s(route),
+        )
         table = self._client.table
+        available_at_by_service = {
+            service: table.compute_available_at(service)
+            for service in route.shards
+        }
         unserved = [
             service
-            for service in route.shards
-            if not table.has_searchers(service)
+            for service, available_at in available_at_by_service.items()
+            if available_at > latest_send
         ]
         if policy.is_unanswerable(len(unserved)):
-            raise RefusalError(
-                RefusalCode.OVERLOADED,
-                detail=f'no searcher available for {", ".join(unserved)}',
-                retry_after_ms=_NO_SEARCHER_RETRY_MS,
+            raise self._refusals.create_unserved(
+                context, unserved, policy.optional_parts
             )
 
     async def _collect(
@@ -237,11 +242,11 @@
         if policy.should_answer(parts, failed, now):
             return True
         if policy.is_unanswerable(failed):
-            raise self._create_refusal(runs)
+            raise self._refusals.create(context, runs, policy.optional_parts)
         if now < context.deadline:
             return False
         if parts < policy.min_parts:
-            raise self._create_timeout(runs)
+            raise create_timeout(runs)
         return True
 
     def _create_run(
@@ -268,39 +273,6 @@
         chosen = self._random.choices(route.shares, weights)[0]
         return chosen.service
 
-    def _create_timeout(self, runs: list[ServiceRun]) -> RefusalError:
-        ran = _compute_ran(runs)
-        reasons = sorted(run.describe() for run in runs if not run.response)
-        return RefusalError(
-            RefusalCode.DEADLINE_PASSED,
-            ran,
-            detail='; '.join(reasons),
-        )
-
-    def _create_refusal(self, runs: list[ServiceRun]) -> RefusalError:
-        ran = _compute_ran(runs)
-        reasons = {run.describe() for run in runs if run.failure is not None}
-        code = RefusalCode.OVERLOADED
-        if ran is Ran.UNKNOWN:
-            code = RefusalCode.BACKEND_FAILED
-        return RefusalError(
-            code,
-            ran,
-            detail='; '.join(sorted(reasons)),
-            retry_after_ms=_RETRY_MS,
-        )
-
-
-def _compute_ran(runs: list[ServiceRun]) -> Ran:
-    for run in runs:
-        failure = run.failure
-        is_refused = failure is not None and failure.kind is OutcomeKind.NOT_RUN
-        if run.may_have_run or run.response is not None:
-            return Ran.UNKNOWN
-        if run.was_sent and not is_refused:
-            return Ran.UNKNOWN
-    return Ran.NOT_RUN
-
 
 def _merge_responses(route: Route, runs: list[ServiceRun]) -> MergedAnswer:
     responses = [run.response for run in runs if run.response is not None]
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -198,7 +198,13 @@
             )
             may_wait = is_refused and bool(self._candidates.tried)
             self._candidates.tried.clear()
-            self._wait_or_fail(outcome, retry_at, may_wait=may_wait)
+            # A searcher that asked to wait beyond the target is not waited
+            # for, because an answer after the target has little value.
+            earliest_send = self._candidates.compute_earliest_send()
+            may_wait = may_wait and earliest_send < max(now, self._target_at)
+            self._wait_or_fail(
+                outcome, max(retry_at, earliest_send), may_wait=may_wait
+            )
             return
         is_extra = self._delivered > 0
         if is_extra and not self._budget.take(self.service):
--- a/jacinthcart_emulator/platform_searcher.py
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -14,6 +14,8 @@
 _RECEIVE_BYTES = 65536
 _RECORD_BYTES = 16
 _HEADER_PREFIX = 'x-jacinthcart-'
+#: Name and content of a header.
+_Header = tuple[str, str]
 _DISCONNECT_ERRORS = (
     *STREAM_FAILURES,
     anyio.EndOfStream,
@@ -36,6 +38,21 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that reached a searcher and was meant for it."""
+
+    request_id: str
+    searcher_id: str
+    service: str
+    #: Time of the arrival, in seconds on the monotonic clock.
+    at: float
+    #: Whether the response says that the searcher leaves.
+    is_leaving: bool
+    #: Seconds to wait that the response names; None if it names none.
+    retry_after_s: float | None
+
+
 @dataclasses.dataclass
 class PlatformSearcherFaults:
     """Active faults; a fraction is the probability of a fault per request."""
@@ -50,6 +67,10 @@
     failure_fraction: float = 0
     #: Respond with status 503 without executing the request.
     shed_fraction: float = 0
+    #: Seconds to wait that such a response names; None to name none.
+    retry_after_s: float | None = None
+    #: Say in every response that the searcher leaves.
+    is_leaving: bool = False
     #: Service time of a request, in seconds.
     service_s: float = 0.004
     #: Delay every request by 60 s before it is executed.
@@ -59,8 +80,8 @@
 class PlatformSearcherEmulator:
     """Executes requests in a limited number of slots and records each.
 
-    Each execution is appended to `executions`, which several searchers may
-    share.
+    Each execution is appended to `executions` and each arrival to `arrivals`,
+    which several searchers may share.
     """
 
     def __init__(
@@ -72,6 +93,7 @@
         random_source: random.Random,
         slots: int = 4,
         records: int = 6,
+        arrivals: list[Arrival] | None = None,
     ) -> None:
         """Create the searcher; `start` makes it listen."""
         self.searcher_id = searcher_id
@@ -79,6 +101,7 @@
         self.port = 0
         self.faults = PlatformSearcherFaults()
         self.executions = executions
+        self.arrivals: list[Arrival] = [] if arrivals is None else arrivals
         self._random = random_source
         self._slots = slots
         self._records = records
@@ -161,15 +184,18 @@
             headers.get(f'{_HEADER_PREFIX}expected-instance')
             != self.searcher_id
         ):
-            refusal = _encode_response(codec, 421, request_id, b'', stamp=None)
+            refusal = _encode_response(codec, 421, request_id, b'')
             await stream.send(refusal)
             return True
         faults = self.faults
+        is_shed = self._draw_bool(faults.shed_fraction)
+        statements = _create_statements(faults, is_shed=is_shed)
+        self._record_arrival(request_id, is_shed=is_shed)
         if faults.is_silent:
             await anyio.sleep(60)
-        if self._draw_bool(faults.shed_fraction):
+        if is_shed:
             await stream.send(
-                _encode_response(codec, 503, request_id, b'', stamp=None)
+                _encode_response(codec, 503, request_id, b'', *statements)
             )
             return True
         assert self._limiter is not None
@@ -185,13 +211,27 @@
                 ),
             )
             await anyio.sleep(faults.service_s)
-        return await self._send_answer(stream, codec, request_id)
+        return await self._send_answer(stream, codec, request_id, statements)
+
+    def _record_arrival(self, request_id: str, *, is_shed: bool) -> None:
+        faults = self.faults
+        self.arrivals.append(
+            Arrival(
+                request_id,
+                self.searcher_id,
+                self.service,
+                time.monotonic(),
+                faults.is_leaving,
+                faults.retry_after_s if is_shed else None,
+            ),
+        )
 
     async def _send_answer(
         self,
         stream: SocketStream,
         codec: h11.Connection,
         request_id: str,
+        statements: list[_Header],
     ) -> bool:
         """Send the answer; return whether the connection stays open."""
         faults = self.faults
@@ -205,6 +245,7 @@
             500 if is_failure else 200,
             request_id,
             body,
+            *statements,
             stamp=stamp,
         )
         if self._draw_bool(faults.truncate_fraction):
@@ -220,6 +261,17 @@
         return fraction > 0 and self._random.random() < fraction
 
 
+def _create_statements(
+    faults: PlatformSearcherFaults, *, is_shed: bool
+) -> list[_Header]:
+    statements = []
+    if faults.is_leaving:
+        statements.append(('server-leaving', '1'))
+    if is_shed and faults.retry_after_s is not None:
+        statements.append(('retry-after', f'{faults.retry_after_s:.3f}'))
+    return statements
+
+
 def create_part(service: str, request_id: str, records: int) -> bytes:
     """Return the body with which a service answers a request.
 
@@ -240,13 +292,14 @@
     status: int,
     request_id: str,
     body: bytes,
-    *,
-    stamp: str | None,
+    *statements: _Header,
+    stamp: str | None = None,
 ) -> bytes:
     """Encode a response; without `stamp` it is marked as not executed."""
     headers = [
         (f'{_HEADER_PREFIX}request-id', request_id),
         ('content-length', str(len(body))),
+        *statements,
     ]
     if stamp is None:
         headers.append((f'{_HEADER_PREFIX}not-executed', '1'))
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -12,6 +12,7 @@
 
 from jacinthcart.network import Endpoint
 from jacinthcart_emulator.platform_searcher import (
+    Arrival,
     Execution,
     PlatformSearcherEmulator,
 )
@@ -51,6 +52,7 @@
         self.params = params
         self.store = StoreEmulator()
         self.executions: list[Execution] = []
+        self.arrivals: list[Arrival] = []
         self.searchers_by_id: dict[str, PlatformSearcherEmulator] = {}
         self.version = 0
         self.keys = ['key-1']
@@ -101,6 +103,7 @@
             searcher_id,
             service,
             executions=self.executions,
+            arrivals=self.arrivals,
             random_source=self._random,
         )
         await searcher.start(_SEARCHER_ADDRESS, tasks)
--- a/jacinthcart_lab/soak/_faults.py
+++ b/jacinthcart_lab/soak/_faults.py
@@ -12,11 +12,11 @@
 from jacinthcart_emulator.platform_store import StoreFault
 from jacinthcart_lab.platform_deployment import PlatformDeployment
 from jacinthcart_lab.soak._proxy import ProxyMode
+from jacinthcart_lab.soak._searcher_faults import SearcherFaults
 from jacinthcart_lab.soak._vm import SoakVm
 
 #: `grace_s` of the VMs, in seconds.
 _GRACE_S = 3.0
-_SILENT_FRACTION = 0.2
 _DISCARD_FRACTION = 0.3
 
 
@@ -37,6 +37,9 @@
         self._deployment = deployment
         self._vms = vms
         self._random = random_source
+        self._searcher_faults = SearcherFaults(
+            deployment, random_source, self._record
+        )
 
     async def inject(self, seconds: float, tasks: TaskGroup) -> None:
         """Start faults at random for `seconds`; the last ones end later."""
@@ -56,10 +59,12 @@
             self._stop_vm,
             self._inject_store_fault,
             self._inject_proxy_fault,
-            self._inject_searcher_fault,
             self._replace_key,
-            self._drain_searcher,
-            lambda: self._crash_searcher(tasks),
+            self._searcher_faults.break_responses,
+            self._searcher_faults.drain,
+            self._searcher_faults.reject_for_a_while,
+            lambda: self._searcher_faults.crash(tasks),
+            lambda: self._searcher_faults.leave(tasks),
         ]
 
     async def _pause_vm(self) -> None:
@@ -115,21 +120,6 @@
         await anyio.sleep(seconds)
         await vm.proxy.switch(ProxyMode.PASS)
 
-    async def _inject_searcher_fault(self) -> None:
-        searchers = list(self._deployment.searchers_by_id.values())
-        chosen = self._random.choice(searchers)
-        name = self._random.choice(
-            ('reset', 'truncate', 'duplicate', 'failure', 'shed'),
-        )
-        self._record(f'searcher {chosen.searcher_id} {name}')
-        setattr(
-            chosen.faults, f'{name}_fraction', self._random.uniform(0.1, 0.9)
-        )
-        chosen.faults.is_silent = self._random.random() < _SILENT_FRACTION
-        await anyio.sleep(self._random.uniform(1, 4))
-        setattr(chosen.faults, f'{name}_fraction', 0)
-        chosen.faults.is_silent = False
-
     async def _replace_key(self) -> None:
         deployment = self._deployment
         old = deployment.keys[0]
@@ -144,27 +134,5 @@
         self.revoked_at_by_key[old] = time.monotonic()
         self._record(f'revoke key {old}')
 
-    async def _drain_searcher(self) -> None:
-        searcher_id = self._random.choice(
-            list(self._deployment.searchers_by_id),
-        )
-        self._record(f'drain searcher {searcher_id}')
-        self._deployment.publish_searcher(searcher_id, 'draining')
-        await anyio.sleep(self._random.uniform(1, 4))
-        # It may have crashed meanwhile, and its successor has another id.
-        if searcher_id in self._deployment.searchers_by_id:
-            self._deployment.publish_searcher(searcher_id)
-
-    async def _crash_searcher(self, tasks: TaskGroup) -> None:
-        deployment = self._deployment
-        searcher_id = self._random.choice(list(deployment.searchers_by_id))
-        searcher = deployment.searchers_by_id.pop(searcher_id)
-        self._record(f'crash searcher {searcher_id}')
-        await searcher.close()
-        await anyio.sleep(self._random.uniform(0.5, 3))
-        deployment.store.remove(f'servers/{searcher_id}')
-        successor_id = f'{searcher.service}-n{self._random.getrandbits(32):08x}'
-        await deployment.start_searcher(successor_id, searcher.service, tasks)
-
     def _record(self, fault: str) -> None:
         self.injected.append(fault)
--- a/jacinthcart_lab/soak/_run.py
+++ b/jacinthcart_lab/soak/_run.py
@@ -21,6 +21,7 @@
 from jacinthcart_lab.soak._checks import check_calls
 from jacinthcart_lab.soak._faults import SoakFaults
 from jacinthcart_lab.soak._proxy import FaultProxy, ProxyMode
+from jacinthcart_lab.soak._statement_checks import StatementChecker
 from jacinthcart_lab.soak._vm import SoakVm
 
 #: Time bound for a revoked key in seconds, `revoke_ms` of the VMs.
@@ -160,6 +161,13 @@
             self._faults.revoked_at_by_key,
             _KEY_BOUND_S,
         )
+        report.violations.extend(
+            StatementChecker(
+                calls,
+                self._deployment.arrivals,
+                {vm.number: vm.started_at for vm in self._vms},
+            ).check(),
+        )
         if report.recovered_fraction < _MIN_RECOVERED_FRACTION:
             report.violations.append(
                 f'only {report.recovered_fraction:.2f} of the requests were '
--- a/jacinthcart_lab/soak/_vm.py
+++ b/jacinthcart_lab/soak/_vm.py
@@ -3,6 +3,7 @@
 import pathlib
 import signal
 import subprocess
+import time
 
 import anyio
 
@@ -26,6 +27,8 @@
         self.proxy = proxy
         self.log = log
         self.is_expected_to_run = False
+        #: Monotonic times in seconds at which the process was started.
+        self.started_at: list[float] = []
         self._settings = settings
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -37,6 +40,7 @@
             environment={'JACINTHCART_CONFIG': str(self._settings)},
         )
         self.is_expected_to_run = True
+        self.started_at.append(time.monotonic())
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -11,11 +11,16 @@
 import anyio
 
 from jacinthcart.serving import merge_records
-from jacinthcart_emulator.platform_searcher import Execution, create_part
+from jacinthcart_emulator.platform_searcher import (
+    Arrival,
+    Execution,
+    create_part,
+)
 from jacinthcart_lab.platform_deployment import PlatformDeployment
 from jacinthcart_lab.soak import SoakParameters, run_soak
 from jacinthcart_lab.soak._checks import Call, check_calls
-from jacinthcart_lab.soak._faults import SoakFaults
+from jacinthcart_lab.soak._searcher_faults import SearcherFaults
+from jacinthcart_lab.soak._statement_checks import StatementChecker
 from tests.support import run_in_virtual_time
 
 _SHARDS = ['shard0', 'shard1']
@@ -97,7 +102,40 @@
         self.assertTrue(check([], [create_execution('r9')]))
 
 
-class SoakFaultsTests(TestCase):
+class StatementCheckerTests(TestCase):
+    """Arrivals that contradict the searchers' statements are found."""
+
+    def test_request_to_a_leaving_searcher_is_found(self) -> None:
+        """Guards against a VM that forgets that a searcher leaves."""
+        late = dataclasses.replace(create_search('r2'), sent_at=101.0)
+        calls = [create_search(), late]
+        arrivals = [self._create('r1', 100.0), self._create('r2', 101.0)]
+        checker = StatementChecker(calls, arrivals, {0: [90.0]})
+        self.assertEqual(len(checker.check()), 1)
+        restarted = StatementChecker(calls, arrivals, {0: [100.5]})
+        self.assertEqual(restarted.check(), [])
+
+    def test_requests_within_a_named_delay_are_found(self) -> None:
+        """Two may arrive, so the third one is a violation."""
+        ids = ['r1', 'r2', 'r3', 'r4']
+        calls = [create_search(one) for one in ids]
+        arrivals = [
+            Arrival('r1', 's', 'shard0', 100.0, False, 3.0),
+            *(
+                Arrival(one, 's', 'shard0', 101.0, False, None)
+                for one in ids[1:]
+            ),
+        ]
+        checker = StatementChecker(calls, arrivals, {})
+        self.assertEqual(len(checker.check()), 1)
+        checker = StatementChecker(calls, arrivals[:-1], {})
+        self.assertEqual(checker.check(), [])
+
+    def _create(self, request_id: str, at: float) -> Arrival:
+        return Arrival(request_id, 's', 'shard0', at, True, None)
+
+
+class SearcherFaultsTests(TestCase):
     """A fault may hit a searcher that another fault is affecting."""
 
     def test_crashed_searcher_is_not_published_after_its_drain(self) -> None:
@@ -110,9 +148,9 @@
     async def _crash_while_draining(self) -> None:
         deployment = mock.create_autospec(PlatformDeployment, instance=True)
         deployment.searchers_by_id = {'shard0-2': mock.Mock()}
-        faults = SoakFaults(deployment, [], random.Random(1))
+        faults = SearcherFaults(deployment, random.Random(1), mock.Mock())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(faults._drain_searcher)
+            tasks.start_soon(faults.drain)
             await anyio.sleep(0.1)
             deployment.searchers_by_id.clear()
         states = [
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -118,6 +118,29 @@
         broken = ResponseHead(200, ((b'x-jacinthcart-server-load', b'3,a'),))
         self.assertIsNone(self.codec.decode_response(broken, b'').load)
 
+    def test_statements_of_searchers_are_decoded(self) -> None:
+        """Only the documented value means that the searcher leaves."""
+        for content, expected in ((b'1', True), (b'0', False), (b'', False)):
+            head = ResponseHead(200, ((b'server-leaving', content),))
+            response = self.codec.decode_response(head, b'')
+            self.assertIs(response.is_leaving, expected)
+
+    def test_unusable_retry_delays_are_ignored(self) -> None:
+        """Guards against a delay from a malformed or negative value."""
+        cases = (
+            (503, b'1.5', 1.5),
+            (503, b'-3', None),
+            (503, b'0', None),
+            (503, b'soon', None),
+            (503, b'nan', None),
+            (503, b'Sat, 05 Dec 2026 08:00:00 GMT', None),
+            (200, b'3', None),
+        )
+        for status, content, expected in cases:
+            head = ResponseHead(status, ((b'retry-after', content),))
+            response = self.codec.decode_response(head, b'')
+            self.assertEqual(response.retry_after_s, expected, content)
+
 
 class EncodeRefusalTests(unittest.TestCase):
     """A status that promises `not run` is used only if it is known."""
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -111,7 +111,7 @@
             self._running -= 1
             self._slots.release()
 
-    def _respond(self, status: int) -> SearcherResponse:
+    def _respond(self, status: int, **statements: Any) -> SearcherResponse:
         return SearcherResponse(
             head=ResponseHead(status, ()),
             body=b'r' * 16,
@@ -120,6 +120,7 @@
             load=(self._running, self._waiting, self.searcher.slots),
             idle_timeout_s=None,
             closes_connection=False,
+            **statements,
         )
 
 
@@ -171,6 +172,13 @@
     )
     #: Number of requests that were refused.
     refused: int = 0
+    #: Seconds after which requests were refused.
+    refused_after_s: list[float] = dataclasses.field(default_factory=list)
+    #: Seconds from the start of the load to a refusal, and its retry delay in
+    #: seconds.
+    retry_after_by_time: list[tuple[float, float]] = dataclasses.field(
+        default_factory=list,
+    )
 
     @property
     def total(self) -> int:
@@ -206,6 +214,7 @@
         logger = create_logger('test')
         source = random.Random(3)
         self.results = Results()
+        self._started_at = clock()
         self._route = route
         self._random = source
         catalogue_state = CatalogueState(clock, logger)
@@ -268,9 +277,19 @@
                 create_request(now),
                 Admitted(self._route, None),
             )
-        except RefusalError:
-            self.results.refused += 1
+        except RefusalError as refusal:
+            self._record_refusal(now, refusal)
             return
         assert isinstance(answer, MergedAnswer)
         latency_s = anyio.current_time() - now
         self.results.latencies_by_missing[answer.missing].append(latency_s)
+
+    def _record_refusal(self, sent_at: float, refusal: RefusalError) -> None:
+        now = anyio.current_time()
+        results = self.results
+        results.refused += 1
+        results.refused_after_s.append(now - sent_at)
+        if refusal.retry_after_ms is not None:
+            results.retry_after_by_time.append(
+                (now - self._started_at, refusal.retry_after_ms / 1000),
+            )
