Bound odd entries and endless responses of searchers

An entry with 10**400 slots was accepted and overflowed in the cost of a searcher, which ended every request to its service; one with an infinite cold start made a searcher cold for good; an id with line breaks added a header to requests. A response without end was collected until the memory ended (the test of an endless header field did not end within ten minutes, since the parser copies it for each chunk).

Change: bounds on the numbers and the id of an entry; a header section ends an attempt at 64 KiB, a body at 16 MiB. Nested entries and ports out of range were rejected before; tests now show it.

--- a/jacinthcart/platform/_documents.py
+++ b/jacinthcart/platform/_documents.py
@@ -1,5 +1,7 @@
 """Decodes the configuration document and the entries of searchers."""
 
+import re
+
 import pydantic
 
 from jacinthcart.catalogue import (
@@ -18,6 +20,13 @@
 
 _MS_PER_S = 1000
 _IDEMPOTENT = 'idempotent'
+#: Limits of the numbers in an entry, far above any real value. Entries may
+#: come from faulty writers, and larger numbers overflow in calculations.
+_MAX_SLOTS = 1_000_000
+_MAX_COLD_MS = 3_600_000
+_MAX_INTEGER = (1 << 63) - 1
+#: Ids are sent in a header.
+_SEARCHER_ID = re.compile('[!-~]{1,200}')
 
 
 class _SplitBody(pydantic.BaseModel):
@@ -116,13 +125,13 @@
     service: str
     address: str
     zone: str
-    concurrency_limit: int = pydantic.Field(ge=1)
+    concurrency_limit: int = pydantic.Field(ge=1, le=_MAX_SLOTS)
     state: SearcherState
     #: Milliseconds until the searcher is warm.
-    warmup_left_ms: float = pydantic.Field(ge=0)
-    sequence: int
+    warmup_left_ms: float = pydantic.Field(ge=0, le=_MAX_COLD_MS)
+    sequence: int = pydantic.Field(ge=0, le=_MAX_INTEGER)
     #: Start time of the searcher in Unix milliseconds.
-    born: int = 0
+    born: int = pydantic.Field(default=0, ge=0, le=_MAX_INTEGER)
 
 
 def decode_catalogue(content: bytes) -> Catalogue:
@@ -172,6 +181,8 @@
 
 def decode_searcher(searcher_id: str, content: bytes) -> Searcher:
     """Decode the entry of a searcher; raise InvalidMessageError."""
+    if not _SEARCHER_ID.fullmatch(searcher_id):
+        raise InvalidMessageError(f'{searcher_id!r} is not a searcher id')
     try:
         body = _ServerBody.model_validate_json(content)
         endpoint = decode_endpoint(body.address)
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -18,6 +18,9 @@
 from jacinthcart.streams import STREAM_FAILURES, is_readable
 
 _RECEIVE_BYTES = 65536
+#: Limits of a response. A searcher in trouble may send without end.
+_MAX_HEAD_BYTES = 65536
+_MAX_BODY_BYTES = 16 * 1024 * 1024
 _BODYLESS_STATUSES = frozenset((204, 304))
 #: Responses read for one request; those to other requests are skipped.
 _MAX_RESPONSES_READ = 4
@@ -52,13 +55,23 @@
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
+        #: Received bytes of the header section or body in progress.
+        self._section_bytes = 0
+        self._is_in_head = True
 
     def feed(self, received: bytes) -> None:
-        """Parse bytes; a parse error does not discard complete responses."""
+        """Parse bytes; a parse error does not discard complete responses.
+
+        A response that is too large is an error, too.
+        """
+        self._section_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError:
             self.is_broken = True
+        limit = _MAX_HEAD_BYTES if self._is_in_head else _MAX_BODY_BYTES
+        if self._section_bytes > limit:
+            self.is_broken = True
 
     def finish(self) -> None:
         """Handle the end of the stream.
@@ -72,6 +85,8 @@
         """Start a new response."""
         self.is_in_response = True
         self.is_ended_by_close = False
+        self._is_in_head = True
+        self._section_bytes = 0
         self._headers = []
         self._chunks = []
 
@@ -83,6 +98,8 @@
         """Determine whether the body is delimited by connection close."""
         names = {name for name, _ in self._headers}
         status = self._parser.get_status_code()
+        self._is_in_head = False
+        self._section_bytes = 0
         self.is_ended_by_close = (
             b'content-length' not in names
             and b'transfer-encoding' not in names
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -102,6 +102,51 @@
                 decode_searcher('i-1', content)
 
 
+class OddEntryTests(unittest.TestCase):
+    """One odd entry of another writer must not stop a VM."""
+
+    def test_huge_numbers_are_errors(self) -> None:
+        """Guards against an overflow in the cost of a searcher.
+
+        It ended every request to a service with an entry of 10**400 slots.
+        """
+        for field in ('concurrency_limit', 'sequence', 'born'):
+            with self.assertRaises(InvalidMessageError, msg=field):
+                decode_searcher('i-1', _create_text_entry(field, '9' * 400))
+
+    def test_endless_cold_start_is_an_error(self) -> None:
+        """Guards against a searcher that is cold for good."""
+        for text in ('1e400', '9' * 30, 'NaN', 'Infinity'):
+            entry = _create_text_entry('warmup_left_ms', text)
+            with self.assertRaises(InvalidMessageError, msg=text):
+                decode_searcher('i-1', entry)
+
+    def test_ports_out_of_range_are_errors(self) -> None:
+        """Guards against an error when the connection is opened."""
+        for port in ('0', '-1', '65536', '9' * 30, '8e1', ''):
+            entry = create_entry(address=f'10.0.0.9:{port}')
+            with self.assertRaises(InvalidMessageError, msg=port):
+                decode_searcher('i-1', entry)
+
+    def test_deeply_nested_entries_are_errors(self) -> None:
+        """Guards against exhausting the stack."""
+        for content in (b'[' * 200_000, b'{"a":' * 200_000):
+            with self.assertRaises(InvalidMessageError):
+                decode_searcher('i-1', content)
+
+    def test_ids_that_do_not_fit_in_a_header_are_errors(self) -> None:
+        """Guards against a key that adds a header to each request."""
+        for searcher_id in ('', 'a b', 'a\r\nx-evil: 1', 'a\u00e9', 'a\x00'):
+            with self.assertRaises(InvalidMessageError, msg=searcher_id):
+                decode_searcher(searcher_id, create_entry())
+
+
+def _create_text_entry(field: str, text: str) -> bytes:
+    marker = 424242
+    entry = create_entry(**{field: marker})
+    return entry.replace(str(marker).encode(), text.encode())
+
+
 class CatalogueUpdaterTests(unittest.TestCase):
     """An invalid item does not affect other items."""
 
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -1,10 +1,20 @@
 """Tests of connection pools."""
 
+import itertools
 import unittest
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
 
 import anyio
 
-from jacinthcart.routing import ConnectionParameters, SearcherPools
+from jacinthcart.errors import OutcomeUnknownError
+from jacinthcart.routing import (
+    BaseSearcherCodec,
+    ConnectionParameters,
+    SearcherPools,
+)
+from jacinthcart.routing._pool import SearcherConnection
 from tests.support import create_searcher, run_in_virtual_time
 
 
@@ -61,3 +71,81 @@
             await anyio.sleep(0.2)
         taken.append(await pools.acquire(searcher, at_most_once=False))
         return [id(one) for one in taken]
+
+
+class _ScriptedStream:
+    """Stream whose peer sends the given chunks."""
+
+    def __init__(self, chunks: Iterator[bytes]) -> None:
+        """Create the stream."""
+        self.received_bytes = 0
+        self._chunks = chunks
+
+    def extra(self, attribute: Any) -> None:
+        """Return no attribute."""
+
+    async def send(self, message: bytes) -> None:
+        """Discard the request."""
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Return the next chunk."""
+        await anyio.sleep(0)
+        chunk = next(self._chunks, None)
+        if chunk is None:
+            raise anyio.EndOfStream
+        self.received_bytes += len(chunk)
+        return chunk
+
+
+class EndlessResponseTests(unittest.TestCase):
+    """A searcher in trouble may send bytes without end.
+
+    Without limits, a VM collects them until its process is killed.
+    """
+
+    def test_endless_header_section_ends_the_attempt(self) -> None:
+        """Guards against collecting headers without end."""
+        head = b'HTTP/1.1 200 OK\r\n'
+        field = b'x-filler: %s\r\n' % (b'a' * 1000)
+        self._check([head], field)
+
+    def test_endless_header_field_ends_the_attempt(self) -> None:
+        """Guards against a single field without end."""
+        self._check([b'HTTP/1.1 200 OK\r\nx-filler: '], b'a' * 1000)
+
+    def test_endless_body_ends_the_attempt(self) -> None:
+        """Guards against a body that only the connection's end delimits."""
+        self._check([b'HTTP/1.1 200 OK\r\n\r\n'], b'a' * 60_000)
+
+    def test_endless_chunked_body_ends_the_attempt(self) -> None:
+        """Guards against a chunked body without end."""
+        head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        self._check([head], b'ea60\r\n%s\r\n' % (b'a' * 60_000))
+
+    def test_endless_interim_responses_end_the_attempt(self) -> None:
+        """Guards against interim responses without end."""
+        self._check([], b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def test_large_response_is_received(self) -> None:
+        """A limit must not reject what a searcher may send."""
+        body = b'a' * 4_000_000
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+        stream = _ScriptedStream(iter([head, body]))
+        run_in_virtual_time(self._exchange, stream)
+
+    def _check(self, start: list[bytes], repeated: bytes) -> None:
+        chunks = itertools.chain(
+            start, itertools.repeat(repeated, 100_000_000 // len(repeated))
+        )
+        stream = _ScriptedStream(chunks)
+        with self.assertRaises(OutcomeUnknownError):
+            run_in_virtual_time(self._exchange, stream)
+        self.assertLess(stream.received_bytes, 32_000_000)
+
+    async def _exchange(self, stream: Any) -> None:
+        codec = mock.create_autospec(BaseSearcherCodec, instance=True)
+        codec.find_request_id.side_effect = lambda head: (
+            'id' if head.status == 200 else None
+        )
+        connection = SearcherConnection(stream, codec, 0)
+        await connection.exchange(b'', 'id')
