Ask other members before a member is suspected

Cause: a member was suspected for the whole fleet after two pings that one VM had missed. A VM that hears nothing, or whose data centre gets nothing from another one, suspected each member that it pinged, and each had to refute it. Evidence from before a refutation still counted, so members of a data centre that had come back were suspected again in each round. A VM that woke up counted pings as missed before it read the acknowledgements. With more than ten changes at once only the newest ten were passed on.

A suspicion that nobody confirms needs more time and isn't passed on; suspicions of a suspected sender are ignored; evidence ends with each change of the member's record; a late round discards the pings in flight; changes are passed on at random. The sources of store data moved to a module of their own, unchanged.

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -9,19 +9,28 @@
 from anyio.abc import TaskGroup
 
 from jacinthcart.fleet._anti_entropy import AntiEntropy, AntiEntropyParameters
+from jacinthcart.fleet._failure_detector import (
+    DetectionParameters,
+    FailureDetector,
+)
+from jacinthcart.fleet._indirect_probes import (
+    KIND_PROBE,
+    KIND_PROBE_RESULT,
+    IndirectProbes,
+)
 from jacinthcart.fleet._members import MemberTable, compute_interval_factor
 from jacinthcart.fleet._messages import (
     FleetMessage,
     MemberRecord,
+    MemberState,
     decode_fleet_message,
 )
+from jacinthcart.fleet._sources import SourceParameters, StoreSources
 from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.readings import TablePuller
 
 KIND_PING = 'ping'
 KIND_ACK = 'ack'
-#: Key by which members are ranked for reading the platform's store.
-READERS_KEY = 'readers'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,36 +42,17 @@
     #: Random members pinged in a round, besides the VMs from which this VM
     #: pulls store data.
     probes: int = 1
-    #: Seconds until an acknowledgement is overdue.
-    timeout_s: float = 0.35
-    #: Consecutive unanswered pings after which a member is suspected.
-    misses: int = 2
-    #: Store readers, in rank order, pinged directly when the freshness
-    #: proof is old.
-    direct_readers: int = 2
-    #: Number of VMs in a data centre that relay store data to the others
-    #: there.
-    relays: int = 1
-    #: Age of the proof in seconds above which the readers are pinged
-    #: directly.
-    direct_age_s: float = 1.2
-    #: Seconds by which any other member's proof must be newer for this VM
-    #: to pull from that member while its own proof is old.
-    min_age_gain_s: float = 0.3
     #: Additional random members pinged while the proof is old.
     stale_probes: int = 2
+    #: Which VMs this VM pulls store data from.
+    sources: SourceParameters = SourceParameters()
     #: Parameters of the anti-entropy exchange of member lists.
     anti_entropy: AntiEntropyParameters = AntiEntropyParameters()
-
-
-@dataclasses.dataclass
-class _PingState:
-    """Pings sent to one member."""
-
-    #: Send times in seconds of unacknowledged pings, by sequence number.
-    sent_at_by_seq: dict[int, float] = dataclasses.field(default_factory=dict)
-    #: Consecutive pings that were not acknowledged in time.
-    misses: int = 0
+    #: When members that don't answer are suspected.
+    detection: DetectionParameters = DetectionParameters()
+    #: Seconds by which a round may start late before this VM counts as
+    #: paused.
+    max_delay_s: float = 0.15
 
 
 class FleetGossip:
@@ -93,10 +83,20 @@
             members, seeds, self._clock, random_source, params.anti_entropy
         )
         self._seq = 0
-        self._pings_by_address: dict[str, _PingState] = {}
+        self._detector = FailureDetector(
+            self._clock, members.log.get_change_time, params.detection
+        )
+        self._probes = IndirectProbes(
+            members,
+            self._detector,
+            datagrams,
+            port=port,
+            random_source=random_source,
+            params=params.detection,
+            send_ping=self._send_ping,
+        )
         self._unpinged_addresses: list[str] = []
-        self._sources_ranking: list[str] = []
-        self._sources: list[str] = []
+        self._sources = StoreSources(members, puller.lease, params.sources)
         self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -104,17 +104,11 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                self._check_overdue()
+                await self._check_overdue()
                 self._members.remove_expired()
-                for address in self._choose_targets():
+                for address in sorted(self._choose_targets()):
                     await self._ping(address)
-                jitter = 0.8 + 0.4 * self._random.random()
-                interval_factor = 1.0
-                if not self.anti_entropy.is_active:
-                    interval_factor = compute_interval_factor(self._members)
-                await anyio.sleep(
-                    self._params.interval_s * jitter * interval_factor
-                )
+                await self._wait_for_round()
 
     async def announce(self) -> None:
         """Send this VM's record to all members immediately.
@@ -126,6 +120,11 @@
 
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
         """Handle a ping or acknowledgement; raise InvalidMessageError."""
+        if message.get('kind') in {KIND_PROBE, KIND_PROBE_RESULT}:
+            if self._tasks is not None:
+                await self._probes.handle(message, source, self._tasks)
+                self._suspect()
+            return
         received = decode_fleet_message(message)
         sender = received.sender
         # Records that a new process learns are already known to others or
@@ -133,12 +132,15 @@
         disseminate = not self.anti_entropy.is_active
         self._members.merge(sender, disseminate=disseminate)
         disseminate = disseminate and received.described is None
+        incarnation = self._members.own.incarnation
         has_learned = any(
             [
                 self._members.merge(record, disseminate=disseminate)
-                for record in received.records
+                for record in self._list_credible(received)
             ]
         )
+        if self._members.own.incarnation > incarnation:
+            self._detector.record_impairment()
         if received.kind == KIND_PING:
             reply = self._create_message(
                 KIND_ACK, received.seq, received.described
@@ -152,13 +154,10 @@
         self, received: FleetMessage, *, has_learned: bool
     ) -> None:
         address = received.sender.address
-        pings = self._pings_by_address.get(address)
-        sent_at = (
-            pings.sent_at_by_seq.pop(received.seq, None) if pings else None
-        )
-        if pings is None or sent_at is None:
+        self._probes.record_ack(received.seq)
+        sent_at = self._detector.record_ack(address, received.seq)
+        if sent_at is None:
             return
-        pings.misses = 0
         has_all_items = not self._puller.is_behind(received.revision)
         if has_all_items and received.age_s is not None:
             self._lease.record_peer_proof(sent_at, received.age_s)
@@ -170,7 +169,8 @@
     ) -> None:
         address = sender.address
         is_source = (
-            self._has_newer_proof(received) or address in self._list_sources()
+            self._sources.has_newer_proof(received)
+            or address in self._sources.list_sources()
         )
         if self._tasks is None or not is_source:
             return
@@ -178,39 +178,49 @@
             endpoint = Endpoint(address=address, port=self._port)
             self._tasks.start_soon(self._puller.pull, address, endpoint)
 
-    def _is_stale(self) -> bool:
-        stale_s = self._params.direct_age_s * compute_interval_factor(
-            self._members
-        )
-        return self._lease.age_s > stale_s
+    def _list_credible(self, received: FleetMessage) -> list[MemberRecord]:
+        # A member that others can't reach may be unable to hear them, so its
+        # suspicions prove nothing.
+        sender = self._members.log.get_record(received.sender.address)
+        if sender is None or sender.state is not MemberState.SUSPECT:
+            return list(received.records)
+        return [
+            record
+            for record in received.records
+            if record.state is not MemberState.SUSPECT
+        ]
 
-    def _has_newer_proof(self, received: FleetMessage) -> bool:
-        # The first readers may have lost access to the store while another VM
-        # reads it.
-        own_age_s = self._lease.age_s
-        return (
-            received.age_s is not None
-            and self._is_stale()
-            and received.age_s + self._params.min_age_gain_s < own_age_s
-        )
+    async def _wait_for_round(self) -> None:
+        jitter = 0.8 + 0.4 * self._random.random()
+        interval_factor = 1.0
+        if not self.anti_entropy.is_active:
+            interval_factor = compute_interval_factor(self._members)
+        interval_s = self._params.interval_s * jitter * interval_factor
+        due_at = self._clock() + interval_s
+        await anyio.sleep(interval_s)
+        if self._clock() > due_at + self._params.max_delay_s:
+            self._detector.discard_pending()
+            self._detector.record_impairment()
 
     async def _ping(self, address: str) -> None:
+        self._detector.record_ping(address, self._seq + 1)
+        await self._send_ping(address)
+
+    async def _send_ping(self, address: str) -> int:
         self._seq += 1
-        pings = self._pings_by_address.setdefault(address, _PingState())
-        pings.sent_at_by_seq[self._seq] = self._clock()
+        seq = self._seq
         described = self.anti_entropy.create_request_for(address)
-        message = self._create_message(KIND_PING, self._seq, described)
+        message = self._create_message(KIND_PING, seq, described)
         endpoint = Endpoint.model_construct(address=address, port=self._port)
         await self._datagrams.send(message.to_message(), endpoint)
+        return seq
 
     def _create_message(
         self, kind: str, seq: int, described: str | None
     ) -> FleetMessage:
         records: list[MemberRecord] = []
         if described is None:
-            records = self._members.list_recent()[
-                : self.anti_entropy.max_records
-            ]
+            records = self._choose_recent()
         elif kind == KIND_ACK:
             records, described = self.anti_entropy.answer(described)
         age_s = self._lease.age_s
@@ -228,19 +238,15 @@
         # A member that missed a ping is pinged again in every round, so that
         # a failure is confirmed within two rounds.
         alive = {record.address for record in self._members.list_alive()}
-        targets = {
-            address
-            for address, pings in self._pings_by_address.items()
-            if pings.misses and address in alive
-        }
-        targets.update(self._list_sources())
+        targets = alive.intersection(self._detector.list_missing())
+        targets.update(self._sources.list_sources())
         if not self._unpinged_addresses:
             self._unpinged_addresses = [
                 record.address for record in self._members.list_others()
             ]
             self._random.shuffle(self._unpinged_addresses)
         probes = self._params.probes
-        if self._is_stale():
+        if self._sources.is_stale():
             probes += self._params.stale_probes
         for _ in range(min(probes, len(self._unpinged_addresses))):
             targets.add(self._unpinged_addresses.pop())
@@ -253,58 +259,27 @@
         targets.discard(own_address)
         return targets
 
-    def _list_sources(self) -> list[str]:
-        params = self._params
-        ranked = self._members.rank(READERS_KEY)
-        if self._sources_ranking is not ranked:
-            self._sources_ranking = ranked
-            self._sources = _find_sources(
-                self._members,
-                ranked,
-                params.relays,
-            )
-        if not self._is_stale():
-            return self._sources
-        own_address = self._members.own.address
-        readers = ranked[: params.direct_readers]
-        return [
-            *self._sources,
-            *(address for address in readers if address != own_address),
-        ]
-
-    def _check_overdue(self) -> None:
-        overdue_at = self._clock() - self._params.timeout_s
-        for address, pings in self._pings_by_address.items():
-            overdue = {
-                seq: sent_at
-                for seq, sent_at in pings.sent_at_by_seq.items()
-                if sent_at < overdue_at
-            }
-            for seq in overdue:
-                pings.sent_at_by_seq.pop(seq)
-            # A ping from before the last change of the record may have been
-            # sent before the current process of the member started.
-            since = self._members.log.get_change_time(address)
-            pings.misses += sum(sent_at > since for sent_at in overdue.values())
-            if pings.misses >= self._params.misses:
-                self._members.suspect(address)
+    def _choose_recent(self) -> list[MemberRecord]:
+        # At random, because many members may change at once: if the newest
+        # changes were always sent, some would never spread.
+        recent = self._members.list_recent()
+        if len(recent) <= self.anti_entropy.max_records:
+            return recent
+        return self._random.sample(recent, self.anti_entropy.max_records)
 
+    async def _check_overdue(self) -> None:
+        self._detector.check_overdue()
+        self._suspect()
+        alive = {record.address for record in self._members.list_alive()}
+        for address in self._detector.list_missing():
+            if address not in alive:
+                continue
+            await self._probes.ask_helpers(address)
 
-def _find_sources(
-    members: MemberTable,
-    ranked: list[str],
-    relays: int,
-) -> list[str]:
-    # Relays pull from the first reader, other VMs from the relays of their
-    # data centre.
-    own = members.own
-    same_data_centre = {
-        record.address
-        for record in members.list_alive()
-        if record.data_centre == own.data_centre
-    }
-    relaying = [address for address in ranked if address in same_data_centre][
-        :relays
-    ]
-    sources = ranked[:1] if own.address in relaying else relaying
-    return [address for address in sources if address != own.address]
+    def _suspect(self) -> None:
+        for suspicion in self._detector.list_suspicions():
+            # One that nobody else confirms may be wrong, so others don't
+            # learn it from this VM.
+            self._members.suspect(
+                suspicion.address, disseminate=suspicion.is_confirmed
+            )
--- a/jacinthcart/fleet/_members.py
+++ b/jacinthcart/fleet/_members.py
@@ -106,12 +106,13 @@
             )
         return True
 
-    def suspect(self, address: str) -> None:
+    def suspect(self, address: str, *, disseminate: bool = True) -> None:
         """Mark a member that does not answer as suspected."""
         known = self.log.get_record(address)
         if known is not None and known.state is MemberState.ALIVE:
             self.merge(
                 known.model_copy(update={'state': MemberState.SUSPECT}),
+                disseminate=disseminate,
             )
 
     def leave(self) -> None:
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -2,24 +2,14 @@
 
 import random
 import unittest
-from typing import Any
 
 import anyio
 
-from jacinthcart.fleet import (
-    DiscoveryParameters,
-    FleetGossip,
-    GossipParameters,
-    MemberParameters,
-    MemberTable,
-)
-from jacinthcart.network import BaseDatagrams, Endpoint
-from jacinthcart.readings import FreshnessLease, Item, ItemTable
-from jacinthcart.telemetry import create_logger
-from tests.support import create_member, run_in_virtual_time
+from jacinthcart.fleet import DiscoveryParameters
+from jacinthcart.readings import Item
+from tests.fleet.support import SEEDS, FakeNetwork, FakeVm
+from tests.support import run_in_virtual_time
 
-_SEEDS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
-_PORT = 7740
 #: Seconds within which all processes of a restarted fleet start.
 _LAST_START_S = 0.5
 #: Seconds after the last start within which all members know each other, as
@@ -27,98 +17,6 @@
 _DISCOVERY_S = 2.0
 
 
-class FakeNetwork:
-    """Delivers datagrams between fake VMs that are not cut off."""
-
-    def __init__(self) -> None:
-        """Start without VMs."""
-        self.vms: dict[str, FakeVm] = {}
-        self.cut: set[str] = set()
-        self.sent = 0
-
-    async def deliver(
-        self,
-        source: str,
-        target: str,
-        message: dict[str, Any],
-    ) -> None:
-        """Deliver a message to its target."""
-        self.sent += 1
-        is_cut = bool(self.cut & {source, target})
-        vm = self.vms.get(target)
-        if vm is not None and not is_cut:
-            endpoint = Endpoint(address=source, port=_PORT)
-            await vm.gossip.handle(message, endpoint)
-
-
-class FakeDatagrams(BaseDatagrams):
-    """Sends datagrams through the fake network."""
-
-    def __init__(self, network: FakeNetwork, address: str) -> None:
-        """Keep the sender's address."""
-        self._network = network
-        self._address = address
-
-    async def send(self, message: dict[str, Any], peer: Endpoint) -> None:
-        """Send one message."""
-        await self._network.deliver(self._address, peer.address, message)
-
-
-class FakePuller:
-    """Copies a peer's table immediately."""
-
-    def __init__(self, network: FakeNetwork, vm: 'FakeVm') -> None:
-        """Keep the network and the pulling VM."""
-        self.table = vm.table
-        self.lease = vm.lease
-        self._network = network
-        self._vm = vm
-
-    def is_behind(self, revision: int) -> bool:
-        """Return whether the peer has changes."""
-        return revision > self.table.revision
-
-    async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
-        """Merge the peer's table."""
-        peer = self._network.vms[peer_id]
-        changes = peer.table.list_changes(0)
-        self._vm.table.merge(changes.items)
-
-
-class FakeVm:
-    """The membership components of one VM."""
-
-    def __init__(
-        self,
-        network: FakeNetwork,
-        address: str,
-        data_centre: str,
-        seeds: tuple[str, ...] = _SEEDS,
-    ) -> None:
-        """Add the VM to the network."""
-        network.vms[address] = self
-        self.table = ItemTable()
-        self.lease = FreshnessLease(anyio.current_time)
-        self.members = MemberTable(
-            create_member(
-                address,
-                data_centre=data_centre,
-            ),
-            anyio.current_time,
-            create_logger('test'),
-            MemberParameters(),
-        )
-        self.gossip = FleetGossip(
-            self.members,
-            FakeDatagrams(network, address),
-            FakePuller(network, self),  # type: ignore[arg-type]
-            seeds=seeds,
-            port=_PORT,
-            random_source=random.Random(address),
-            params=GossipParameters(),
-        )
-
-
 class FleetGossipTests(unittest.TestCase):
     """VMs discover each other from seeds and detect failures."""
 
@@ -143,7 +41,7 @@
 
     def test_members_are_discovered_while_a_seed_is_down(self) -> None:
         """Guards against discovery that depends on every listed seed."""
-        known = run_in_virtual_time(self._join, 12, 4, _SEEDS[:1])
+        known = run_in_virtual_time(self._join, 12, 4, SEEDS[:1])
         self.assertEqual(known, {11})
 
     def test_silent_vm_is_suspected_within_two_seconds(self) -> None:
