Give each caller over its rate a turn of its own

Cause: after a loss of all VMs callers come back at once. Those over the rate were told to return after one interval of the rate (50 ms); one of them was granted, the others were refused a second time and gave up, and the tokens of the following second stayed unused.

Change: the home gives each refused caller of a workspace the next turn, at half of the rate, at most one second away; the grant message carries it. The rate of a grant message is now checked for its type.

--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -289,7 +289,6 @@
             self.catalogue_state,
             self.lease,
             self._quota,
-            self._home,
             AdmissionParameters(
                 key_lease_s=bounds.key_s * _KEY_LEASE_FRACTION,
                 denial_lease_s=bounds.settings_s * _DENIAL_LEASE_FRACTION,
--- a/jacinthcart/quota/__init__.py
+++ b/jacinthcart/quota/__init__.py
@@ -12,6 +12,7 @@
     QuotaDecision,
 )
 from jacinthcart.quota._home import QuotaHome, QuotaParameters
+from jacinthcart.quota._return_schedule import ReturnParameters, ReturnSchedule
 
 __all__ = [
     'KIND_QUOTA_GRANT',
@@ -20,4 +21,6 @@
     'QuotaDecision',
     'QuotaHome',
     'QuotaParameters',
+    'ReturnParameters',
+    'ReturnSchedule',
 ]
--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+import pydantic
 
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.fleet import MemberTable
@@ -21,6 +22,8 @@
 _ANSWER_TIMEOUT_S = 0.03
 #: Number of highest-ranked VMs of a workspace that are asked in turn.
 _HOMES_ASKED = 2
+#: Longest wait in seconds that a grant message may tell.
+_MAX_WAIT_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,20 +38,32 @@
     #: the workspace or the share for the members that the VM can reach. None
     #: if granted.
     rate_per_s: float | None = None
+    #: Seconds after which a refused caller may return; 0 if granted or if the
+    #: deciding VM doesn't tell.
+    retry_after_s: float = 0
 
     def describe(self) -> str:
         """Return the deciding VM and its rate, for logs."""
         return f'{self.decided_by} grants {self.rate_per_s} a second'
 
 
+class _Grant(pydantic.BaseModel):
+    """Fields of a grant message."""
+
+    granted: int = 0
+    #: Rate in requests per second; None if granted.
+    rate: float | None = None
+    #: Seconds after which a refused caller may return.
+    wait: float = pydantic.Field(default=0, ge=0, le=_MAX_WAIT_S)
+
+
 class _PendingCall:
     """A take message that waits for its grant message."""
 
     def __init__(self) -> None:
         """Create a call without an answer."""
         self.answered = anyio.Event()
-        self.granted = 0
-        self.rate_per_s: float | None = None
+        self.grant = _Grant()
 
 
 class QuotaClient:
@@ -96,9 +111,7 @@
         if self._home.take_local_share(workspace, 1):
             return QuotaDecision(is_granted=True, decided_by=decided_by)
         rate = self._home.get_local_rate(workspace)
-        return QuotaDecision(
-            is_granted=False, decided_by=decided_by, rate_per_s=rate
-        )
+        return self._refuse(workspace, decided_by, rate)
 
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
         """Handle a take or grant message from a peer.
@@ -117,10 +130,9 @@
         if call is None:
             return
         try:
-            call.granted = int(message.get('granted', 0))
-            call.rate_per_s = message.get('rate')
-        except (TypeError, ValueError) as error:
-            raise InvalidMessageError('granted is not a number') from error
+            call.grant = _Grant.model_validate(message)
+        except pydantic.ValidationError as error:
+            raise InvalidMessageError(f'malformed grant: {error}') from error
         call.answered.set()
 
     def _take_as_home(self, workspace: str) -> QuotaDecision:
@@ -128,8 +140,16 @@
         if self._home.take(workspace, 1):
             return QuotaDecision(is_granted=True, decided_by=own_address)
         rate = self._home.get_rate(workspace)
+        return self._refuse(workspace, own_address, rate)
+
+    def _refuse(
+        self, workspace: str, decided_by: str, rate_per_s: float
+    ) -> QuotaDecision:
         return QuotaDecision(
-            is_granted=False, decided_by=own_address, rate_per_s=rate
+            is_granted=False,
+            decided_by=decided_by,
+            rate_per_s=rate_per_s,
+            retry_after_s=self._home.returns.reserve(workspace, rate_per_s),
         )
 
     async def _ask(self, address: str, workspace: str) -> QuotaDecision | None:
@@ -146,7 +166,10 @@
         finally:
             self._calls_by_seq.pop(seq)
         if call.answered.is_set():
-            return QuotaDecision(call.granted > 0, address, call.rate_per_s)
+            grant = call.grant
+            return QuotaDecision(
+                grant.granted > 0, address, grant.rate, grant.wait
+            )
         self._unresponsive_until[address] = (
             self._clock() + 10 * _ANSWER_TIMEOUT_S
         )
@@ -154,11 +177,12 @@
 
 
 def _encode_grant(seq: int, decision: QuotaDecision) -> dict[str, Any]:
-    reply = {
+    reply: dict[str, Any] = {
         'kind': KIND_QUOTA_GRANT,
         'seq': seq,
         'granted': int(decision.is_granted),
     }
     if decision.rate_per_s is not None:
         reply['rate'] = decision.rate_per_s
+        reply['wait'] = round(decision.retry_after_s, 3)
     return reply
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -5,6 +5,7 @@
 from jacinthcart.catalogue import CatalogueState, WorkspaceConfig
 from jacinthcart.fleet import MemberTable
 from jacinthcart.program import Clock
+from jacinthcart.quota._return_schedule import ReturnParameters, ReturnSchedule
 from jacinthcart.telemetry import Metrics
 from jacinthcart.tokens import TokenBucket
 
@@ -23,6 +24,8 @@
     #: Minimum capacity of a bucket in tokens. With less than one token, small
     #: limits could not be used at all.
     min_capacity: float = 1.0
+    #: When refused callers return.
+    returns: ReturnParameters = ReturnParameters()
 
 
 class QuotaHome:
@@ -49,6 +52,8 @@
         self._params = params
         self._bucket_by_workspace: dict[str, TokenBucket] = {}
         self._local_bucket_by_workspace: dict[str, TokenBucket] = {}
+        #: Return times of callers that this VM refuses.
+        self.returns = ReturnSchedule(clock, params.returns)
         catalogue_state.listeners.append(self.create_buckets)
 
     def create_buckets(self) -> None:
@@ -57,6 +62,8 @@
         Called when the catalogue changes.
         """
         catalogue = self._catalogue_state.catalogue
+        if catalogue is not None:
+            self.returns.retain_only(set(catalogue.workspaces_by_name))
         for workspace in catalogue.workspaces_by_name if catalogue else ():
             if workspace not in self._bucket_by_workspace:
                 self.take(workspace, 0)
@@ -90,14 +97,6 @@
         """
         return _get_bucket_rate(self._local_bucket_by_workspace, workspace)
 
-    def estimate_wait_s(self, workspace: str) -> float:
-        """Return the interval in seconds between requests at the full rate.
-
-        It is 0 if the workspace is unknown or has no rate limit.
-        """
-        config = self._get_workspace_config(workspace)
-        return 1 / config.rate_per_s if config and config.rate_per_s else 0
-
     def describe(self) -> dict[str, dict[str, float]]:
         """Return the bucket states of the workspaces whose home is this VM."""
         own_address = self._members.own.address
--- a/jacinthcart/serving/_admission.py
+++ b/jacinthcart/serving/_admission.py
@@ -4,7 +4,7 @@
 
 from jacinthcart.catalogue import Catalogue, CatalogueState, Route, find_route
 from jacinthcart.errors import RefusalCode, RefusalError
-from jacinthcart.quota import QuotaClient, QuotaHome
+from jacinthcart.quota import QuotaClient
 from jacinthcart.readings import FreshnessLease
 from jacinthcart.routing import CallerRequest
 
@@ -52,14 +52,12 @@
         catalogue_state: CatalogueState,
         lease: FreshnessLease,
         quota: QuotaClient,
-        home: QuotaHome,
         params: AdmissionParameters,
     ) -> None:
-        """Create the admission control; `home` estimates retry delays."""
+        """Create the admission control."""
         self._catalogue_state = catalogue_state
         self._lease = lease
         self._quota = quota
-        self._home = home
         self._params = params
 
     async def admit(self, request: CallerRequest) -> Admitted:
@@ -84,7 +82,7 @@
         self.check_key_lease()
         decision = await self._quota.take(workspace)
         if not decision.is_granted:
-            wait_ms = self._home.estimate_wait_s(workspace) * _MS_PER_S
+            wait_ms = decision.retry_after_s * _MS_PER_S
             raise RefusalError(
                 RefusalCode.OVER_RATE,
                 detail=f'{workspace}: {decision.describe()}',
