--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -28,8 +28,9 @@
 _MISSING_PARTS = b'X-Jacinthcart-Missing-Parts'
 _NOT_EXECUTED = b'x-jacinthcart-not-executed'
 _LOAD = b'x-jacinthcart-server-load'
-#: Sent without the prefix that the platform's other headers have.
-_LEAVING = b'server-leaving'
+#: The platform names this header without the prefix that its other headers
+#: have, so it is accepted in both forms.
+_LEAVING_NAMES = (b'server-leaving', b'x-jacinthcart-server-leaving')
 _RETRY_AFTER = b'retry-after'
 _STATUS_MISDIRECTED = 421
 _DEFAULT_DEADLINE_S = 30.0
@@ -214,7 +215,10 @@
             load=_decode_load(by_name.get(_LOAD)),
             idle_timeout_s=_decode_timeout_s(by_name.get(b'keep-alive')),
             closes_connection=b'close' in connection,
-            is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
+            is_leaving=any(
+                by_name.get(name, b'').strip() == b'1'
+                for name in _LEAVING_NAMES
+            ),
             retry_after_s=_decode_retry_after_s(head.status, by_name),
         )
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -121,9 +121,10 @@
     def test_statements_of_searchers_are_decoded(self) -> None:
         """Only the documented value means that the searcher leaves."""
         for content, expected in ((b'1', True), (b'0', False), (b'', False)):
-            head = ResponseHead(200, ((b'server-leaving', content),))
-            response = self.codec.decode_response(head, b'')
-            self.assertIs(response.is_leaving, expected)
+            for name in (b'server-leaving', b'x-jacinthcart-server-leaving'):
+                head = ResponseHead(200, ((name, content),))
+                response = self.codec.decode_response(head, b'')
+                self.assertIs(response.is_leaving, expected)
 
     def test_unusable_retry_delays_are_ignored(self) -> None:
         """Guards against a delay from a malformed or negative value."""
