Keep pings in flight over a pause of the VM

Cause: found on reading the change. After a late round the pings in flight were discarded, so acknowledgements that waited to be read were ignored, and with them the freshness proofs that they carry; a VM that had been paused served no keys for another round.

Change: these pings are waited for once more from the end of the pause and count as missed only after that.

Result: unit tests for the proof, for no miss at the end of the pause and for a miss after it; the first fails on the code before.

--- a/jacinthcart/fleet/_failure_detector.py
+++ b/jacinthcart/fleet/_failure_detector.py
@@ -88,6 +88,8 @@
         self._pings_by_address: dict[str, _PingState] = {}
         #: Number of recent signs that this VM itself is impaired.
         self._penalty = 0
+        #: Time in seconds at which the last pause of this VM ended.
+        self._resumed_at = -math.inf
 
     @property
     def timeout_s(self) -> float:
@@ -137,13 +139,14 @@
         """Record a sign that this VM itself is slow or hears too little."""
         self._penalty = min(self._params.max_penalty, self._penalty + 1)
 
-    def discard_pending(self) -> None:
-        """Forget unacknowledged pings, as this VM has been paused.
+    def record_pause(self) -> None:
+        """Record that this VM was paused until now.
 
-        Their acknowledgements may have arrived and not been read yet.
+        The acknowledgements of pings in flight may have arrived and not been
+        read yet, so they are waited for once more.
         """
-        for pings in self._pings_by_address.values():
-            pings.sent_at_by_seq.clear()
+        self._resumed_at = self._clock()
+        self.record_impairment()
 
     def list_missing(self) -> list[str]:
         """Return the members that have not answered the last ping."""
@@ -161,7 +164,7 @@
             self._drop_outdated(address, pings)
             since = self._get_change_time(address)
             for seq, sent_at in list(pings.sent_at_by_seq.items()):
-                if sent_at >= overdue_at:
+                if max(sent_at, self._resumed_at) >= overdue_at:
                     continue
                 pings.sent_at_by_seq.pop(seq)
                 if sent_at > since:
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -119,7 +119,7 @@
             await self._ping(record.address)
 
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
-        """Handle a ping or acknowledgement; raise InvalidMessageError."""
+        """Handle a message of a peer; raise InvalidMessageError."""
         if message.get('kind') in {KIND_PROBE, KIND_PROBE_RESULT}:
             if self._tasks is not None:
                 await self._probes.handle(message, source, self._tasks)
@@ -199,8 +199,7 @@
         due_at = self._clock() + interval_s
         await anyio.sleep(interval_s)
         if self._clock() > due_at + self._params.max_delay_s:
-            self._detector.discard_pending()
-            self._detector.record_impairment()
+            self._detector.record_pause()
 
     async def _ping(self, address: str) -> None:
         self._detector.record_ping(address, self._seq + 1)
--- a/tests/fleet/test_failure_detector.py
+++ b/tests/fleet/test_failure_detector.py
@@ -78,10 +78,28 @@
         """Guards against a woken VM that suspects all that it has pinged."""
         self.detector.record_ping(_PEER, 1)
         self.clock.advance(5)
-        self.detector.discard_pending()
+        self.detector.record_pause()
         self.detector.check_overdue()
         self.assertEqual(self.detector.list_missing(), [])
 
+    def test_acknowledgement_read_after_a_pause_is_accepted(self) -> None:
+        """Guards against losing the freshness proof that it carries."""
+        sent_at = self.clock()
+        self.detector.record_ping(_PEER, 1)
+        self.clock.advance(5)
+        self.detector.record_pause()
+        self.detector.check_overdue()
+        self.assertEqual(self.detector.record_ack(_PEER, 1), sent_at)
+
+    def test_ping_that_stays_unanswered_after_a_pause_is_missed(self) -> None:
+        """Guards against a VM that pauses often and detects nothing."""
+        self.detector.record_ping(_PEER, 1)
+        self.clock.advance(5)
+        self.detector.record_pause()
+        self.clock.advance(self.detector.timeout_s + 0.01)
+        self.detector.check_overdue()
+        self.assertEqual(self.detector.list_missing(), [_PEER])
+
     def test_evidence_from_before_a_refutation_is_dropped(self) -> None:
         """Guards against a member that is suspected again and again.
 
