--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -1,10 +1,9 @@
 """Tests of connection pools."""
 
 import itertools
-import unittest
 from collections.abc import Iterator
 from typing import Any
-from unittest import mock
+from unittest import TestCase, mock
 
 import anyio
 
@@ -36,7 +35,7 @@
         await anyio.sleep(0.1)
 
 
-class SearcherPoolsTests(unittest.TestCase):
+class SearcherPoolsTests(TestCase):
     """A connection is used for one request at a time."""
 
     def test_connection_acquired_during_cleanup_is_not_acquired_again(
@@ -97,7 +96,7 @@
         return chunk
 
 
-class EndlessResponseTests(unittest.TestCase):
+class EndlessResponseTests(TestCase):
     """A searcher in trouble may send bytes without end.
 
     Without limits, a VM collects them until its process is killed.
