--- /dev/null
+++ b/review/kit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, searchers and callers of the review's cases."""
