--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,6 +25,9 @@
 _KEY = 'key-of-mill'
 _VMS = 8
 _SEARCHERS = 8
+#: Searchers of another service, which get no requests here.
+_OTHER_SERVICE = 'fakturace'
+_OTHER_SEARCHERS = 16
 _LEAVING = 3
 _WORK_S = 0.09
 #: Requests through each VM that come together.
@@ -98,6 +101,14 @@
             f'servers/{searcher.searcher_id}', searcher.describe(zone)
         )
 
+    async def start_others(self) -> None:
+        """Start the searchers of the other service."""
+        for number in range(_OTHER_SEARCHERS):
+            searcher = Searcher(f'o-{number}', _OTHER_SERVICE, self.record)
+            await searcher.start(self.deployment.searcher_address)
+            zone = ZONES[number % len(ZONES)]
+            self.store.put(f'servers/o-{number}', searcher.describe(zone))
+
     def put_config(self) -> None:
         """Write the next version, with another time-out."""
         self.version += 2
@@ -110,7 +121,9 @@
             'rate_per_s': 0,
             'burst': 0,
         }
-        config = create_config(self.version, [route], [_SERVICE], [tenant])
+        config = create_config(
+            self.version, [route], [_SERVICE, _OTHER_SERVICE], [tenant]
+        )
         self.store.put('op/config', config)
         self.record.write('config', version=self.version)
 
@@ -158,6 +171,7 @@
     await site.store.start(deployment.store_address, deployment.store_port)
     for _ in range(_SEARCHERS):
         await site.start_searcher()
+    await site.start_others()
     site.put_config()
     try:
         await deployment.start()
