Keep a late copy of a rejection from counting as the next response

Cause: all sends of a request carry the same id. A request that every searcher had rejected was sent again over the connection on which the rejection had come, and a copy of the rejection, sent late by a faulty searcher, was taken as the response to the second send.

Change: a connection carries no further send of a request that it has answered without success. Other requests still reuse it. It is closed after 256 such requests, which bounds the memory.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -201,6 +201,7 @@
         try:
             connection = await self._pools.acquire(
                 searcher,
+                context.request.request_id,
                 at_most_once=not context.route.is_idempotent,
             )
         except NotSentError as error:
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -24,6 +24,8 @@
 _BODYLESS_STATUSES = frozenset((204, 304))
 #: Responses read for one request; those to other requests are skipped.
 _MAX_RESPONSES_READ = 4
+#: Failed requests that a connection remembers. It is closed after so many.
+_MAX_FAILED_IDS = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,6 +141,17 @@
         self._codec = codec
         self._parser = _ResponseParser()
         self._socket = stream.extra(SocketAttribute.raw_socket)
+        #: Ids of requests that this connection answered without success.
+        self._failed_ids: set[str] = set()
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a send of the request may use this connection.
+
+        All sends of a request have the same id. On a connection that
+        answered one of them, a late copy of that response could not be told
+        from the response to the next send.
+        """
+        return request_id not in self._failed_ids
 
     def has_no_input(self) -> bool:
         """Return whether neither data nor end of stream arrived while idle."""
@@ -159,6 +172,8 @@
             head, body = await self._receive()
             if self._codec.find_request_id(head) == request_id:
                 response = self._codec.decode_response(head, body)
+                if not response.is_success:
+                    self._failed_ids.add(request_id)
                 self.is_usable = self._is_reusable(response)
                 return response
         raise OutcomeUnknownError('received only responses to other requests')
@@ -198,7 +213,9 @@
         has_more = bool(parser.complete) or parser.is_in_response
         has_more = has_more or parser.is_broken
         is_framed = not parser.is_ended_by_close
-        return is_framed and not has_more and not response.closes_connection
+        if response.closes_connection or not is_framed or has_more:
+            return False
+        return len(self._failed_ids) < _MAX_FAILED_IDS
 
 
 class SearcherPools:
@@ -222,27 +239,23 @@
     async def acquire(
         self,
         searcher: Searcher,
+        request_id: str,
         *,
         at_most_once: bool,
     ) -> SearcherConnection:
-        """Return an idle or new connection for one request.
+        """Return an idle or new connection for one send of a request.
 
         `at_most_once` states that the request must not run more than once.
         Raise NotSentError if the connection can't be opened.
         """
-        idle = self._idle_by_process.get(searcher.process)
-        now = self._clock()
-        while idle:
-            connection = idle.pop()
-            is_recent = (
-                now - connection.used_at <= self._params.at_most_once_idle_s
-            )
-            is_unexpired = connection.idle_until > now
-            if is_unexpired and (is_recent or not at_most_once):
-                if connection.has_no_input():
-                    return connection
+        idle = self._idle_by_process.get(searcher.process, [])
+        while True:
+            connection = _pop_newest(idle, request_id)
+            if connection is None:
+                return await self._open(searcher)
+            if self._is_reusable(connection, at_most_once=at_most_once):
+                return connection
             await connection.close()
-        return await self._open(searcher)
 
     async def release(
         self,
@@ -293,6 +306,16 @@
             while idle:
                 await idle.pop().close()
 
+    def _is_reusable(
+        self, connection: SearcherConnection, *, at_most_once: bool
+    ) -> bool:
+        now = self._clock()
+        idle_s = now - connection.used_at
+        is_recent = idle_s <= self._params.at_most_once_idle_s
+        if connection.idle_until <= now or (at_most_once and not is_recent):
+            return False
+        return connection.has_no_input()
+
     async def _open(self, searcher: Searcher) -> SearcherConnection:
         try:
             with anyio.fail_after(self._params.connect_timeout_s):
@@ -303,3 +326,14 @@
         except (OSError, TimeoutError) as error:
             raise NotSentError(f'connect: {error!r}') from error
         return SearcherConnection(stream, self._codec, self._clock())
+
+
+def _pop_newest(
+    idle: list[SearcherConnection], request_id: str
+) -> SearcherConnection | None:
+    # Others stay in the pool: they may carry other requests.
+    for connection in reversed(idle):
+        if connection.may_carry(request_id):
+            idle.remove(connection)
+            return connection
+    return None
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -30,6 +30,10 @@
         """Return True: no data arrived."""
         return True
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return True: no request failed on it."""
+        return True
+
     async def close(self) -> None:
         """Close after a delay, so that other tasks run meanwhile."""
         await anyio.sleep(0.1)
@@ -66,9 +70,11 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(pools.close_idle)
             await anyio.sleep(0.05)
-            taken.append(await pools.acquire(searcher, at_most_once=False))
+            taken.append(
+                await pools.acquire(searcher, 'id', at_most_once=False)
+            )
             await anyio.sleep(0.2)
-        taken.append(await pools.acquire(searcher, at_most_once=False))
+        taken.append(await pools.acquire(searcher, 'id', at_most_once=False))
         return [id(one) for one in taken]
 
 
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -154,7 +154,9 @@
         super().__init__(codec, clock, ConnectionParameters())
         self._searchers = searchers
 
-    async def acquire(self, searcher: Searcher, *, at_most_once: bool) -> Any:
+    async def acquire(
+        self, searcher: Searcher, request_id: str, *, at_most_once: bool
+    ) -> Any:
         """Return a connection."""
         return _Connection(self._searchers[searcher.searcher_id])
 
