End every request of a stopping VM with a response

Cause: a stopping VM accepted any request during 0.6 of the grace period and cancelled whatever was in progress after 0.92 of it; the cancelled tasks wrote no response.

Change: Shutdown refuses a request at once (503, leaving, Retry-After 0) if neither its deadline nor twice the 0.95 quantile of the route's latencies fits into the time left, four times for a request that may run once. After 0.95 of the grace period the others end with a response: 503 if they can't have run, a partial answer if enough shards answered, otherwise 504. Connections are closed after that, at 0.98.

Tried and dropped: refusing by the deadline alone.

--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -30,8 +30,7 @@
 from jacinthcart.node._settings import NodeSettings
 from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.quota import (
-    KIND_QUOTA_GRANT,
-    KIND_QUOTA_TAKE,
+    QUOTA_KINDS,
     QuotaClient,
     QuotaHome,
     QuotaParameters,
@@ -67,6 +66,7 @@
     RequestServer,
     ServedAnswer,
     ServingParameters,
+    Shutdown,
 )
 from jacinthcart.telemetry import Metrics, create_logger
 
@@ -221,6 +221,7 @@
     async def leave(self) -> None:
         """Announce to callers and peers that this VM shuts down."""
         self._is_stopping = True
+        self._shutdown.begin(self.settings.bounds.stop_s)
         self.members.leave()
         await self._gossip.announce()
 
@@ -269,6 +270,8 @@
     ) -> None:
         bounds = self.settings.bounds
         clock = self.clock
+        latencies = QuantileTracker()
+        self._shutdown = Shutdown(clock, latencies)
         shares = ServingShares(self.members, self.directory_params)
         self._home = QuotaHome(
             self.catalogue_state,
@@ -289,6 +292,7 @@
             self.catalogue_state,
             self.lease,
             self._quota,
+            self._shutdown,
             AdmissionParameters(
                 key_lease_s=bounds.key_s * _KEY_LEASE_FRACTION,
                 denial_lease_s=bounds.settings_s * _DENIAL_LEASE_FRACTION,
@@ -311,7 +315,7 @@
                 SelectionParameters(),
             ),
             health_tracker,
-            QuantileTracker(),
+            latencies,
             codec,
             clock,
             self.metrics,
@@ -329,6 +333,7 @@
                 clock,
             ),
             self._admission,
+            self._shutdown,
             source,
             ServingParameters(),
         )
@@ -340,7 +345,7 @@
         received_at: float,
     ) -> None:
         kind = message.get('kind')
-        if kind in {KIND_QUOTA_TAKE, KIND_QUOTA_GRANT}:
+        if kind in QUOTA_KINDS:
             await self._quota.handle(message, source)
         elif kind is None:
             raise InvalidMessageError('datagram has no kind')
--- a/jacinthcart/node/_run.py
+++ b/jacinthcart/node/_run.py
@@ -23,8 +23,9 @@
 #: callers cache addresses of this VM for a while.
 _SERVING_FRACTION = 0.6
 #: Fraction of the grace period after which connections are no longer waited
-#: for.
-_CLOSING_FRACTION = 0.92
+#: for. Every request has been answered by then; the rest of the time is for
+#: callers that read slowly.
+_CLOSING_FRACTION = 0.98
 
 
 async def run_node(
--- a/jacinthcart/quota/__init__.py
+++ b/jacinthcart/quota/__init__.py
@@ -6,8 +6,7 @@
 """
 
 from jacinthcart.quota._client import (
-    KIND_QUOTA_GRANT,
-    KIND_QUOTA_TAKE,
+    QUOTA_KINDS,
     QuotaClient,
     QuotaDecision,
 )
@@ -15,8 +14,7 @@
 from jacinthcart.quota._return_schedule import ReturnParameters, ReturnSchedule
 
 __all__ = [
-    'KIND_QUOTA_GRANT',
-    'KIND_QUOTA_TAKE',
+    'QUOTA_KINDS',
     'QuotaClient',
     'QuotaDecision',
     'QuotaHome',
--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -14,8 +14,10 @@
 from jacinthcart.quota._home import QuotaHome
 from jacinthcart.telemetry import Metrics
 
-KIND_QUOTA_TAKE = 'take'
-KIND_QUOTA_GRANT = 'grant'
+_KIND_TAKE = 'take'
+_KIND_GRANT = 'grant'
+#: Kinds of the datagrams that the client handles.
+QUOTA_KINDS = frozenset((_KIND_TAKE, _KIND_GRANT))
 #: Seconds to wait for a home's answer: enough for a round trip between data
 #: centres, and short so that a lost datagram does not delay the caller
 #: noticeably.
@@ -122,7 +124,7 @@
         seq = message.get('seq')
         if not isinstance(seq, int):
             raise InvalidMessageError('seq is not a number')
-        if message['kind'] == KIND_QUOTA_TAKE:
+        if message['kind'] == _KIND_TAKE:
             decision = self._take_as_home(str(message.get('workspace')))
             await self._datagrams.send(_encode_grant(seq, decision), source)
             return
@@ -157,7 +159,7 @@
         seq = self._seq
         call = _PendingCall()
         self._calls_by_seq[seq] = call
-        message = {'kind': KIND_QUOTA_TAKE, 'seq': seq, 'workspace': workspace}
+        message = {'kind': _KIND_TAKE, 'seq': seq, 'workspace': workspace}
         endpoint = Endpoint.model_construct(address=address, port=self._port)
         try:
             await self._datagrams.send(message, endpoint)
@@ -178,7 +180,7 @@
 
 def _encode_grant(seq: int, decision: QuotaDecision) -> dict[str, Any]:
     reply: dict[str, Any] = {
-        'kind': KIND_QUOTA_GRANT,
+        'kind': _KIND_GRANT,
         'seq': seq,
         'granted': int(decision.is_granted),
     }
--- a/jacinthcart/serving/__init__.py
+++ b/jacinthcart/serving/__init__.py
@@ -30,6 +30,7 @@
     ServedAnswer,
 )
 from jacinthcart.serving._service_run import ServiceRun
+from jacinthcart.serving._shutdown import Shutdown, ShutdownParameters
 
 __all__ = [
     'Admission',
@@ -48,6 +49,8 @@
     'ServedAnswer',
     'ServiceRun',
     'ServingParameters',
+    'Shutdown',
+    'ShutdownParameters',
     'compute_answerable_at',
     'compute_hedge_delay_s',
     'compute_retry_after_s',
--- a/jacinthcart/serving/_admission.py
+++ b/jacinthcart/serving/_admission.py
@@ -7,6 +7,7 @@
 from jacinthcart.quota import QuotaClient
 from jacinthcart.readings import FreshnessLease
 from jacinthcart.routing import CallerRequest
+from jacinthcart.serving._shutdown import Shutdown
 
 _MS_PER_S = 1000
 #: Retry delay in milliseconds of a VM without a recent proof, which can't
@@ -52,12 +53,14 @@
         catalogue_state: CatalogueState,
         lease: FreshnessLease,
         quota: QuotaClient,
+        shutdown: Shutdown,
         params: AdmissionParameters,
     ) -> None:
         """Create the admission control."""
         self._catalogue_state = catalogue_state
         self._lease = lease
         self._quota = quota
+        self._shutdown = shutdown
         self._params = params
 
     async def admit(self, request: CallerRequest) -> Admitted:
@@ -76,10 +79,14 @@
         if route is None:
             self._check_denial('unknown route')
             raise RefusalError(RefusalCode.UNKNOWN_ROUTE)
-        if route.is_public or not catalogue.needs_keys:
+        workspace = None
+        if catalogue.needs_keys and not route.is_public:
+            workspace = self._get_workspace(catalogue, request)
+            self.check_key_lease()
+        # A request that this VM does not serve must not use up the rate.
+        self._shutdown.check(route, compute_deadline(request, route))
+        if workspace is None:
             return Admitted(route, None, route.priority)
-        workspace = self._get_workspace(catalogue, request)
-        self.check_key_lease()
         decision = await self._quota.take(workspace)
         if not decision.is_granted:
             wait_ms = decision.retry_after_s * _MS_PER_S
@@ -128,3 +135,8 @@
                 detail=f'{detail}; last proof is {self._lease.age_s:.2f} s old',
                 retry_after_ms=_NOT_READY_RETRY_MS,
             )
+
+
+def compute_deadline(request: CallerRequest, route: Route) -> float:
+    """Return the clock time in seconds until which the request may take."""
+    return min(request.deadline, request.received_at + route.timeout_s)
--- a/jacinthcart/serving/_refusals.py
+++ b/jacinthcart/serving/_refusals.py
@@ -104,6 +104,16 @@
         return max(default_ms, int(retry_after_s * _MS_PER_S))
 
 
+def create_leaving(runs: Iterable[ServiceRun]) -> RefusalError:
+    """Return the refusal of a request that the shutdown ends."""
+    return RefusalError(
+        RefusalCode.LEAVING,
+        _compute_ran(runs),
+        detail='the process shuts down',
+        retry_after_ms=0,
+    )
+
+
 def create_timeout(runs: Iterable[ServiceRun]) -> RefusalError:
     """Return the refusal of a request whose deadline has passed."""
     runs = list(runs)
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -14,7 +14,11 @@
     ExtraSendBudget,
     SearcherClient,
 )
-from jacinthcart.serving._admission import Admission, Admitted
+from jacinthcart.serving._admission import (
+    Admission,
+    Admitted,
+    compute_deadline,
+)
 from jacinthcart.serving._caller_age import CallerAgeEstimator
 from jacinthcart.serving._hedging import SendParameters
 from jacinthcart.serving._policy import (
@@ -24,13 +28,18 @@
     RetryParameters,
 )
 from jacinthcart.serving._records import merge_records
-from jacinthcart.serving._refusals import RefusalFactory, create_timeout
+from jacinthcart.serving._refusals import (
+    RefusalFactory,
+    create_leaving,
+    create_timeout,
+)
 from jacinthcart.serving._results import (
     MergedAnswer,
     SendReport,
     ServedAnswer,
 )
 from jacinthcart.serving._service_run import ServiceRun
+from jacinthcart.serving._shutdown import Shutdown
 
 #: Policy of requests to a single service, which are never held back: without
 #: its response there is no answer.
@@ -73,6 +82,7 @@
         client: SearcherClient,
         budget: ExtraSendBudget,
         admission: Admission,
+        shutdown: Shutdown,
         random_source: random.Random,
         params: ServingParameters,
     ) -> None:
@@ -80,6 +90,9 @@
         self._client = client
         self._budget = budget
         self._admission = admission
+        self._shutdown = shutdown
+        self._wakeups: set[_Wakeup] = set()
+        shutdown.listeners.append(self._wake_all)
         self._random = random_source
         self._params = params
         self._caller_age_estimator = CallerAgeEstimator()
@@ -106,15 +119,34 @@
         )
         if context.deadline <= self._client.clock():
             raise RefusalError(RefusalCode.DEADLINE_PASSED)
-        if route.is_scattered:
-            return await self._scatter(context)
-        return await self._send_to_one(context)
+        wakeup = _Wakeup()
+        self._wakeups.add(wakeup)
+        try:
+            if route.is_scattered:
+                return await self._scatter(context, wakeup)
+            return await self._send_to_one(context, wakeup)
+        finally:
+            self._wakeups.discard(wakeup)
+
+    def _wake_all(self) -> None:
+        # The time at which requests are ended has changed.
+        for wakeup in self._wakeups:
+            wakeup.notify()
+
+    def _compute_end(self, context: CallContext) -> float:
+        return min(context.deadline, self._shutdown.answer_at)
+
+    def _create_late_refusal(
+        self, context: CallContext, runs: list[ServiceRun]
+    ) -> RefusalError:
+        if self._client.clock() < context.deadline:
+            return create_leaving(runs)
+        return create_timeout(runs)
 
     def _compute_deadline(self, request: CallerRequest, route: Route) -> float:
         reserve_s = self._params.answer.deadline_reserve_s
         return min(
-            request.deadline - reserve_s,
-            request.received_at + route.timeout_s,
+            compute_deadline(request, route), request.deadline - reserve_s
         )
 
     def _compute_answer_time(
@@ -131,9 +163,10 @@
             return _always_true
         return self._admission.is_proof_recent
 
-    async def _send_to_one(self, context: CallContext) -> ServedAnswer:
-        wakeup = _Wakeup()
-        service = self._choose_service(context.route)
+    async def _send_to_one(
+        self, context: CallContext, wakeup: _Wakeup
+    ) -> ServedAnswer:
+        service = _choose_service(context.route, self._random)
         run = self._create_run(context, service, _NEVER_HOLD, wakeup)
         try:
             run.start()
@@ -155,15 +188,17 @@
     ) -> None:
         while not run.is_done:
             now = self._client.clock()
-            if now >= context.deadline:
-                raise create_timeout([run])
+            ends_at = self._compute_end(context)
+            if now >= ends_at:
+                raise self._create_late_refusal(context, [run])
             run.tick(now)
             if not run.is_done:
-                wake_at = min(run.wake_at, context.deadline)
+                wake_at = min(run.wake_at, ends_at)
                 await wakeup.wait_until(wake_at, now)
 
-    async def _scatter(self, context: CallContext) -> MergedAnswer:
-        wakeup = _Wakeup()
+    async def _scatter(
+        self, context: CallContext, wakeup: _Wakeup
+    ) -> MergedAnswer:
         route = context.route
         policy = AnswerPolicy(
             len(route.shards),
@@ -221,7 +256,7 @@
     ) -> None:
         while not self._is_collected(context, runs, policy):
             now = self._client.clock()
-            wake_at = context.deadline
+            wake_at = self._compute_end(context)
             if now < policy.answer_at:
                 wake_at = min(wake_at, policy.answer_at)
             for run in runs:
@@ -243,10 +278,10 @@
             return True
         if policy.is_unanswerable(failed):
             raise self._refusals.create(context, runs, policy.optional_parts)
-        if now < context.deadline:
+        if now < self._compute_end(context):
             return False
         if parts < policy.min_parts:
-            raise create_timeout(runs)
+            raise self._create_late_refusal(context, runs)
         return True
 
     def _create_run(
@@ -266,12 +301,13 @@
             wakeup.notify,
         )
 
-    def _choose_service(self, route: Route) -> str:
-        weights = [share.weight for share in route.shares]
-        if len(weights) == 1:
-            return route.shares[0].service
-        chosen = self._random.choices(route.shares, weights)[0]
-        return chosen.service
+
+def _choose_service(route: Route, random_source: random.Random) -> str:
+    weights = [share.weight for share in route.shares]
+    if len(weights) == 1:
+        return route.shares[0].service
+    chosen = random_source.choices(route.shares, weights)[0]
+    return chosen.service
 
 
 def _merge_responses(route: Route, runs: list[ServiceRun]) -> MergedAnswer:
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -38,6 +38,8 @@
     #: Rate limit of the workspace `mill` in requests per second, which is also
     #: its burst; 0 sets no limit.
     rate_per_s: float = 0
+    #: Time in milliseconds after which a request is ended.
+    timeout_ms: int = 2000
 
 
 class PlatformDeployment:
@@ -136,7 +138,7 @@
         shards = [one for one in self.list_services() if one != 'orders']
         common = {
             'host': 'shop.example',
-            'timeout_ms': 2000,
+            'timeout_ms': self.params.timeout_ms,
             'target_latency_ms': 150,
             'priority': 1,
             'attempts': 2,
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -33,6 +33,7 @@
     MergedAnswer,
     RequestServer,
     ServingParameters,
+    Shutdown,
 )
 from jacinthcart.telemetry import Metrics, create_logger
 from tests.support import (
@@ -231,6 +232,7 @@
             MemberParameters(),
         )
         by_id = {one.searcher.searcher_id: one for one in searchers}
+        latencies = QuantileTracker()
         self._client = SearcherClient(
             _Pools(by_id, clock),
             RoutingTable(
@@ -244,7 +246,7 @@
                 SelectionParameters(),
             ),
             health_tracker,
-            QuantileTracker(),
+            latencies,
             mock.create_autospec(BaseSearcherCodec, instance=True),
             clock,
             Metrics(),
@@ -257,6 +259,7 @@
             self._client,
             budget or ExtraSendBudget(_BUDGET, lambda: 1.0, clock),
             mock.create_autospec(Admission, instance=True),
+            Shutdown(clock, latencies),
             source,
             ServingParameters(),
         )
