Pull changes that are older than the newest known one

Cause: the reader gets the configuration by reads of its own and all other changes by watch. A VM that pulled between the two got the configuration alone, with the higher revision. Afterwards its highest revision equalled the reader's, the only number that was compared, so it never pulled the changes in between.

Change: pings and acknowledgements tell the revision up to which the sender has every change, in a field of its own that is absent while it equals the highest revision and that older processes ignore. A VM pulls if either number is higher than its own. A proof is accepted as before.

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -158,8 +158,8 @@
         sent_at = self._detector.record_ack(address, received.seq)
         if sent_at is None:
             return
-        has_all_items = not self._puller.is_behind(received.revision)
-        if has_all_items and received.age_s is not None:
+        is_covered = self._puller.is_covered(received.revision)
+        if is_covered and received.age_s is not None:
             self._lease.record_peer_proof(sent_at, received.age_s)
         if self.anti_entropy.handle_answer(received, has_learned=has_learned):
             await self._ping(address)
@@ -174,7 +174,7 @@
         )
         if self._tasks is None or not is_source:
             return
-        if self._puller.is_behind(received.revision):
+        if self._puller.is_behind(received.revision, received.complete_to):
             endpoint = Endpoint(address=address, port=self._port)
             self._tasks.start_soon(self._puller.pull, address, endpoint)
 
@@ -228,6 +228,7 @@
             seq=seq,
             sender=self._members.own,
             revision=self._table.revision,
+            complete_to=self._table.complete_to,
             age_s=round(age_s, 3) if math.isfinite(age_s) else None,
             described=described,
             records=tuple(records),
--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -79,6 +79,8 @@
     sender: MemberRecord
     #: Highest revision in the sender's copy of the store.
     revision: int
+    #: Revision up to which the sender's copy has every change.
+    complete_to: int
     #: Age of the sender's freshness proof in seconds; None without one.
     age_s: float | None
     #: In a ping that requests the receiver's list, the description of the
@@ -90,7 +92,7 @@
 
     def to_message(self) -> dict[str, Any]:
         """Return the wire form."""
-        return {
+        message: dict[str, Any] = {
             'kind': self.kind,
             'b': [
                 self.seq,
@@ -101,10 +103,18 @@
                 [record.pack() for record in self.records],
             ],
         }
+        if self.complete_to != self.revision:
+            message[_COMPLETE_TO] = self.complete_to
+        return message
+
+
+#: Key of `complete_to` in a message. It is absent if all changes up to the
+#: revision are present, which is so most of the time.
+_COMPLETE_TO = 'c'
 
 
 class _Body(pydantic.BaseModel):
-    """Fields of the wire list, in order."""
+    """Fields of a message."""
 
     seq: int
     sender: list[Any]
@@ -112,13 +122,19 @@
     age_s: float | None
     described: str | None
     records: list[list[Any]]
+    complete_to: int
+
+
+#: Fields of the list in a message, in order.
+_LISTED_FIELDS = ('seq', 'sender', 'revision', 'age_s', 'described', 'records')
 
 
 def decode_fleet_message(message: dict[str, Any]) -> FleetMessage:
     """Decode a ping or acknowledgement; raise InvalidMessageError."""
     try:
-        named = zip(_Body.model_fields, message.get('b', ()), strict=True)
-        body = _Body.model_validate(dict(named))
+        named = dict(zip(_LISTED_FIELDS, message.get('b', ()), strict=True))
+        named['complete_to'] = message.get(_COMPLETE_TO, named['revision'])
+        body = _Body.model_validate(named)
     except (ValueError, TypeError) as error:
         raise InvalidMessageError(
             f'malformed membership message: {error}'
@@ -128,6 +144,7 @@
         seq=body.seq,
         sender=unpack_record(body.sender),
         revision=body.revision,
+        complete_to=body.complete_to,
         age_s=body.age_s,
         described=body.described,
         records=tuple(unpack_record(record) for record in body.records),
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -89,9 +89,23 @@
         self._metrics = metrics
         self._is_busy = False
 
-    def is_behind(self, revision: int) -> bool:
-        """Return whether a peer with this revision has newer items."""
-        return revision > self.table.revision
+    def is_covered(self, revision: int) -> bool:
+        """Return whether a peer's proof also holds for this VM's copy.
+
+        `revision` is the highest one that the peer knows.
+        """
+        return revision <= self.table.revision
+
+    def is_behind(self, revision: int, complete_to: int) -> bool:
+        """Return whether a peer has items that this VM may lack.
+
+        `revision` is the highest one that the peer knows. It is not enough
+        to compare it: a read of some keys gets their newest changes, while
+        earlier changes of other keys arrive later. `complete_to` is the
+        revision up to which the peer has every change.
+        """
+        is_complete = complete_to <= self.table.complete_to
+        return not (is_complete and self.is_covered(revision))
 
     async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
         """Fetch and merge a peer's changes; count and log failures.
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -13,8 +13,8 @@
     MemberTable,
 )
 from jacinthcart.network import BaseDatagrams, Endpoint
-from jacinthcart.readings import FreshnessLease, ItemTable
-from jacinthcart.telemetry import create_logger
+from jacinthcart.readings import FreshnessLease, ItemTable, TablePuller
+from jacinthcart.telemetry import Metrics, create_logger
 from tests.support import create_member
 
 SEEDS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
@@ -59,25 +59,20 @@
         await self._network.deliver(self._address, peer.address, message)
 
 
-class FakePuller:
-    """Copies a peer's table immediately."""
+class FakePuller(TablePuller):
+    """Copies a peer's changes immediately."""
 
     def __init__(self, network: FakeNetwork, vm: 'FakeVm') -> None:
         """Keep the network and the pulling VM."""
-        self.table = vm.table
-        self.lease = vm.lease
+        super().__init__(vm.table, vm.lease, create_logger('test'), Metrics())
         self._network = network
-        self._vm = vm
-
-    def is_behind(self, revision: int) -> bool:
-        """Return whether the peer has changes."""
-        return revision > self.table.revision
 
     async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
-        """Merge the peer's table."""
+        """Merge the peer's changes."""
         peer = self._network.vms[peer_id]
-        changes = peer.table.list_changes(0)
-        self._vm.table.merge(changes.items)
+        changes = peer.table.list_changes(self.table.complete_to)
+        self.table.merge(changes.items)
+        self.table.mark_complete_to(changes.complete_to)
 
 
 class FakeVm:
@@ -107,7 +102,7 @@
         self.gossip = FleetGossip(
             self.members,
             FakeDatagrams(network, address),
-            FakePuller(network, self),  # type: ignore[arg-type]
+            FakePuller(network, self),
             seeds=seeds,
             port=_PORT,
             random_source=random.Random(address),
--- a/tests/fleet/test_anti_entropy.py
+++ b/tests/fleet/test_anti_entropy.py
@@ -197,6 +197,7 @@
         seq=1,
         sender=create_member(address),
         revision=0,
+        complete_to=0,
         age_s=None,
         described=described,
         records=tuple(records),
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -59,6 +59,15 @@
         """A configuration must be in force on all VMs within seconds."""
         self.assertEqual(run_in_virtual_time(self._spread, 24, 1.5), 24)
 
+    def test_changes_before_a_known_one_reach_every_vm(self) -> None:
+        """Guards against changes that a VM misses because it knows later ones.
+
+        The reader gets configurations earlier than other changes. VMs that
+        had pulled one did not pull the entries that had changed before it.
+        """
+        states = run_in_virtual_time(self._spread_late, 24)
+        self.assertEqual(states, {b'draining'})
+
     def test_proof_of_any_reader_reaches_all_members(self) -> None:
         """Guards against old proofs while the store refuses live readers."""
         ages = run_in_virtual_time(self._read_elsewhere, 40)
@@ -74,6 +83,26 @@
             await vm.gossip.run()
         return len(vm.members.list_alive())
 
+    async def _spread_late(self, count: int) -> set[bytes | None]:
+        network = _create_network(count)
+        vms = list(network.vms.values())
+        async with anyio.create_task_group() as tasks:
+            for vm in vms:
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(7)
+            ranked = vms[0].members.rank('readers')
+            table = network.vms[ranked[0]].table
+            table.merge([Item('servers/a', 5, b'ready')])
+            table.mark_complete_to(5)
+            await anyio.sleep(2)
+            table.merge([Item('op/config', 8, b'{}')])
+            await anyio.sleep(2)
+            table.merge([Item('servers/a', 7, b'draining')])
+            table.mark_complete_to(8)
+            await anyio.sleep(2)
+            tasks.cancel_scope.cancel()
+        return {vm.table.list_existing('servers/')[0].content for vm in vms}
+
     async def _read_elsewhere(self, count: int) -> list[float]:
         network = _create_network(count)
         async with anyio.create_task_group() as tasks:
