Charge the home of a workspace for the grants of its deputy

Cause: VMs that a slow home doesn't answer within 30 ms ask the next VM by rank, which grants from a bucket with the whole rate, while the home goes on granting to the others.

Change: a VM that grants in place of a home reports a running total of these grants to it, and the home grants nothing until its bucket has paid for them. A VM that was paused while it waited for an answer waits once more before it takes the home for silent.

--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import random
 from typing import Any
 
 import anyio
@@ -11,21 +12,27 @@
 from jacinthcart.fleet import MemberTable
 from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.program import Clock
-from jacinthcart.quota._home import QuotaHome
+from jacinthcart.quota._home import GrantReport, QuotaHome
 from jacinthcart.telemetry import Metrics
 
 _KIND_TAKE = 'take'
 _KIND_GRANT = 'grant'
+_KIND_REPORT = 'report'
 #: Kinds of the datagrams that the client handles.
-QUOTA_KINDS = frozenset((_KIND_TAKE, _KIND_GRANT))
+QUOTA_KINDS = frozenset((_KIND_TAKE, _KIND_GRANT, _KIND_REPORT))
 #: Seconds to wait for a home's answer: enough for a round trip between data
 #: centres, and short so that a lost datagram does not delay the caller
 #: noticeably.
 _ANSWER_TIMEOUT_S = 0.03
+#: Seconds by which the wait for an answer may end late before this VM counts as
+#: paused.
+_MAX_DELAY_S = 0.015
 #: Number of highest-ranked VMs of a workspace that are asked in turn.
 _HOMES_ASKED = 2
 #: Longest wait in seconds that a grant message may tell.
 _MAX_WAIT_S = 60.0
+_RUN_ID_BITS = 48
+_MAX_TOTAL = 1 << 53
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +66,14 @@
     wait: float = pydantic.Field(default=0, ge=0, le=_MAX_WAIT_S)
 
 
+class _Report(pydantic.BaseModel):
+    """Fields of a report message."""
+
+    workspace: str
+    run: int
+    total: int = pydantic.Field(ge=1, le=_MAX_TOTAL)
+
+
 class _PendingCall:
     """A take message that waits for its grant message."""
 
@@ -89,6 +104,11 @@
         self._metrics = metrics
         self._calls_by_seq: dict[int, _PendingCall] = {}
         self._seq = 0
+        self._run_id = random.getrandbits(_RUN_ID_BITS)
+        #: Grants that this VM has made in place of homes.
+        self._reported_by_workspace: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._unresponsive_until: collections.defaultdict[str, float] = (
             collections.defaultdict(float)
         )
@@ -102,31 +122,34 @@
         homes = self._members.rank(f'allotment/{workspace}')[:_HOMES_ASKED]
         for address in homes:
             if address == own_address:
-                return self._take_as_home(workspace)
+                return await self._take_and_report(workspace)
             if self._unresponsive_until[address] > self._clock():
                 continue
             decision = await self._ask(address, workspace)
             if decision is not None:
                 return decision
         self._metrics.count('allotment', 'home_silent')
-        decided_by = f'{own_address} alone'
-        if self._home.take_local_share(workspace, 1):
-            return QuotaDecision(is_granted=True, decided_by=decided_by)
-        rate = self._home.get_local_rate(workspace)
-        return self._refuse(workspace, decided_by, rate)
+        decision = self._take_alone(workspace)
+        await self._report_to_home(workspace, decision)
+        return decision
 
     async def handle(self, message: dict[str, Any], source: Endpoint) -> None:
-        """Handle a take or grant message from a peer.
+        """Handle a take, grant or report message from a peer.
 
         A grant without a waiting call is ignored. Raise InvalidMessageError
         for a malformed message.
         """
+        if message['kind'] == _KIND_REPORT:
+            self._home.charge(_decode_report(message, source))
+            return
         seq = message.get('seq')
         if not isinstance(seq, int):
             raise InvalidMessageError('seq is not a number')
         if message['kind'] == _KIND_TAKE:
-            decision = self._take_as_home(str(message.get('workspace')))
+            workspace = str(message.get('workspace'))
+            decision = self._take_as_home(workspace)
             await self._datagrams.send(_encode_grant(seq, decision), source)
+            await self._report_to_home(workspace, decision)
             return
         call = self._calls_by_seq.get(seq)
         if call is None:
@@ -144,6 +167,38 @@
         rate = self._home.get_rate(workspace)
         return self._refuse(workspace, own_address, rate)
 
+    def _take_alone(self, workspace: str) -> QuotaDecision:
+        decided_by = f'{self._members.own.address} alone'
+        if self._home.take_local_share(workspace, 1):
+            return QuotaDecision(is_granted=True, decided_by=decided_by)
+        rate = self._home.get_local_rate(workspace)
+        return self._refuse(workspace, decided_by, rate)
+
+    async def _take_and_report(self, workspace: str) -> QuotaDecision:
+        decision = self._take_as_home(workspace)
+        await self._report_to_home(workspace, decision)
+        return decision
+
+    async def _report_to_home(
+        self, workspace: str, decision: QuotaDecision
+    ) -> None:
+        # Another VM may still act as the home: it may be slow rather than
+        # lost, or the VM that asked may know other members than this one.
+        homes = self._members.rank(f'allotment/{workspace}')[:1]
+        own_address = self._members.own.address
+        if not decision.is_granted or homes in ([], [own_address]):
+            return
+        self._metrics.count('allotment', 'granted_for_home')
+        self._reported_by_workspace[workspace] += 1
+        message = {
+            'kind': _KIND_REPORT,
+            'workspace': workspace,
+            'run': self._run_id,
+            'total': self._reported_by_workspace[workspace],
+        }
+        endpoint = Endpoint.model_construct(address=homes[0], port=self._port)
+        await self._datagrams.send(message, endpoint)
+
     def _refuse(
         self, workspace: str, decided_by: str, rate_per_s: float
     ) -> QuotaDecision:
@@ -163,8 +218,7 @@
         endpoint = Endpoint.model_construct(address=address, port=self._port)
         try:
             await self._datagrams.send(message, endpoint)
-            with anyio.move_on_after(_ANSWER_TIMEOUT_S):
-                await call.answered.wait()
+            await self._wait_for_answer(call)
         finally:
             self._calls_by_seq.pop(seq)
         if call.answered.is_set():
@@ -177,6 +231,27 @@
         )
         return None
 
+    async def _wait_for_answer(self, call: _PendingCall) -> None:
+        asked_at = self._clock()
+        with anyio.move_on_after(_ANSWER_TIMEOUT_S):
+            await call.answered.wait()
+        waited_s = self._clock() - asked_at
+        if waited_s > _ANSWER_TIMEOUT_S + _MAX_DELAY_S:
+            # This VM was paused. The answer may have arrived and not been
+            # read yet, so it is waited for once more.
+            with anyio.move_on_after(_ANSWER_TIMEOUT_S):
+                await call.answered.wait()
+
+
+def _decode_report(message: dict[str, Any], source: Endpoint) -> GrantReport:
+    try:
+        report = _Report.model_validate(message)
+    except pydantic.ValidationError as error:
+        raise InvalidMessageError(f'malformed report: {error}') from error
+    return GrantReport(
+        source.address, report.workspace, report.run, report.total
+    )
+
 
 def _encode_grant(seq: int, decision: QuotaDecision) -> dict[str, Any]:
     reply: dict[str, Any] = {
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -1,6 +1,8 @@
 """Token buckets of the workspaces whose home is this VM."""
 
+import collections
 import dataclasses
+import math
 
 from jacinthcart.catalogue import CatalogueState, WorkspaceConfig
 from jacinthcart.fleet import MemberTable
@@ -24,16 +26,37 @@
     #: Minimum capacity of a bucket in tokens. With less than one token, small
     #: limits could not be used at all.
     min_capacity: float = 1.0
+    #: Maximum debt of a home as a multiple of the capacity. A home that could
+    #: not receive reports for a while must not refuse everything as long.
+    max_debt_fraction: float = 1.0
     #: When refused callers return.
     returns: ReturnParameters = ReturnParameters()
 
 
+@dataclasses.dataclass(frozen=True)
+class GrantReport:
+    """Grants that a VM has made in place of the home of a workspace."""
+
+    #: Address of the VM.
+    source: str
+    workspace: str
+    #: Identifies the process of the VM, which counts from 0.
+    run: int
+    #: Number of such grants since the start of the process.
+    total: int
+
+
 class QuotaHome:
     """Admits requests of the workspaces whose home is this VM.
 
     A home grants only a share of the rate: the fraction of the members that
     it can reach. Both sides of a network partition together therefore stay
     within the rate.
+
+    A VM that a home doesn't answer in time asks its deputy, which grants the
+    same rate and reports each grant to the home. The home owes the reported
+    grants and makes none until it has paid for them, so that both together
+    stay within the rate however slow the home is.
     """
 
     def __init__(
@@ -52,6 +75,12 @@
         self._params = params
         self._bucket_by_workspace: dict[str, TokenBucket] = {}
         self._local_bucket_by_workspace: dict[str, TokenBucket] = {}
+        #: Grants of deputies that this VM has not paid for yet.
+        self._debt_by_workspace: collections.defaultdict[str, int] = (
+            collections.defaultdict(int)
+        )
+        #: Last report by source and workspace.
+        self._report_by_source: dict[tuple[str, str], GrantReport] = {}
         #: Return times of callers that this VM refuses.
         self.returns = ReturnSchedule(clock, params.returns)
         catalogue_state.listeners.append(self.create_buckets)
@@ -64,6 +93,11 @@
         catalogue = self._catalogue_state.catalogue
         if catalogue is not None:
             self.returns.retain_only(set(catalogue.workspaces_by_name))
+            self._report_by_source = {
+                key: report
+                for key, report in self._report_by_source.items()
+                if report.workspace in catalogue.workspaces_by_name
+            }
         for workspace in catalogue.workspaces_by_name if catalogue else ():
             if workspace not in self._bucket_by_workspace:
                 self.take(workspace, 0)
@@ -71,8 +105,37 @@
 
     def take(self, workspace: str, count: int) -> int:
         """Return how many of `count` requests this VM grants as the home."""
-        share = self._members.alive_fraction
-        return self._take(self._bucket_by_workspace, workspace, share, count)
+        debt = self._debt_by_workspace.pop(workspace, 0)
+        if debt:
+            unpaid = debt - self._take_from_rate(workspace, debt)
+            if unpaid:
+                self._debt_by_workspace[workspace] = unpaid
+                return 0
+        return self._take_from_rate(workspace, count)
+
+    def charge(self, report: GrantReport) -> None:
+        """Owe the grants that a deputy reports.
+
+        Totals make lost reports harmless. Reports of unknown workspaces or
+        VMs are ignored.
+        """
+        config = self._get_workspace_config(report.workspace)
+        is_known = self._members.log.get_record(report.source) is not None
+        if config is None or not is_known:
+            return
+        key = (report.source, report.workspace)
+        last = self._report_by_source.get(key)
+        self._report_by_source[key] = report
+        grants = 1
+        if last is not None and last.run == report.run:
+            grants = max(0, report.total - last.total)
+        max_debt = math.ceil(
+            max(config.burst, self._params.min_capacity)
+            * self._params.max_debt_fraction
+        )
+        debt = self._debt_by_workspace[report.workspace] + grants
+        self._debt_by_workspace[report.workspace] = min(debt, max_debt)
+        self._metrics.count('allotment', 'charged', amount=grants)
 
     def take_local_share(self, workspace: str, count: int) -> int:
         """Return how many of `count` requests this VM's own share covers.
@@ -110,6 +173,10 @@
             if self._members.rank(f'allotment/{workspace}')[:1] == [own_address]
         }
 
+    def _take_from_rate(self, workspace: str, count: int) -> int:
+        share = self._members.alive_fraction
+        return self._take(self._bucket_by_workspace, workspace, share, count)
+
     def _take(
         self,
         buckets: dict[str, TokenBucket],
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -5,6 +5,7 @@
 from unittest import TestCase, mock
 
 import anyio
+from anyio.abc import TaskGroup
 
 from jacinthcart.catalogue import CatalogueState
 from jacinthcart.errors import InvalidMessageError
@@ -36,6 +37,10 @@
 _BOUND = (_RATE * _WINDOW_S + _RATE) * 1.25 + 20
 
 
+#: Length in seconds of a cycle of a slow VM and of the stop that begins it.
+_CYCLE_S = 0.05
+_STOPPED_S = 0.035
+
 #: Members that a new process discovers every half second.
 _DISCOVERED_PER_STEP = 12
 
@@ -50,9 +55,24 @@
     def __init__(self) -> None:
         self.vms: dict[str, _Vm] = {}
         self.side_by_address: dict[str, int] = {}
+        #: Delivers datagrams while their senders go on; None to make the
+        #: senders wait.
+        self.tasks: TaskGroup | None = None
+        #: VMs that receive nothing.
+        self.silent: set[str] = set()
+        #: VMs that are stopped for most of each cycle.
+        self.slow: set[str] = set()
+
+    async def wait(self, address: str) -> None:
+        """Wait until a VM runs."""
+        phase_s = anyio.current_time() % _CYCLE_S
+        if address in self.slow and phase_s < _STOPPED_S:
+            await anyio.sleep(_STOPPED_S - phase_s)
 
     def connects(self, one: str, other: str) -> bool:
         sides = self.side_by_address
+        if self.silent & {one, other}:
+            return False
         return sides.get(one, 0) == sides.get(other, 0)
 
 
@@ -64,7 +84,15 @@
         self._address = address
 
     async def send(self, message: dict[str, Any], peer: Endpoint) -> None:
+        await self._network.wait(self._address)
+        if self._network.tasks is None:
+            await self._deliver(message, peer)
+        else:
+            self._network.tasks.start_soon(self._deliver, message, peer)
+
+    async def _deliver(self, message: dict[str, Any], peer: Endpoint) -> None:
         await anyio.sleep(0.0005)
+        await self._network.wait(peer.address)
         if self._network.connects(self._address, peer.address):
             source = Endpoint(address=self._address, port=1)
             vm = self._network.vms[peer.address]
@@ -91,12 +119,12 @@
         )
         for record in _create_records(count):
             self.members.merge(record)
-        home = QuotaHome(
+        self.home = QuotaHome(
             catalogue_state, self.members, clock, metrics, QuotaParameters()
         )
         self.client = QuotaClient(
             self.members,
-            home,
+            self.home,
             _Datagrams(network, address),
             1,
             clock,
@@ -174,6 +202,27 @@
         granted = run_in_virtual_time(_simulate, 8, 6 * _RATE, 8, (0, 1, 2))
         self.assertLessEqual(_count_max_in_window(granted), _BOUND)
 
+    def test_slow_home_and_its_deputy_stay_within_the_rate(self) -> None:
+        """Guards against two VMs that both grant the full rate.
+
+        A slow home answers some VMs in time; the others ask its deputy.
+        """
+        granted = run_in_virtual_time(_simulate_impaired_home, 'slow')
+        self.assertLessEqual(_count_max_in_window(granted), _BOUND)
+        self.assertGreaterEqual(len(granted), 0.8 * _RATE * 20)
+
+    def test_deputy_of_a_silent_home_grants_the_rate(self) -> None:
+        """Guards against refusals until a silent home is suspected."""
+        granted = run_in_virtual_time(_simulate_impaired_home, 'silent')
+        self.assertLessEqual(_count_max_in_window(granted), _BOUND)
+        self.assertGreaterEqual(len(granted), 0.95 * _RATE * 20)
+
+    def test_lost_reports_are_made_up_for(self) -> None:
+        """Guards against grants of a deputy that its home never counts."""
+        for totals, debt in (((1, 9), 9), ((1, 2, 2, 1), 2), ((900,), 1)):
+            granted = run_in_virtual_time(_count_grants_after, totals)
+            self.assertEqual(granted, int(0.9 * _RATE) - debt)
+
     def test_isolated_vms_stay_within_the_rate(self) -> None:
         """Guards against VMs without any peer that each grant the full rate."""
         granted = run_in_virtual_time(
@@ -203,6 +252,50 @@
             return decision
 
 
+async def _count_grants_after(totals: tuple[int, ...]) -> int:
+    """Return the grants of a home with a full bucket after reports."""
+    network = _Network()
+    vm = _Vm(network, '10.0.0.0', 2)
+    await anyio.sleep(60)
+    peer = Endpoint(address='10.0.0.1', port=1)
+    for total in totals:
+        report = {'kind': 'report', 'workspace': 'mill', 'run': 1}
+        await vm.client.handle({**report, 'total': total}, peer)
+    grants = 0
+    while vm.home.take('mill', 1):
+        grants += 1
+    return grants
+
+
+async def _simulate_impaired_home(impairment: str) -> list[float]:
+    network = _Network()
+    for number in range(8):
+        _Vm(network, f'10.0.0.{number}', 8)
+    home = network.vms['10.0.0.0'].members.rank('allotment/mill')[0]
+    impaired = network.slow if impairment == 'slow' else network.silent
+    impaired.add(home)
+    others = [vm for key, vm in network.vms.items() if key != home]
+    async with anyio.create_task_group() as tasks:
+        network.tasks = tasks
+        return await _ask_randomly(others, 5 * _RATE)
+
+
+async def _ask_randomly(vms: list[_Vm], rate: float) -> list[float]:
+    source = random.Random(3)
+    granted: list[float] = []
+
+    async def ask(vm: _Vm) -> None:
+        if (await vm.client.take('mill')).is_granted:
+            granted.append(anyio.current_time())
+
+    async with anyio.create_task_group() as tasks:
+        until = anyio.current_time() + 20
+        while anyio.current_time() < until:
+            tasks.start_soon(ask, source.choice(vms))
+            await anyio.sleep(source.expovariate(rate))
+    return granted
+
+
 async def _simulate_restart() -> list[float]:
     source = random.Random(4)
     network = _Network()
