Limit the memory of all responses in progress

Cause: 16 MiB on the wire was the only limit. Each chunk was an object in memory, trailers were kept like headers, and nothing limited all responses together.

Change: bodies are collected in one buffer, trailers are dropped, the numbers of headers and of pieces of a body are limited. All responses in progress hold at most a fifth of the memory that the settings name; beyond it the largest one is discarded. The HTTP client of the other tier, which had no limit, gets the same ones for a response.

--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -79,6 +79,8 @@
 #: route or key to be denied; with an older proof it may be a new one.
 _DENIAL_LEASE_FRACTION = 0.8
 _DIRECTORY_TTL_S = 2.0
+#: Fraction of the memory that responses in progress may hold.
+_RESPONSE_MEMORY_FRACTION = 0.2
 _EXPIRY_INTERVAL_S = 0.5
 
 
@@ -299,7 +301,15 @@
             ),
         )
         health_tracker = HealthTracker(clock)
-        self._pools = SearcherPools(codec, clock, ConnectionParameters())
+        self._pools = SearcherPools(
+            codec,
+            clock,
+            ConnectionParameters(
+                max_held_bytes=int(
+                    self.settings.memory_bytes * _RESPONSE_MEMORY_FRACTION
+                ),
+            ),
+        )
         self._searcher_client = SearcherClient(
             self._pools,
             RoutingTable(
--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -56,5 +56,7 @@
     cores: float
     #: Bandwidth of the VM's link in Mbit/s.
     link_mbps: float
+    #: Memory available to the process, in bytes.
+    memory_bytes: int
     #: Bounds of the deployment.
     bounds: NodeBounds
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -14,6 +14,7 @@
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'JACINTHCART_CONFIG'
 _MS_PER_S = 1000
+_BYTES_PER_MB = 1_000_000
 
 
 class _ListenAddresses(pydantic.BaseModel):
@@ -46,6 +47,7 @@
     cpu_share: float = 1
     cores: float = 1
     link_mbps: float = 1000
+    memory_mb: float = pydantic.Field(default=200, gt=0)
 
 
 class _PlatformFields(pydantic.BaseModel):
@@ -106,6 +108,7 @@
         store=decode_endpoint(decoded.platform.address),
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         link_mbps=decoded.limits.link_mbps,
+        memory_bytes=int(decoded.limits.memory_mb * _BYTES_PER_MB),
         bounds=_decode_bounds(decoded.bounds),
     )
 
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -140,6 +140,7 @@
             response = await connection.request(
                 'GET',
                 f'{PULL_PATH}?after={self.table.complete_to}',
+                max_body_bytes=_MAX_TABLE_BYTES,
             )
         finally:
             with anyio.CancelScope(shield=True):
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -15,12 +15,16 @@
     ResponseHead,
     SearcherResponse,
 )
+from jacinthcart.routing._response_memory import ResponseMemory
 from jacinthcart.streams import STREAM_FAILURES, is_readable
 
 _RECEIVE_BYTES = 65536
 #: Limits of a response. A searcher in trouble may send without end.
 _MAX_HEAD_BYTES = 65536
+_MAX_HEADERS = 512
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Pieces of a body, such as chunks. Each costs processor time.
+_MAX_BODY_PIECES = 131_072
 _BODYLESS_STATUSES = frozenset((204, 304))
 #: Responses read for one request; those to other requests are skipped.
 _MAX_RESPONSES_READ = 4
@@ -43,12 +47,14 @@
     #: may run only once: the searcher may have closed the connection, and
     #: such a request can't be sent again after a failed send.
     at_most_once_idle_s: float = 0.4
+    #: Bytes of all responses in progress together.
+    max_held_bytes: int = 64 * 1024 * 1024
 
 
 class _ResponseParser:
     """Collects the complete responses that arrive on a connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ResponseMemory) -> None:
         """Create a parser in its initial state."""
         self.complete: list[tuple[ResponseHead, bytes]] = []
         self.is_in_response = False
@@ -56,9 +62,11 @@
         self.is_ended_by_close = False
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
+        self._body_pieces = 0
         #: Received bytes of the header section or body in progress.
         self._section_bytes = 0
+        self._account = memory.open(self.discard)
         self._is_in_head = True
 
     def feed(self, received: bytes) -> None:
@@ -66,14 +74,40 @@
 
         A response that is too large is an error, too.
         """
+        if self.is_broken:
+            return
         self._section_bytes += len(received)
+        self._account.add(len(received))
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError:
             self.is_broken = True
         limit = _MAX_HEAD_BYTES if self._is_in_head else _MAX_BODY_BYTES
-        if self._section_bytes > limit:
-            self.is_broken = True
+        if (
+            self._section_bytes > limit
+            or len(self._headers) > _MAX_HEADERS
+            or self._body_pieces > _MAX_BODY_PIECES
+        ):
+            self.discard()
+
+    def pop_complete(self) -> tuple[ResponseHead, bytes]:
+        """Return the first complete response and stop holding it."""
+        response = self.complete.pop(0)
+        if not self.complete and not self.is_in_response:
+            self.release()
+        return response
+
+    def release(self) -> None:
+        """Drop what is held, which no one needs any more."""
+        self.complete.clear()
+        self._headers = []
+        self._body = bytearray()
+        self._account.clear()
+
+    def discard(self) -> None:
+        """Give up the responses in progress and all that follow."""
+        self.is_broken = True
+        self.release()
 
     def finish(self) -> None:
         """Handle the end of the stream.
@@ -90,11 +124,13 @@
         self._is_in_head = True
         self._section_bytes = 0
         self._headers = []
-        self._chunks = []
+        self._body = bytearray()
+        self._body_pieces = 0
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name.lower(), content))
+        """Add a header; drop a trailer."""
+        if self._is_in_head:
+            self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
         """Determine whether the body is delimited by connection close."""
@@ -109,8 +145,9 @@
         )
 
     def on_body(self, chunk: bytes) -> None:
-        """Add a chunk of the body."""
-        self._chunks.append(chunk)
+        """Add a piece of the body."""
+        self._body += chunk
+        self._body_pieces += 1
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -121,7 +158,8 @@
         status = self._parser.get_status_code()
         self.is_in_response = False
         head = ResponseHead(status, tuple(self._headers))
-        self.complete.append((head, b''.join(self._chunks)))
+        self.complete.append((head, bytes(self._body)))
+        self._body = bytearray()
 
 
 class SearcherConnection:
@@ -131,6 +169,7 @@
         self,
         stream: SocketStream,
         codec: BaseSearcherCodec,
+        memory: ResponseMemory,
         now: float,
     ) -> None:
         """Wrap a connected stream."""
@@ -139,7 +178,7 @@
         self.is_usable = True
         self._stream = stream
         self._codec = codec
-        self._parser = _ResponseParser()
+        self._parser = _ResponseParser(memory)
         self._socket = stream.extra(SocketAttribute.raw_socket)
         #: Ids of requests that this connection answered without success.
         self._failed_ids: set[str] = set()
@@ -181,6 +220,7 @@
     async def close(self) -> None:
         """Close at once, which cancels a request in progress."""
         self.is_usable = False
+        self._parser.release()
         await anyio.aclose_forcefully(self._stream)
 
     async def _send(self, message: bytes) -> None:
@@ -195,7 +235,7 @@
             if parser.is_broken:
                 raise OutcomeUnknownError('malformed response')
             parser.feed(await self._receive_bytes())
-        return parser.complete.pop(0)
+        return parser.pop_complete()
 
     async def _receive_bytes(self) -> bytes:
         try:
@@ -231,6 +271,7 @@
         self._codec = codec
         self._clock = clock
         self._params = params
+        self._memory = ResponseMemory(params.max_held_bytes)
         self._idle_by_process: dict[
             tuple[str, int],
             list[SearcherConnection],
@@ -325,7 +366,9 @@
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f'connect: {error!r}') from error
-        return SearcherConnection(stream, self._codec, self._clock())
+        return SearcherConnection(
+            stream, self._codec, self._memory, self._clock()
+        )
 
 
 def _pop_newest(
--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -12,6 +12,11 @@
 
 _RECEIVE_BUFFER_BYTES = 65536
 _STATUS_OK = 200
+#: Maximum size of a body unless a call states another one. A server in trouble
+#: may send without end.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Pieces of a body, such as chunks. Each costs processor time.
+_MAX_BODY_PIECES = 131_072
 _CONNECTION_ERRORS = (
     *STREAM_FAILURES,
     anyio.EndOfStream,
@@ -79,15 +84,19 @@
         target: str,
         body: bytes = b'',
         headers: Iterable[tuple[bytes, bytes]] = (),
+        max_body_bytes: int = _MAX_BODY_BYTES,
     ) -> HttpResponse:
-        """Send one request and return its complete response."""
+        """Send one request and return its complete response.
+
+        Raise OutcomeUnknownError if its body is larger than `max_body_bytes`.
+        """
         if not self.is_reusable:
             raise NotSentError('connection closed by the server')
         message = self._encode_request(method, target, body, headers)
         self._is_idle = False
         try:
             await self._stream.send(message)
-            response = await self._receive_response()
+            response = await self._receive_response(max_body_bytes)
         except _CONNECTION_ERRORS as error:
             raise OutcomeUnknownError(
                 f'{method} {target}: {type(error).__name__}',
@@ -122,21 +131,25 @@
             for event in (request, h11.Data(body), h11.EndOfMessage())
         )
 
-    async def _receive_response(self) -> HttpResponse:
+    async def _receive_response(self, max_body_bytes: int) -> HttpResponse:
         head = await self._receive_event()
         while not isinstance(head, h11.Response):
             head = await self._receive_event()
-        chunks: list[bytes] = []
+        body = bytearray()
+        pieces = 0
         event = await self._receive_event()
         while isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
+            body += event.data
+            pieces += 1
+            if len(body) > max_body_bytes or pieces > _MAX_BODY_PIECES:
+                raise h11.RemoteProtocolError('response body is too large')
             event = await self._receive_event()
         if not isinstance(event, h11.EndOfMessage):
             raise h11.RemoteProtocolError('response is incomplete')
         return HttpResponse(
             head.status_code,
             dict(head.headers),
-            b''.join(chunks),
+            bytes(body),
         )
 
     async def _receive_event(self) -> object:
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -1,6 +1,7 @@
 """Tests of connection pools."""
 
 import itertools
+import tracemalloc
 from collections.abc import Iterator
 from typing import Any
 from unittest import TestCase, mock
@@ -14,9 +15,14 @@
     SearcherPools,
 )
 from jacinthcart.routing._pool import SearcherConnection
+from jacinthcart.routing._response_memory import ResponseMemory
 from tests.support import create_searcher, run_in_virtual_time
 
 
+#: Limit of all responses in progress together.
+_HELD_BYTES = 8_000_000
+
+
 class FakeConnection:
     """A connection that takes time to close."""
 
@@ -127,6 +133,40 @@
         head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
         self._check([head], b'ea60\r\n%s\r\n' % (b'a' * 60_000))
 
+    def test_endless_small_chunks_end_the_attempt(self) -> None:
+        """Guards against an object in memory for each chunk of two bytes."""
+        head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        held = self._measure([head], b'2\r\nab\r\n' * 9000)
+        self.assertLess(held, 4_000_000)
+
+    def test_endless_trailers_end_the_attempt(self) -> None:
+        """Guards against trailers that are kept like headers."""
+        head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        held = self._measure([head, b'0\r\n'], b'x: y\r\n' * 10_000)
+        self.assertLess(held, 4_000_000)
+
+    def test_many_short_headers_end_the_attempt(self) -> None:
+        """Guards against objects in memory for thousands of headers."""
+        held = self._measure([b'HTTP/1.1 200 OK\r\n'], b'x:\r\n' * 10_000)
+        self.assertLess(held, 4_000_000)
+
+    def test_responses_together_are_limited(self) -> None:
+        """Guards against many endless responses at once.
+
+        A small response of another searcher still arrives.
+        """
+        held = run_in_virtual_time(self._exchange_many)
+        # A body that grows is copied, so it may need twice its size.
+        self.assertLess(held, 2 * _HELD_BYTES)
+
+    def test_response_that_is_cut_anywhere_is_not_complete(self) -> None:
+        """Guards against a response that looks complete although it is cut."""
+        response = b'HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 3\r\n\r\nabc'
+        for end, _ in enumerate(response):
+            stream = _ScriptedStream(iter([response[:end]]))
+            with self.assertRaises(OutcomeUnknownError):
+                run_in_virtual_time(self._exchange, stream)
+
     def test_endless_interim_responses_end_the_attempt(self) -> None:
         """Guards against interim responses without end."""
         self._check([], b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -138,6 +178,41 @@
         stream = _ScriptedStream(iter([head, body]))
         run_in_virtual_time(self._exchange, stream)
 
+    async def _exchange_many(self) -> int:
+        memory = ResponseMemory(_HELD_BYTES)
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        tracemalloc.start()
+        endless = [
+            _ScriptedStream(
+                itertools.chain([head], itertools.repeat(b'a' * 60_000))
+            )
+            for _ in range(20)
+        ]
+        small = [b'HTTP/1.1 200 OK\r\n', b'content-length: 1\r\n\r\n', b'a']
+        async with anyio.create_task_group() as tasks:
+            for stream in endless:
+                tasks.start_soon(self._expect_failure, stream, memory)
+            await self._exchange(_ScriptedStream(iter(small)), memory)
+        held = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        self.assertEqual(memory.held_bytes, 0)
+        return held
+
+    async def _expect_failure(
+        self, stream: '_ScriptedStream', memory: ResponseMemory
+    ) -> None:
+        with self.assertRaises(OutcomeUnknownError):
+            await self._exchange(stream, memory)
+
+    def _measure(self, start: list[bytes], repeated: bytes) -> int:
+        """Return the most bytes allocated during an endless response."""
+        tracemalloc.start()
+        try:
+            self._check(start, repeated)
+            return tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+
     def _check(self, start: list[bytes], repeated: bytes) -> None:
         chunks = itertools.chain(
             start, itertools.repeat(repeated, 100_000_000 // len(repeated))
@@ -147,10 +222,13 @@
             run_in_virtual_time(self._exchange, stream)
         self.assertLess(stream.received_bytes, 32_000_000)
 
-    async def _exchange(self, stream: Any) -> None:
+    async def _exchange(
+        self, stream: Any, memory: ResponseMemory | None = None
+    ) -> None:
         codec = mock.create_autospec(BaseSearcherCodec, instance=True)
         codec.find_request_id.side_effect = lambda head: (
             'id' if head.status == 200 else None
         )
-        connection = SearcherConnection(stream, codec, 0)
+        memory = memory or ResponseMemory(64_000_000)
+        connection = SearcherConnection(stream, codec, memory, 0)
         await connection.exchange(b'', 'id')
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -10,6 +11,7 @@
 from jacinthcart.wire import ConnectionPool
 
 RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 Serve = Callable[[SocketStream], Awaitable[None]]
 Check = Callable[[ConnectionPool], Awaitable[None]]
 
@@ -28,6 +30,17 @@
     await stream.send(RESPONSE[:-1])
 
 
+async def _send_without_end(
+    stream: SocketStream, chunk: bytes, sent: list[int]
+) -> None:
+    await stream.receive()
+    await stream.send(CHUNKED_HEAD)
+    with suppress(anyio.BrokenResourceError):
+        while sum(sent) < 50_000_000:
+            sent.append(len(chunk))
+            await stream.send(chunk)
+
+
 async def _run_with_server(serve: Serve, check: Check) -> None:
     async def serve_and_close(stream: SocketStream) -> None:
         async with stream:
@@ -66,6 +79,22 @@
 
         self._run(_answer_once, check)
 
+    def test_response_without_end_is_an_error(self) -> None:
+        """Guards against collecting a body until the memory is used up."""
+        chunks = (b'2\r\nab\r\n' * 9000, b'ea60\r\n%s\r\n' % (b'a' * 60_000))
+        for chunk in chunks:
+            sent: list[int] = []
+
+            async def serve(stream: SocketStream) -> None:
+                await _send_without_end(stream, chunk, sent)
+
+            async def check(pool: ConnectionPool) -> None:
+                with self.assertRaises(OutcomeUnknownError):
+                    await pool.call('GET', '/', timeout_s=60)
+
+            anyio.run(_run_with_server, serve, check)
+            self.assertLess(sum(sent), 32_000_000)
+
     def test_close_after_request_leaves_the_outcome_unknown(self) -> None:
         """Guards against NotSentError for a request that was received."""
 
