Answer requests that wait while a VM stops accepting

Cause: a stopping VM closed its listening socket while connections waited in its queue, which resets them, and closed connections as idle whose request had arrived and was not read yet.

Change: what waits is accepted before the socket is closed, and a connection is closed only if it was idle at two checks in a row.

Evidence: both new tests of tests/front/test_server.py failed before, with a reset and with an empty answer.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -10,11 +10,11 @@
 
 import anyio
 import httptools
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from jacinthcart.catalogue import FrontLimits
 from jacinthcart.program import Clock
-from jacinthcart.streams import STREAM_FAILURES
+from jacinthcart.streams import STREAM_FAILURES, is_readable
 from jacinthcart.telemetry import Logger
 
 _RECEIVE_BYTES = 65536
@@ -177,11 +177,14 @@
         self.is_busy = False
         self.is_draining = False
         self._stream = stream
+        self._socket = stream.extra(SocketAttribute.raw_socket)
         self._handler = handler
         self._logger = logger
         self._parser = _RequestParser(clock, handler.get_limits)
         self._changed = anyio.Event()
         self._is_disconnected = False
+        #: Whether the connection was idle when it was last to be closed.
+        self._was_idle = False
         self._error_status = 0
         self._handler_scope: anyio.CancelScope | None = None
         self._scope = anyio.CancelScope()
@@ -199,11 +202,17 @@
                 await anyio.aclose_forcefully(self._stream)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
+        """Close the connection if it was idle at the previous call, too.
+
+        Between two calls, received bytes reach the parser, so that no
+        connection is closed with a request that has arrived.
+        """
         parser = self._parser
         has_request = parser.is_receiving or bool(parser.completed)
-        if not self.is_busy and not has_request:
+        is_idle = not (self.is_busy or has_request or is_readable(self._socket))
+        if is_idle and self._was_idle:
             self._scope.cancel()
+        self._was_idle = is_idle
 
     async def _serve(self) -> None:
         while True:
@@ -211,6 +220,7 @@
             if request is None:
                 return
             self.is_busy = True
+            self._was_idle = False
             keep_alive = await self._answer(request)
             self.is_busy = False
             if not keep_alive:
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -1,15 +1,21 @@
 """HTTP server with graceful shutdown."""
 
+from typing import cast
+
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from jacinthcart.front._connection import BaseRequestHandler, ServerConnection
 from jacinthcart.network import Endpoint
 from jacinthcart.program import Clock
+from jacinthcart.streams import is_readable
 from jacinthcart.telemetry import Logger
 
 _BACKLOG = 512
 _CLOSE_CHECK_INTERVAL_S = 0.05
+#: Seconds to wait for a connection that was ready to be accepted. It may have
+#: been reset meanwhile.
+_ACCEPT_TIMEOUT_S = 1.0
 
 
 class HttpServer:
@@ -28,7 +34,8 @@
         self._clock = clock
         self._logger = logger
         self._connections: set[ServerConnection] = set()
-        self._listener: Listener[SocketStream] | None = None
+        self._accepting: anyio.CancelScope | None = None
+        self._listener_closed = anyio.Event()
         self._is_draining = False
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -38,8 +45,13 @@
             local_port=self._endpoint.port,
             backlog=_BACKLOG,
         )
-        self._listener = listener.listeners[0]
-        tasks.start_soon(self._accept, self._listener, tasks)
+        self._accepting = anyio.CancelScope()
+        tasks.start_soon(
+            self._accept,
+            cast(SocketListener, listener.listeners[0]),
+            self._accepting,
+            tasks,
+        )
 
     def drain(self) -> None:
         """Close each connection after its next response."""
@@ -49,8 +61,9 @@
 
     async def close(self) -> None:
         """Stop accepting, close idle connections and wait for busy ones."""
-        if self._listener is not None:
-            await self._listener.aclose()
+        if self._accepting is not None:
+            self._accepting.cancel()
+            await self._listener_closed.wait()
         while self._connections:
             for connection in list(self._connections):
                 connection.close_if_idle()
@@ -58,17 +71,39 @@
 
     async def _accept(
         self,
-        listener: Listener[SocketStream],
+        listener: SocketListener,
+        accepting: anyio.CancelScope,
         tasks: TaskGroup,
     ) -> None:
-        try:
-            # Closes the socket also if the task is cancelled.
-            async with listener:
-                await listener.serve(self._run_connection, tasks)
-        except anyio.ClosedResourceError:
-            self._logger.debug('listener closed', port=self._endpoint.port)
+        raw_socket = listener.extra(SocketAttribute.raw_socket)
+        # Closes the socket also if the task is cancelled.
+        async with listener:
+            with accepting:
+                await self._accept_all(listener, tasks)
+            # Closing the socket resets the connections that wait in its
+            # queue, although their callers may have sent requests.
+            while is_readable(raw_socket):
+                await self._accept_one(listener, tasks)
+        self._listener_closed.set()
+        self._logger.debug('listener closed', port=self._endpoint.port)
+
+    async def _accept_all(
+        self, listener: SocketListener, tasks: TaskGroup
+    ) -> None:
+        raw_socket = listener.extra(SocketAttribute.raw_socket)
+        while True:
+            await anyio.wait_readable(raw_socket)
+            await self._accept_one(listener, tasks)
+
+    async def _accept_one(
+        self, listener: SocketListener, tasks: TaskGroup
+    ) -> None:
+        # A connection is not accepted halfway, which would reset it.
+        with anyio.move_on_after(_ACCEPT_TIMEOUT_S, shield=True):
+            connection = self._add_connection(await listener.accept())
+            tasks.start_soon(self._run_connection, connection)
 
-    async def _run_connection(self, stream: SocketStream) -> None:
+    def _add_connection(self, stream: SocketStream) -> ServerConnection:
         connection = ServerConnection(
             stream,
             self._handler,
@@ -77,6 +112,9 @@
         )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
+        return connection
+
+    async def _run_connection(self, connection: ServerConnection) -> None:
         try:
             await connection.run()
         finally:
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -77,6 +77,13 @@
     anyio.run(functools.partial(_run, scenario))
 
 
+def _send_without_waiting(port: int) -> socket.socket:
+    caller = socket.create_connection((_ADDRESS, port))
+    caller.settimeout(5)
+    caller.sendall(_GET)
+    return caller
+
+
 async def _read_all(stream: SocketStream) -> bytes:
     received = b''
     try:
@@ -146,6 +153,41 @@
 
         _run_scenario(scenario)
 
+    def test_requests_that_wait_at_the_close_are_answered(self) -> None:
+        """Guards against resetting connections that wait to be accepted."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            server.drain()
+            # Nothing is awaited, so the server has accepted none of them.
+            callers = [_send_without_waiting(port) for _ in range(20)]
+            await server.close()
+            for caller in callers:
+                with caller:
+                    self.assertIn(b' 200 ', caller.recv(4096))
+
+        _run_scenario(scenario)
+
+    def test_request_that_arrives_at_the_close_is_answered(self) -> None:
+        """Guards against closing a connection with an unread request."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            with _send_without_waiting(port) as caller:
+                await anyio.to_thread.run_sync(caller.recv, 4096)
+                server.drain()
+                caller.sendall(_GET)
+                await server.close()
+                self.assertIn(b' 200 ', caller.recv(4096))
+
+        _run_scenario(scenario)
+
     def test_exception_in_one_request_does_not_affect_others(self) -> None:
         """An unexpected error is answered and must not end the process."""
 
