Go on after a failed accept

Cause: an OSError of accept, such as too many open files, left the task of the server and ended all others.

Change: the error is logged and the server accepts again after 50 ms.

Evidence: test_server_goes_on_after_a_failed_accept failed before with "Too many open files" out of the task group.

--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -16,6 +16,8 @@
 #: Seconds to wait for a connection that was ready to be accepted. It may have
 #: been reset meanwhile.
 _ACCEPT_TIMEOUT_S = 1.0
+#: Seconds between a failed accept and the next one.
+_ACCEPT_RETRY_S = 0.05
 
 
 class HttpServer:
@@ -98,10 +100,17 @@
     async def _accept_one(
         self, listener: SocketListener, tasks: TaskGroup
     ) -> None:
-        # A connection is not accepted halfway, which would reset it.
-        with anyio.move_on_after(_ACCEPT_TIMEOUT_S, shield=True):
-            connection = self._add_connection(await listener.accept())
-            tasks.start_soon(self._run_connection, connection)
+        try:
+            # A connection is not accepted halfway, which would reset it.
+            with anyio.move_on_after(_ACCEPT_TIMEOUT_S, shield=True):
+                connection = self._add_connection(await listener.accept())
+                tasks.start_soon(self._run_connection, connection)
+        except OSError as error:
+            # No descriptor is free, or the caller has already disconnected.
+            self._logger.error(
+                'accept failed', limit_key='accept', error=repr(error)
+            )
+            await anyio.sleep(_ACCEPT_RETRY_S)
 
     def _add_connection(self, stream: SocketStream) -> ServerConnection:
         connection = ServerConnection(
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server over loopback sockets."""
 
 import functools
+import resource
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -188,6 +189,28 @@
 
         _run_scenario(scenario)
 
+    def test_server_goes_on_after_a_failed_accept(self) -> None:
+        """Guards against the end of the process without free descriptors."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+            with _send_without_waiting(port) as caller:
+                resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (caller.fileno() + 1, limits[1])
+                )
+                try:
+                    await anyio.sleep(0.1)
+                finally:
+                    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+                received = await anyio.to_thread.run_sync(caller.recv, 4096)
+                self.assertIn(b' 200 ', received)
+
+        _run_scenario(scenario)
+
     def test_exception_in_one_request_does_not_affect_others(self) -> None:
         """An unexpected error is answered and must not end the process."""
 
