--- a/jacinthcart/platform/program.py
+++ b/jacinthcart/platform/program.py
@@ -1,4 +1,4 @@
-"""Runs the process of one VM on the users' platform."""
+"""The program that runs on each VM of the users' platform."""
 
 import functools
 import sys
@@ -36,7 +36,3 @@
     )
     anyio.run(run)
     output.close(_FLUSH_TIMEOUT_S)
-
-
-if __name__ == '__main__':
-    main()
