Refuse requests that outlast the drain of the entry

Cause: a request may have a deadline of up to 60 s. When the drain ended after drain_limit_ms, the server closed and cut those in progress.

Change: the end of the drain cancels the forwarding of each request that is left, and the caller gets the refusal leaving with unknown.

Evidence: test_request_that_outlasts_the_drain_is_refused failed before: the answer came 50 s later, after the server would have closed.

--- a/jacinthcart/entry/_drain.py
+++ b/jacinthcart/entry/_drain.py
@@ -1,9 +1,12 @@
 """Graceful shutdown of the entry."""
 
+import contextlib
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
 
+from jacinthcart.errors import Ran, RefusalCode, RefusalError
 from jacinthcart.feed import StateFeed
 from jacinthcart.launch import StopSignal
 from jacinthcart.wire import AsgiApplication
@@ -17,7 +20,7 @@
     A graceful shutdown has three phases. For `drain_announce_ms`, the VM is
     omitted from address lists but still accepts requests. Then it refuses
     new requests and waits at most `drain_limit_ms` for those in flight.
-    Finally the server closes.
+    Finally those that are left are refused and the server closes.
     """
 
     def __init__(self, feed: StateFeed) -> None:
@@ -26,6 +29,8 @@
         self.is_refusing = False
         self.closing = anyio.Event()
         self._feed = feed
+        #: Scopes of the requests that the end of the drain cancels.
+        self._scopes: set[anyio.CancelScope] = set()
         self._leaving = anyio.Event()
         self._idle = anyio.Event()
         feed.listeners.append(self._check_leaving)
@@ -53,8 +58,33 @@
             # connection.
             await anyio.sleep(announce_s)
             await self._wait_until_idle()
+        for scope in self._scopes:
+            scope.cancel()
         self.closing.set()
 
+    @contextlib.contextmanager
+    def limit(self) -> Iterator[None]:
+        """Cancel the block at the end of the drain.
+
+        Raise RefusalError in that case, as the request may have run, and
+        also if the drain has ended already.
+        """
+        if self.closing.is_set():
+            raise RefusalError(RefusalCode.LEAVING)
+        scope = anyio.CancelScope()
+        self._scopes.add(scope)
+        try:
+            with scope:
+                yield
+        finally:
+            self._scopes.discard(scope)
+        if scope.cancelled_caught:
+            raise RefusalError(
+                RefusalCode.LEAVING,
+                Ran.UNKNOWN,
+                detail='the process shuts down',
+            )
+
     async def wait_for_stop_signal(self, stop: StopSignal) -> None:
         """Begin the shutdown when the stop signal is set."""
         await stop.event.wait()
--- a/jacinthcart/entry/_handler.py
+++ b/jacinthcart/entry/_handler.py
@@ -5,6 +5,7 @@
 
 from jacinthcart.entry._admission import Admission
 from jacinthcart.entry._body import RequestBody
+from jacinthcart.entry._drain import Drain
 from jacinthcart.entry._forward import GatherCall, GatherClient
 from jacinthcart.entry._gather_messages import GatherAnswerMessage
 from jacinthcart.entry._keys import Grant, read_key_digest
@@ -31,6 +32,7 @@
         feed: StateFeed,
         admission: Admission,
         gather: GatherClient,
+        drain: Drain,
         metrics: Metrics,
         random_source: random.Random,
     ) -> None:
@@ -38,6 +40,7 @@
         self._feed = feed
         self._admission = admission
         self._gather = gather
+        self._drain = drain
         self._metrics = metrics
         self._random = random_source
 
@@ -80,7 +83,8 @@
         context: RequestContext,
     ) -> GatherAnswerMessage:
         try:
-            return await self._gather.forward(call)
+            with self._drain.limit():
+                return await self._gather.forward(call)
         finally:
             self._metrics.record_seconds(
                 ('request', call.workspace_id, call.request_class),
--- a/jacinthcart/entry/_program.py
+++ b/jacinthcart/entry/_program.py
@@ -43,7 +43,9 @@
     return EntryComponents(
         feed=feed,
         drain=drain,
-        handler=QueryHandler(feed, admission, gather, metrics, random_source),
+        handler=QueryHandler(
+            feed, admission, gather, drain, metrics, random_source
+        ),
         gather=gather,
         addresses=AddressSelector(feed, drain, random_source),
         metrics=metrics,
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from collections.abc import Awaitable, Callable
 
 import anyio
 import httpx
@@ -70,11 +71,29 @@
 
         run_virtual(test)
 
+    def test_request_that_outlasts_the_drain_is_refused(self) -> None:
+        """Guards against a closed connection without a response."""
+
+        async def test(harness: Harness) -> None:
+            harness.feed.put({'fleet/policy': {'drain_limit_ms': 5000}})
+            refusals = []
+
+            async def send() -> None:
+                refusals.append(read_refusal(await harness.send_query()))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.check_closing_time, harness, 50, 6, send)
+            # The request may have run.
+            self.assertEqual(refusals, [(RefusalCode.LEAVING, Ran.UNKNOWN)])
+
+        run_virtual(test)
+
     async def check_closing_time(
         self,
         harness: Harness,
         answer_after_s: float,
         closing_at: float,
+        send: Callable[[], Awaitable[object]] | None = None,
     ) -> None:
         """Stop during a request and check the time when the drain ends."""
         drain = harness.components.drain
@@ -88,7 +107,7 @@
         harness.feed.put({'teams/voskovka/routes/hledat': route})
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(drain.run)
-            tasks.start_soon(harness.send_query)
+            tasks.start_soon(send or harness.send_query)
             await anyio.wait_all_tasks_blocked()
             drain.announce()
             await drain.closing.wait()
