Keep a discarded response from looking complete

A response whose bytes were discarded for memory could still be ended by its last bytes or by the close of the connection, and reached the caller as a success without its body.

Change: discarding also ends the response in progress, and bytes that follow are not parsed.

Evidence: test_discarded_response_is_never_complete failed before: the exchange returned a response.

--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -78,6 +78,8 @@
             return
         self._section_bytes += len(received)
         self._account.add(len(received))
+        if self.is_broken:
+            return
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError:
@@ -98,15 +100,16 @@
         return response
 
     def release(self) -> None:
-        """Drop what is held, which no one needs any more."""
-        self.complete.clear()
+        """Drop the response in progress, which no one needs any more."""
         self._headers = []
         self._body = bytearray()
         self._account.clear()
 
     def discard(self) -> None:
-        """Give up the responses in progress and all that follow."""
+        """Give up the response in progress and all that follow."""
         self.is_broken = True
+        # Neither its last bytes nor the end of the stream may complete it.
+        self.is_in_response = False
         self.release()
 
     def finish(self) -> None:
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -90,6 +90,8 @@
     def __init__(self, chunks: Iterator[bytes]) -> None:
         """Create the stream."""
         self.received_bytes = 0
+        #: Seconds between the last chunk and the end of the stream.
+        self.end_delay_s = 0.0
         self._chunks = chunks
 
     def extra(self, attribute: Any) -> None:
@@ -103,6 +105,7 @@
         await anyio.sleep(0)
         chunk = next(self._chunks, None)
         if chunk is None:
+            await anyio.sleep(self.end_delay_s)
             raise anyio.EndOfStream
         self.received_bytes += len(chunk)
         return chunk
@@ -159,6 +162,13 @@
         # A body that grows is copied, so it may need twice its size.
         self.assertLess(held, 2 * _HELD_BYTES)
 
+    def test_discarded_response_is_never_complete(self) -> None:
+        """Guards against a response that lost its body and looks complete.
+
+        The close of the connection ends the body that was discarded.
+        """
+        run_in_virtual_time(self._close_after_discard)
+
     def test_response_that_is_cut_anywhere_is_not_complete(self) -> None:
         """Guards against a response that looks complete although it is cut."""
         response = b'HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 3\r\n\r\nabc'
@@ -178,6 +188,22 @@
         stream = _ScriptedStream(iter([head, body]))
         run_in_virtual_time(self._exchange, stream)
 
+    async def _close_after_discard(self) -> None:
+        memory = ResponseMemory(_HELD_BYTES)
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        chunk = b'a' * 60_000
+        large = _ScriptedStream(
+            itertools.chain([head], itertools.repeat(chunk, 90))
+        )
+        large.end_delay_s = 1
+        length = len(chunk) * 80
+        small = [b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % length]
+        small.extend(itertools.repeat(chunk, 80))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._expect_failure, large, memory)
+            await anyio.sleep(0.5)
+            await self._exchange(_ScriptedStream(iter(small)), memory)
+
     async def _exchange_many(self) -> int:
         memory = ResponseMemory(_HELD_BYTES)
         head = b'HTTP/1.1 200 OK\r\n\r\n'
