Count grants in place of a home for each home

A VM reported one total of its grants to whichever VM was the home, so a home that became the home again was charged for grants that another home had paid for, up to one burst. The totals are kept by home now.

The server also stops accepting waiting connections 0.3 s after it is closed, as new ones may arrive all the time. Found by reading; the tests of quota and front pass as before.

--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -18,6 +18,9 @@
 _ACCEPT_TIMEOUT_S = 1.0
 #: Seconds between a failed accept and the next one.
 _ACCEPT_RETRY_S = 0.05
+#: Seconds to accept the connections that wait when the server closes. New ones
+#: may arrive all the time.
+_ACCEPT_WAITING_S = 0.3
 
 
 class HttpServer:
@@ -84,8 +87,9 @@
                 await self._accept_all(listener, tasks)
             # Closing the socket resets the connections that wait in its
             # queue, although their callers may have sent requests.
-            while is_readable(raw_socket):
-                await self._accept_one(listener, tasks)
+            with anyio.move_on_after(_ACCEPT_WAITING_S):
+                while is_readable(raw_socket):
+                    await self._accept_one(listener, tasks)
         self._listener_closed.set()
         self._logger.debug('listener closed', port=self._endpoint.port)
 
--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -105,8 +105,9 @@
         self._calls_by_seq: dict[int, _PendingCall] = {}
         self._seq = 0
         self._run_id = random.getrandbits(_RUN_ID_BITS)
-        #: Grants that this VM has made in place of homes.
-        self._reported_by_workspace: collections.Counter[str] = (
+        #: Grants that this VM has made in place of homes, by address of the
+        #: home and workspace.
+        self._granted_for_home: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
         self._unresponsive_until: collections.defaultdict[str, float] = (
@@ -184,19 +185,22 @@
     ) -> None:
         # Another VM may still act as the home: it may be slow rather than
         # lost, or the VM that asked may know other members than this one.
-        homes = self._members.rank(f'allotment/{workspace}')[:1]
+        if not decision.is_granted:
+            return
+        ranked = self._members.rank(f'allotment/{workspace}')
         own_address = self._members.own.address
-        if not decision.is_granted or homes in ([], [own_address]):
+        home = ranked[0] if ranked else own_address
+        if home == own_address:
             return
         self._metrics.count('allotment', 'granted_for_home')
-        self._reported_by_workspace[workspace] += 1
+        self._granted_for_home[home, workspace] += 1
         message = {
             'kind': _KIND_REPORT,
             'workspace': workspace,
             'run': self._run_id,
-            'total': self._reported_by_workspace[workspace],
+            'total': self._granted_for_home[home, workspace],
         }
-        endpoint = Endpoint.model_construct(address=homes[0], port=self._port)
+        endpoint = Endpoint.model_construct(address=home, port=self._port)
         await self._datagrams.send(message, endpoint)
 
     def _refuse(
--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -42,7 +42,7 @@
     workspace: str
     #: Identifies the process of the VM, which counts from 0.
     run: int
-    #: Number of such grants since the start of the process.
+    #: Number of such grants for this home since the start of the process.
     total: int
 
 
