Do not take an interim response for the response

What callers saw: a searcher's interim response (1xx) that names the request reached the caller as the answer, with status 103 for example; the answer that followed was lost.

Cause: the parser of the searcher path completes a message for every head, and the connection returned the first one that names the request. Interim responses without the id counted as responses to other requests, of which only four are read.

Change: the parser skips interim responses, at most 32 before one response.

Evidence: test_interim_response_is_not_the_response gives [103] instead of [200] on and passes now, whole and byte by byte.

--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -26,6 +26,9 @@
 #: Pieces of a body, such as chunks. Each costs processor time.
 _MAX_BODY_PIECES = 131_072
 _BODYLESS_STATUSES = frozenset((204, 304))
+_INTERIM_STATUSES = range(100, 200)
+#: Interim responses read before one response.
+_MAX_INTERIM_RESPONSES = 32
 #: Responses read for one request; those to other requests are skipped.
 _MAX_RESPONSES_READ = 4
 #: Failed requests that a connection remembers. It is closed after so many.
@@ -64,6 +67,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._body_pieces = 0
+        self._interim_responses = 0
         #: Received bytes of the header section or body in progress.
         self._section_bytes = 0
         self._account = memory.open(self.discard)
@@ -89,6 +93,7 @@
             self._section_bytes > limit
             or len(self._headers) > _MAX_HEADERS
             or self._body_pieces > _MAX_BODY_PIECES
+            or self._interim_responses > _MAX_INTERIM_RESPONSES
         ):
             self.discard()
 
@@ -159,7 +164,12 @@
 
     def _complete(self) -> None:
         status = self._parser.get_status_code()
+        if status in _INTERIM_STATUSES:
+            # The response itself is still to come.
+            self._interim_responses += 1
+            return
         self.is_in_response = False
+        self._interim_responses = 0
         head = ResponseHead(status, tuple(self._headers))
         self.complete.append((head, bytes(self._body)))
         self._body = bytearray()
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -181,6 +181,22 @@
         """Guards against interim responses without end."""
         self._check([], b'HTTP/1.1 100 Continue\r\n\r\n')
 
+    def test_interim_response_is_not_the_response(self) -> None:
+        """Guards against callers that get an interim response.
+
+        It may name the same request as the response that follows.
+        """
+        interim = b'HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n'
+        response = b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na'
+        message = interim * 3 + response
+        for piece_bytes in (1, len(message)):
+            pieces = [
+                message[start : start + piece_bytes]
+                for start in range(0, len(message), piece_bytes)
+            ]
+            statuses = run_in_virtual_time(self._list_statuses, pieces)
+            self.assertEqual(statuses, [200])
+
     def test_large_response_is_received(self) -> None:
         """A limit must not reject what a searcher may send."""
         body = b'a' * 4_000_000
@@ -188,6 +204,17 @@
         stream = _ScriptedStream(iter([head, body]))
         run_in_virtual_time(self._exchange, stream)
 
+    async def _list_statuses(self, pieces: list[bytes]) -> list[int]:
+        """Return the statuses of the responses that the codec decodes."""
+        codec = mock.create_autospec(BaseSearcherCodec, instance=True)
+        codec.find_request_id.return_value = 'id'
+        stream: Any = _ScriptedStream(iter(pieces))
+        memory = ResponseMemory(64_000_000)
+        await SearcherConnection(stream, codec, memory, 0).exchange(b'', 'id')
+        return [
+            call.args[0].status for call in codec.decode_response.call_args_list
+        ]
+
     async def _close_after_discard(self) -> None:
         memory = ResponseMemory(_HELD_BYTES)
         head = b'HTTP/1.1 200 OK\r\n\r\n'
