Reject malformed heads of searchers before they are used

A switch of protocols raised HttpParserUpgrade, which is no HttpParserError, and after an interim response 099 the VM waited until the time limit.

Cause: the searcher path takes each head that httptools accepts, and httptools accepts heads that RFC 9112 and RFC 9110 don't allow.

The searcher path reads heads through it. httptools only decodes chunks now. A malformed response is a MalformedResponseError, an unknown outcome: nothing in it counts, idempotent requests may be sent again, others end with 502. Malformed responses are counted and logged with the searcher. The emulated searchers and the soak send them.

--- a/jacinthcart/errors/_tree.py
+++ b/jacinthcart/errors/_tree.py
@@ -43,6 +43,13 @@
     """The call failed after bytes of the request may have been sent."""
 
 
+class MalformedResponseError(OutcomeUnknownError):
+    """The bytes that arrived are not a response in HTTP/1.1.
+
+    Nothing in them counts, not even a statement that the request has not run.
+    """
+
+
 class RefusalError(JacinthcartError):
     """A request is refused; `ran` tells whether it may have run."""
 
--- /dev/null
+++ b/jacinthcart/routing/_body.py
@@ -0,0 +1,133 @@
+"""Collects the bodies of searchers' responses."""
+
+import abc
+from typing import Any
+
+import httptools
+
+from jacinthcart.errors import MalformedResponseError
+from jacinthcart.wire import BodyFraming, ParsedHead
+
+#: Limits of a body. A searcher in trouble may send without end.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Pieces of a body, such as chunks. Each costs processor time.
+_MAX_BODY_PIECES = 131_072
+_CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+#: The last bytes of each chunked body.
+_CHUNKED_END = b'\r\n\r\n'
+
+
+class BaseResponseBody(abc.ABC):
+    """The body of one response while it arrives."""
+
+    def __init__(self) -> None:
+        """Create a body of which nothing has arrived."""
+        self.content = bytearray()
+        self.is_complete = False
+        #: Received bytes, including those of chunk headers and trailers.
+        self._received_bytes = 0
+        self._pieces = 0
+
+    def feed(self, received: bytes) -> bytes:
+        """Add bytes; return those after the body.
+
+        Raise MalformedResponseError if the body is malformed or too large.
+        """
+        rest = self._feed(received)
+        self._received_bytes += len(received) - len(rest)
+        if (
+            self._received_bytes > _MAX_BODY_BYTES
+            or self._pieces > _MAX_BODY_PIECES
+        ):
+            raise MalformedResponseError('body is too large')
+        return rest
+
+    def finish(self) -> None:
+        """Handle the end of the connection, which may complete the body."""
+
+    @abc.abstractmethod
+    def _feed(self, received: bytes) -> bytes:
+        """Add bytes; return those after the body."""
+
+    def _append(self, piece: bytes) -> None:
+        self.content += piece
+        self._pieces += 1
+
+
+class _LengthBody(BaseResponseBody):
+    """Body of a known length."""
+
+    def __init__(self, content_length: int) -> None:
+        """Create a body of `content_length` bytes."""
+        super().__init__()
+        self._content_length = content_length
+        self.is_complete = not content_length
+
+    def _feed(self, received: bytes) -> bytes:
+        missing = self._content_length - len(self.content)
+        self._append(received[:missing])
+        self.is_complete = len(received) >= missing
+        return received[missing:]
+
+
+class _ClosedBody(BaseResponseBody):
+    """Body that ends with the connection."""
+
+    def finish(self) -> None:
+        """Complete the body."""
+        self.is_complete = True
+
+    def _feed(self, received: bytes) -> bytes:
+        self._append(received)
+        return b''
+
+
+class _ChunkedBody(BaseResponseBody):
+    """Body in chunks."""
+
+    def __init__(self) -> None:
+        """Create a body of which no chunk has arrived."""
+        super().__init__()
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self._parser.feed_data(_CHUNKED_HEAD)
+        #: Last bytes that the parser was given, of a possible end.
+        self._tail = b''
+
+    def on_body(self, piece: bytes) -> None:
+        """Add a piece of a chunk."""
+        self._append(piece)
+
+    def on_message_complete(self) -> None:
+        """Complete the body."""
+        self.is_complete = True
+
+    def _feed(self, received: bytes) -> bytes:
+        # The parser does not tell where a body ends. It is given no byte
+        # after one that may be the last.
+        window = self._tail + received
+        start = len(self._tail)
+        while start < len(window) and not self.is_complete:
+            overlap = max(0, start - len(_CHUNKED_END) + 1)
+            found = window.find(_CHUNKED_END, overlap)
+            end = len(window) if found < 0 else found + len(_CHUNKED_END)
+            self._parse(window[start:end])
+            start = end
+        self._tail = window[max(0, start - len(_CHUNKED_END) + 1) : start]
+        return window[start:]
+
+    def _parse(self, piece: bytes) -> None:
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserError as error:
+            raise MalformedResponseError(f'chunked body: {error}') from error
+
+
+def create_body(head: ParsedHead) -> BaseResponseBody:
+    """Return the empty body of a response; raise MalformedResponseError."""
+    if head.framing is BodyFraming.CHUNKED:
+        return _ChunkedBody()
+    if head.framing is BodyFraming.CLOSE:
+        return _ClosedBody()
+    if head.content_length > _MAX_BODY_BYTES:
+        raise MalformedResponseError('body is too large')
+    return _LengthBody(head.content_length)
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -7,7 +7,11 @@
 from anyio.abc import TaskGroup
 
 from jacinthcart.catalogue import Route, Searcher
-from jacinthcart.errors import NotSentError, OutcomeUnknownError
+from jacinthcart.errors import (
+    MalformedResponseError,
+    NotSentError,
+    OutcomeUnknownError,
+)
 from jacinthcart.program import Clock
 from jacinthcart.routing._codec import (
     BaseSearcherCodec,
@@ -219,7 +223,11 @@
                 affects_health=False,
             )
         except OutcomeUnknownError as error:
-            return Outcome(OutcomeKind.UNKNOWN, str(error))
+            reason = str(error)
+            if isinstance(error, MalformedResponseError):
+                self._log_malformed_response(searcher, error)
+                reason = f'malformed response: {error}'
+            return Outcome(OutcomeKind.UNKNOWN, reason)
         finally:
             with anyio.CancelScope(shield=True):
                 await self._pools.release(searcher, connection, idle_timeout_s)
@@ -250,6 +258,18 @@
         attempt.started_at = self.clock()
         return await connection.exchange(message, context.request.request_id)
 
+    def _log_malformed_response(
+        self, searcher: Searcher, error: MalformedResponseError
+    ) -> None:
+        self._metrics.count('searcher', 'malformed_response')
+        self._logger.warning(
+            'malformed response',
+            limit_key='malformed_response',
+            searcher=searcher.searcher_id,
+            born=searcher.born,
+            error=str(error),
+        )
+
     def _record_statements(
         self, searcher: Searcher, response: SearcherResponse
     ) -> None:
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,15 +1,18 @@
 """Persistent HTTP/1.1 connections to searchers."""
 
 import dataclasses
-from typing import Any
 
 import anyio
-import httptools
 from anyio.abc import SocketAttribute, SocketStream
 
 from jacinthcart.catalogue import Searcher
-from jacinthcart.errors import NotSentError, OutcomeUnknownError
+from jacinthcart.errors import (
+    MalformedResponseError,
+    NotSentError,
+    OutcomeUnknownError,
+)
 from jacinthcart.program import Clock
+from jacinthcart.routing._body import BaseResponseBody, create_body
 from jacinthcart.routing._codec import (
     BaseSearcherCodec,
     ResponseHead,
@@ -17,18 +20,9 @@
 )
 from jacinthcart.routing._response_memory import ResponseMemory
 from jacinthcart.streams import STREAM_FAILURES, is_readable
+from jacinthcart.wire import ParsedHead, ResponseHeadParser
 
 _RECEIVE_BYTES = 65536
-#: Limits of a response. A searcher in trouble may send without end.
-_MAX_HEAD_BYTES = 65536
-_MAX_HEADERS = 512
-_MAX_BODY_BYTES = 16 * 1024 * 1024
-#: Pieces of a body, such as chunks. Each costs processor time.
-_MAX_BODY_PIECES = 131_072
-_BODYLESS_STATUSES = frozenset((204, 304))
-_INTERIM_STATUSES = range(100, 200)
-#: Interim responses read before one response.
-_MAX_INTERIM_RESPONSES = 32
 #: Responses read for one request; those to other requests are skipped.
 _MAX_RESPONSES_READ = 4
 #: Failed requests that a connection remembers. It is closed after so many.
@@ -60,119 +54,89 @@
     def __init__(self, memory: ResponseMemory) -> None:
         """Create a parser in its initial state."""
         self.complete: list[tuple[ResponseHead, bytes]] = []
-        self.is_in_response = False
-        self.is_broken = False
-        self.is_ended_by_close = False
-        self._parser: Any = httptools.HttpResponseParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
-        self._body_pieces = 0
-        self._interim_responses = 0
-        #: Received bytes of the header section or body in progress.
-        self._section_bytes = 0
+        #: Why no further response can be read; None while one can.
+        self.failure: OutcomeUnknownError | None = None
+        #: Whether another response may follow the last complete one.
+        self.keeps_open = True
+        self._heads = ResponseHeadParser()
+        self._head: ParsedHead | None = None
+        self._body: BaseResponseBody | None = None
         self._account = memory.open(self.discard)
-        self._is_in_head = True
 
-    def feed(self, received: bytes) -> None:
-        """Parse bytes; a parse error does not discard complete responses.
+    @property
+    def is_in_response(self) -> bool:
+        """Return whether a part of a response has arrived."""
+        return self._body is not None or self._heads.is_started
 
-        A response that is too large is an error, too.
-        """
-        if self.is_broken:
+    def feed(self, received: bytes) -> None:
+        """Parse bytes; a failure does not discard complete responses."""
+        if self.failure is not None:
             return
-        self._section_bytes += len(received)
         self._account.add(len(received))
-        if self.is_broken:
-            return
+        rest = received
         try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserError:
-            self.is_broken = True
-        limit = _MAX_HEAD_BYTES if self._is_in_head else _MAX_BODY_BYTES
-        if (
-            self._section_bytes > limit
-            or len(self._headers) > _MAX_HEADERS
-            or self._body_pieces > _MAX_BODY_PIECES
-            or self._interim_responses > _MAX_INTERIM_RESPONSES
-        ):
-            self.discard()
+            while rest and self.failure is None:
+                rest = self._parse(rest)
+        except MalformedResponseError as error:
+            self._fail(error)
 
     def pop_complete(self) -> tuple[ResponseHead, bytes]:
         """Return the first complete response and stop holding it."""
         response = self.complete.pop(0)
         if not self.complete and not self.is_in_response:
-            self.release()
+            self._account.clear()
         return response
 
     def release(self) -> None:
         """Drop the response in progress, which no one needs any more."""
-        self._headers = []
-        self._body = bytearray()
+        # Neither its last bytes nor the end of the stream may complete it.
+        self._head = None
+        self._body = None
+        self._heads = ResponseHeadParser()
         self._account.clear()
 
     def discard(self) -> None:
         """Give up the response in progress and all that follow."""
-        self.is_broken = True
-        # Neither its last bytes nor the end of the stream may complete it.
-        self.is_in_response = False
-        self.release()
+        self._fail(OutcomeUnknownError('response is too large to be held'))
 
     def finish(self) -> None:
         """Handle the end of the stream.
 
         It completes a response whose body is delimited by the close.
         """
-        if self.is_in_response and self.is_ended_by_close:
-            self._complete()
-
-    def on_message_begin(self) -> None:
-        """Start a new response."""
-        self.is_in_response = True
-        self.is_ended_by_close = False
-        self._is_in_head = True
-        self._section_bytes = 0
-        self._headers = []
-        self._body = bytearray()
-        self._body_pieces = 0
-
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Add a header; drop a trailer."""
-        if self._is_in_head:
-            self._headers.append((name.lower(), content))
-
-    def on_headers_complete(self) -> None:
-        """Determine whether the body is delimited by connection close."""
-        names = {name for name, _ in self._headers}
-        status = self._parser.get_status_code()
-        self._is_in_head = False
-        self._section_bytes = 0
-        self.is_ended_by_close = (
-            b'content-length' not in names
-            and b'transfer-encoding' not in names
-            and status not in _BODYLESS_STATUSES
-        )
+        if self._body is not None:
+            self._body.finish()
+            self._complete_response()
 
-    def on_body(self, chunk: bytes) -> None:
-        """Add a piece of the body."""
-        self._body += chunk
-        self._body_pieces += 1
-
-    def on_message_complete(self) -> None:
-        """Complete the response."""
-        if self.is_in_response:
-            self._complete()
-
-    def _complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status in _INTERIM_STATUSES:
-            # The response itself is still to come.
-            self._interim_responses += 1
+    def _fail(self, failure: OutcomeUnknownError) -> None:
+        self.failure = failure
+        self.release()
+
+    def _parse(self, received: bytes) -> bytes:
+        """Parse a head or a body; return the bytes after it."""
+        if self._body is not None:
+            rest = self._body.feed(received)
+        else:
+            head = self._heads.feed(received)
+            if head is None:
+                return b''
+            rest = self._heads.take_rest()
+            self._head = head
+            self._body = create_body(head)
+        self._complete_response()
+        return rest
+
+    def _complete_response(self) -> None:
+        head = self._head
+        body = self._body
+        if head is None or body is None or not body.is_complete:
             return
-        self.is_in_response = False
-        self._interim_responses = 0
-        head = ResponseHead(status, tuple(self._headers))
-        self.complete.append((head, bytes(self._body)))
-        self._body = bytearray()
+        self._head = None
+        self._body = None
+        self.keeps_open = head.keeps_open
+        self.complete.append(
+            (ResponseHead(head.status, head.headers), bytes(body.content))
+        )
 
 
 class SearcherConnection:
@@ -245,8 +209,8 @@
     async def _receive(self) -> tuple[ResponseHead, bytes]:
         parser = self._parser
         while not parser.complete:
-            if parser.is_broken:
-                raise OutcomeUnknownError('malformed response')
+            if parser.failure is not None:
+                raise parser.failure
             parser.feed(await self._receive_bytes())
         return parser.pop_complete()
 
@@ -264,9 +228,8 @@
     def _is_reusable(self, response: SearcherResponse) -> bool:
         parser = self._parser
         has_more = bool(parser.complete) or parser.is_in_response
-        has_more = has_more or parser.is_broken
-        is_framed = not parser.is_ended_by_close
-        if response.closes_connection or not is_framed or has_more:
+        has_more = has_more or parser.failure is not None
+        if response.closes_connection or not parser.keeps_open or has_more:
             return False
         return len(self._failed_ids) < _MAX_FAILED_IDS
 
--- a/jacinthcart/wire/__init__.py
+++ b/jacinthcart/wire/__init__.py
@@ -2,14 +2,22 @@
 
 from jacinthcart.wire._client import HttpConnection, HttpResponse
 from jacinthcart.wire._codec import decode_json, encode_json
+from jacinthcart.wire._head import (
+    BodyFraming,
+    ParsedHead,
+    ResponseHeadParser,
+)
 from jacinthcart.wire._pool import ConnectionPool
 from jacinthcart.wire._server import AsgiApplication, serve_application
 
 __all__ = [
     'AsgiApplication',
+    'BodyFraming',
     'ConnectionPool',
     'HttpConnection',
     'HttpResponse',
+    'ParsedHead',
+    'ResponseHeadParser',
     'decode_json',
     'encode_json',
     'serve_application',
--- a/jacinthcart_emulator/platform_searcher.py
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -10,6 +10,7 @@
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from jacinthcart.streams import STREAM_FAILURES
+from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME, Malformation
 
 _RECEIVE_BYTES = 65536
 _RECORD_BYTES = 16
@@ -61,6 +62,12 @@
     reset_fraction: float = 0
     #: Send half of the response, then close the connection.
     truncate_fraction: float = 0
+    #: Execute the request and send a malformed response.
+    malform_fraction: float = 0
+    #: Malformations, of which such a response gets one.
+    malformations: tuple[Malformation, ...] = tuple(
+        MALFORMATIONS_BY_NAME.values()
+    )
     #: Send the response twice.
     duplicate_fraction: float = 0
     #: Execute the request and respond with status 500.
@@ -251,6 +258,9 @@
         if self._draw_bool(faults.truncate_fraction):
             await stream.send(message[: len(message) // 2])
             return False
+        if self._draw_bool(faults.malform_fraction):
+            malformation = self._random.choice(faults.malformations)
+            message = malformation.apply(message)
         await stream.send(message)
         if self._draw_bool(faults.duplicate_fraction):
             await anyio.sleep(0.002)
--- a/jacinthcart_lab/soak/_checks.py
+++ b/jacinthcart_lab/soak/_checks.py
@@ -11,6 +11,8 @@
 #: Number of records in each part.
 _RECORDS = 6
 _OK = 200
+#: HTTP statuses of final responses.
+_FINAL_STATUSES = range(200, 600)
 #: HTTP statuses which state that the request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 #: Tolerance for the transit time of a request and the time between clock
@@ -61,6 +63,7 @@
     ran_ids = {one.request_id for one in executions}
     violations = []
     for call in calls:
+        violations.extend(_check_status(call))
         if call.kind == 'search' and call.status == _OK:
             violations.extend(_check_merge(call, shards))
         if call.kind == 'order':
@@ -77,6 +80,12 @@
     return violations
 
 
+def _check_status(call: Call) -> list[str]:
+    if call.status and call.status not in _FINAL_STATUSES:
+        return [f'{call.request_id} has status {call.status}']
+    return []
+
+
 def _check_merge(call: Call, shards: list[str]) -> list[str]:
     services = [stamp.partition('.')[0] for stamp in call.stamps]
     request_ids = {stamp.partition('.')[2] for stamp in call.stamps}
--- a/jacinthcart_lab/soak/_searcher_faults.py
+++ b/jacinthcart_lab/soak/_searcher_faults.py
@@ -30,7 +30,14 @@
         searchers = list(self._deployment.searchers_by_id.values())
         chosen = self._random.choice(searchers)
         name = self._random.choice(
-            ('reset', 'truncate', 'duplicate', 'failure', 'shed'),
+            (
+                'reset',
+                'truncate',
+                'malform',
+                'duplicate',
+                'failure',
+                'shed',
+            ),
         )
         self._record(f'searcher {chosen.searcher_id} {name}')
         setattr(
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -91,6 +91,12 @@
         call = Call('r1', 'order', 'key-1', 0, 100, 101, 503)
         self.assertTrue(check([call], [create_execution('r1')]))
 
+    def test_status_that_is_not_final_is_found(self) -> None:
+        """Guards against a malformed answer that reaches a caller."""
+        for status in (99, 103, 600):
+            call = Call('r1', 'order', 'key-1', 0, 100, 101, status)
+            self.assertTrue(check([call], [create_execution('r1')]))
+
     def test_run_on_a_revoked_key_is_found(self) -> None:
         """Guards against requests that run on a key revoked too long ago."""
         call = Call('r1', 'order', 'key-1', 0, 100, 101, 502)
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -3,6 +3,7 @@
 Tests wait only until a state is reached; no result depends on timing.
 """
 
+import collections
 import functools
 import random
 import unittest
@@ -15,6 +16,7 @@
 from jacinthcart.platform.assembly import create_node
 from jacinthcart.platform.settings_file import decode_settings
 from jacinthcart.serving import merge_records
+from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME, Malformation
 from jacinthcart_emulator.platform_searcher import create_part
 from jacinthcart_emulator.platform_store import StoreFault
 from jacinthcart_lab.platform_deployment import (
@@ -107,6 +109,15 @@
     anyio.run(fixture.run, scenario)
 
 
+def _malform(
+    deployment: PlatformDeployment, malformation: Malformation
+) -> None:
+    """Make every searcher malform all its answers."""
+    for searcher in deployment.searchers_by_id.values():
+        searcher.faults.malform_fraction = 1
+        searcher.faults.malformations = (malformation,)
+
+
 class EndToEndTests(unittest.TestCase):
     """Callers receive complete and correct answers to their requests."""
 
@@ -167,6 +178,54 @@
 
         _run_scenario(scenario, DeploymentParameters(vms=1))
 
+    def test_malformed_answers_do_not_reach_callers(self) -> None:
+        """Guards against callers that get what a searcher in trouble sends.
+
+        The request may have run, so the caller is told so, and a
+        non-idempotent one is not sent again.
+        """
+
+        async def scenario(fixture: NodeFixture) -> None:
+            deployment = fixture.deployment
+            sent_by_path: dict[str, list[str]] = {
+                '/order/o': [],
+                '/search/q': [],
+            }
+            for name, malformation in MALFORMATIONS_BY_NAME.items():
+                _malform(deployment, malformation)
+                for path, sent in sent_by_path.items():
+                    request_id, response = await fixture.send(
+                        path, method='POST' if path == '/order/o' else 'GET'
+                    )
+                    self.assertEqual(response.status_code, 502, name)
+                    sent.append(request_id)
+            runs = collections.Counter(
+                one.request_id
+                for one in deployment.executions
+                if one.service == 'orders'
+            )
+            orders = sent_by_path['/order/o']
+            self.assertEqual(runs, collections.Counter(orders))
+
+        _run_scenario(scenario, DeploymentParameters(vms=1))
+
+    def test_idempotent_request_is_sent_again_after_malformed_answer(
+        self,
+    ) -> None:
+        """A searcher in trouble must not end requests that may be repeated."""
+
+        async def scenario(fixture: NodeFixture) -> None:
+            for service in fixture.deployment.list_services():
+                broken = fixture.deployment.searchers_by_id[f'{service}-0']
+                broken.faults.malform_fraction = 1
+            for _ in range(20):
+                _, response = await fixture.send('/search/q')
+                self.assertEqual(response.status_code, 200)
+                missing = response.headers['X-Jacinthcart-Missing-Parts']
+                self.assertEqual(missing, '0')
+
+        _run_scenario(scenario, DeploymentParameters(vms=1))
+
     def test_searchers_see_the_workspace_and_not_the_key(self) -> None:
         """The API key must not leave the VM."""
 
