Reject malformed heads in the client of all other calls

What callers saw: nothing yet; found by asking the same of each place that reads an answer. The store's client, pulls between VMs, gathers and their peers, the entry and control took malformed responses for valid ones: a store in trouble could prove a configuration current with a response of HTTP/2.0 or with folded lines, and a refusal whose head is malformed counted as not run.

Cause: wire/_client.py takes each head that h11 accepts. h11 rejects status 000 and names with blanks, but accepts 600 to 999, any version, control bytes in contents, folded lines, bare line feeds and a transfer encoding beside a content length.

Change: the client reads heads through wire/_head.py, like the searcher path, and passes only valid ones to h11, which decodes the body.

Names with blanks or control bytes were rejected before; those cases keep the tests.

--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -9,6 +9,7 @@
 
 from jacinthcart.errors import NotSentError, OutcomeUnknownError
 from jacinthcart.streams import STREAM_FAILURES, is_readable
+from jacinthcart.wire._head import ParsedHead, ResponseHeadParser
 
 _RECEIVE_BUFFER_BYTES = 65536
 _STATUS_OK = 200
@@ -55,6 +56,7 @@
         self._stream = stream
         self._host = host.encode()
         self._codec = h11.Connection(h11.CLIENT)
+        self._heads = ResponseHeadParser()
         self._is_idle = True
         self._raw_socket = stream.extra(SocketAttribute.raw_socket)
 
@@ -132,9 +134,14 @@
         )
 
     async def _receive_response(self, max_body_bytes: int) -> HttpResponse:
-        head = await self._receive_event()
-        while not isinstance(head, h11.Response):
-            head = await self._receive_event()
+        head = await self._receive_head()
+        # The codec reads the head, too, as it decodes the body.
+        self._codec.receive_data(head.raw)
+        if not isinstance(self._codec.next_event(), h11.Response):
+            raise h11.RemoteProtocolError('response is malformed')
+        rest = self._heads.take_rest()
+        if rest:
+            self._codec.receive_data(rest)
         body = bytearray()
         pieces = 0
         event = await self._receive_event()
@@ -147,11 +154,18 @@
         if not isinstance(event, h11.EndOfMessage):
             raise h11.RemoteProtocolError('response is incomplete')
         return HttpResponse(
-            head.status_code,
+            head.status,
             dict(head.headers),
             bytes(body),
         )
 
+    async def _receive_head(self) -> ParsedHead:
+        head = None
+        while head is None:
+            received = await self._stream.receive(_RECEIVE_BUFFER_BYTES)
+            head = self._heads.feed(received)
+        return head
+
     async def _receive_event(self) -> object:
         event = self._codec.next_event()
         while event is h11.NEED_DATA:
--- a/tests/dispatch/test_client.py
+++ b/tests/dispatch/test_client.py
@@ -20,6 +20,7 @@
 from jacinthcart.feed import StateFeed
 from jacinthcart.settings import ProcessSettings
 from jacinthcart.wire import decode_json, encode_json
+from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME, Malformation
 from tests.dispatch.support import PROCESS
 
 DEADLINE_S = 60
@@ -39,6 +40,7 @@
         self.closed = anyio.Event()
         self.is_silent = False
         self.missing_bytes = 0
+        self.malformation = Malformation()
 
     async def serve(self, stream: SocketStream) -> None:
         """Reply to the requests of one connection until it closes."""
@@ -71,11 +73,12 @@
             )
         )
         length = len(reply) + self.missing_bytes
-        await stream.send(
+        response = (
             f'HTTP/1.1 {self.status} X\r\nContent-Length: {length}\r\n\r\n'
             ''.encode()
             + reply
         )
+        await stream.send(self.malformation.apply(response))
         if self.missing_bytes:
             await stream.send_eof()
 
@@ -163,6 +166,21 @@
 
         self._run(scenario)
 
+    def test_malformed_reply_has_an_unknown_outcome(self) -> None:
+        """Guards against a reply or refusal whose head is malformed."""
+
+        async def scenario(
+            server: FakeServer, client: BaseSearcherClient, deadline: float
+        ) -> None:
+            for malformation in MALFORMATIONS_BY_NAME.values():
+                server.malformation = malformation
+                # A refusal is as malformed as a reply.
+                server.status = 200 if server.status == 503 else 503
+                with self.assertRaises(OutcomeUnknownError, msg=malformation):
+                    await client.search(_make_message(1), deadline)
+
+        self._run(scenario)
+
     def test_cancelled_request_closes_its_connection(self) -> None:
         """Guards against a late reply and work on a cancelled request."""
 
--- a/tests/routing/test_malformed_responses.py
+++ b/tests/routing/test_malformed_responses.py
@@ -1,12 +1,11 @@
 """Tests of malformed responses of searchers."""
 
 import itertools
-from collections.abc import Iterable
 from unittest import TestCase
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
 
+from jacinthcart.catalogue import Searcher
 from jacinthcart.errors import OutcomeUnknownError
 from jacinthcart.platform._headers import PlatformSearcherCodec
 from jacinthcart.routing import (
@@ -15,6 +14,7 @@
     SearcherResponse,
 )
 from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME
+from tests.scripted_server import ScriptedServer
 from tests.support import create_searcher
 
 _TIMEOUT_S = 10
@@ -40,35 +40,6 @@
 )
 
 
-class _Searcher:
-    """Searcher that sends a response of its script for each request."""
-
-    def __init__(self, script: Iterable[bytes], piece_bytes: int) -> None:
-        """Send the responses in pieces of `piece_bytes`."""
-        self.connections = 0
-        self._script = iter(script)
-        self._piece_bytes = piece_bytes
-
-    async def serve(self, stream: SocketStream) -> None:
-        """Answer the requests of a connection, which stays open."""
-        self.connections += 1
-        async with stream:
-            try:
-                while True:
-                    request_id = await stream.receive()
-                    await self._send(stream, next(self._script), request_id)
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                return
-
-    async def _send(
-        self, stream: SocketStream, response: bytes, request_id: bytes
-    ) -> None:
-        message = response.replace(b'%s', request_id)
-        for start in range(0, len(message), self._piece_bytes):
-            await stream.send(message[start : start + self._piece_bytes])
-            await anyio.sleep(0)
-
-
 class MalformedResponseTests(TestCase):
     """A malformed response is no response: the request may have run."""
 
@@ -89,11 +60,11 @@
     def test_connection_of_a_malformed_response_is_not_used_again(self) -> None:
         """Guards against the rest of a malformed response."""
         malformed = MALFORMATIONS_BY_NAME["b'HTTP/1.1 000 OK'"].apply(_RESPONSE)
-        searcher = _Searcher([malformed, _RESPONSE], len(malformed))
-        outcomes = anyio.run(_exchange_all, searcher, 2)
+        server = ScriptedServer([malformed, _RESPONSE], len(malformed))
+        outcomes = anyio.run(_exchange_all, server, 2)
         self.assertIsInstance(outcomes[0], OutcomeUnknownError)
         self.assertEqual(outcomes[1].body, b'ok')
-        self.assertEqual(searcher.connections, 2)
+        self.assertEqual(server.connections, 2)
 
     def test_unusual_responses_are_received(self) -> None:
         """Guards against rejecting what HTTP allows."""
@@ -101,48 +72,45 @@
         for response in responses:
             for piece_bytes in (1, len(response)):
                 with self.subTest(response, piece=piece_bytes):
-                    searcher = _Searcher([response, response], piece_bytes)
-                    outcomes = anyio.run(_exchange_all, searcher, 2)
+                    server = ScriptedServer([response, response], piece_bytes)
+                    outcomes = anyio.run(_exchange_all, server, 2)
                     bodies = [one.body for one in outcomes]
                     self.assertEqual(bodies, [b'ok', b'ok'])
 
     def _check_last_is_unknown(
         self, script: list[bytes], piece_bytes: int
     ) -> None:
-        searcher = _Searcher(script, piece_bytes)
-        *answered, last = anyio.run(_exchange_all, searcher, len(script))
+        server = ScriptedServer(script, piece_bytes)
+        *answered, last = anyio.run(_exchange_all, server, len(script))
         self.assertTrue(all(one.body == b'ok' for one in answered))
-        self.assertEqual(searcher.connections, 1)
+        self.assertEqual(server.connections, 1)
         self.assertIsInstance(last, OutcomeUnknownError)
 
 
 async def _exchange_all(
-    served: _Searcher, count: int
+    server: ScriptedServer, count: int
 ) -> list[SearcherResponse | OutcomeUnknownError]:
-    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-    port = listener.extra(SocketAttribute.local_port)
-    searcher = create_searcher('s', port=port)
     pools = SearcherPools(
         PlatformSearcherCodec(), anyio.current_time, ConnectionParameters()
     )
-    outcomes = []
-    async with listener, anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, served.serve)
-        for number in range(count):
-            request_id = str(number)
-            connection = await pools.acquire(
-                searcher, request_id, at_most_once=False
-            )
-            try:
-                with anyio.fail_after(_TIMEOUT_S):
-                    outcomes.append(
-                        await connection.exchange(
-                            request_id.encode(), request_id
-                        )
-                    )
-            except OutcomeUnknownError as error:
-                outcomes.append(error)
-            await pools.release(searcher, connection, None)
+    async with server.listen() as port:
+        searcher = create_searcher('s', port=port)
+        outcomes = [
+            await _exchange(pools, searcher, str(number))
+            for number in range(count)
+        ]
         await pools.close()
-        tasks.cancel_scope.cancel()
     return outcomes
+
+
+async def _exchange(
+    pools: SearcherPools, searcher: Searcher, request_id: str
+) -> SearcherResponse | OutcomeUnknownError:
+    connection = await pools.acquire(searcher, request_id, at_most_once=False)
+    try:
+        with anyio.fail_after(_TIMEOUT_S):
+            return await connection.exchange(request_id.encode(), request_id)
+    except OutcomeUnknownError as error:
+        return error
+    finally:
+        await pools.release(searcher, connection, None)
