Do not take bytes after a response for the next one

A server that sends a second copy of a response in the same segment, such as a store in trouble, gave its next caller the copy of the response before.

Cause: h11 keeps bytes that follow a response and reads them in the next cycle. The socket is empty, so the check of idle connections sees nothing.

Change: a connection with bytes after the response is not used again.

--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -187,5 +187,8 @@
             return
         if self._codec.their_state is not h11.DONE:
             return
+        # Bytes after the response belong to no request.
+        if self._codec.trailing_data[0]:
+            return
         self._codec.start_next_cycle()
         self._is_idle = True
--- a/tests/wire/test_malformed_responses.py
+++ b/tests/wire/test_malformed_responses.py
@@ -61,3 +61,11 @@
         outcomes = anyio.run(_call_all, server, 2)
         self.assertEqual(outcomes[1].body, b'ok')
         self.assertEqual(server.connections, 2)
+
+    def test_bytes_after_a_response_are_no_other_response(self) -> None:
+        """Guards against a call that gets a copy of the one before."""
+        script = [_RESPONSE * 2, _RESPONSE.replace(b'ok', b'no')]
+        server = ScriptedServer(script, 2 * len(_RESPONSE))
+        outcomes = anyio.run(_call_all, server, 2)
+        self.assertEqual([one.body for one in outcomes], [b'ok', b'no'])
+        self.assertEqual(server.connections, 2)
