Send no length with 204 and 304

What callers saw: a searcher's 204 or 304 reached them with Content-Length: 0, which RFC 9110, section 8.6, does not allow. Found while the heads that VMs read were compared with those that they send.

Cause: encode_response writes a length for every status.

Change: it writes none for statuses without a body, and no body.

Evidence: test_response_without_a_body_has_no_length failed before and passes now.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -28,6 +28,9 @@
 _PHRASE_BY_STATUS = types.MappingProxyType(
     {one.value: one.phrase for one in http.HTTPStatus},
 )
+#: Statuses of responses without a body. A length of 0 is not allowed with
+#: 204 and says something else with 304 (RFC 9110, section 8.6).
+_BODYLESS_STATUSES = frozenset((204, 304))
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -325,15 +328,16 @@
     keep_alive: bool,
     has_body: bool = True,
 ) -> bytes:
-    """Return the response in wire form, with its length."""
+    """Return the response in wire form, with the length of its body."""
     phrase = _PHRASE_BY_STATUS.get(response.status, 'Status')
     lines = [f'HTTP/1.1 {response.status} {phrase}\r\n'.encode()]
     for name, content in response.headers:
         lines.append(b'%s: %s\r\n' % (name, content))
-    lines.append(b'Content-Length: %d\r\n' % len(response.body))
+    if response.status not in _BODYLESS_STATUSES:
+        lines.append(b'Content-Length: %d\r\n' % len(response.body))
     if not keep_alive:
         lines.append(b'Connection: close\r\n')
     lines.append(b'\r\n')
-    if has_body:
+    if has_body and response.status not in _BODYLESS_STATUSES:
         lines.append(response.body)
     return b''.join(lines)
