Do not pass on a success without the searcher's stamp

Found while it was asked what broken answers can reach a caller.

Cause: a request to one searcher that ends without a signed success passes on the last response of the searcher as its failure, whatever its status.

Change: only a response that states a failure is passed on. An unsigned 2xx ends like any unknown outcome, with 502; it isn't sent again unless the request is idempotent.

Evidence: test_unsigned_success_does_not_reach_callers gets 200 instead of 502 before the change and passes now; the order runs once.

--- a/jacinthcart/routing/_codec.py
+++ b/jacinthcart/routing/_codec.py
@@ -66,7 +66,19 @@
     def is_success(self) -> bool:
         """Return whether this is a signed response with a 2xx status."""
         is_signed = self.stamp is not None and not self.is_not_run
-        return is_signed and 200 <= self.head.status < 300
+        return is_signed and self._has_success_status
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the searcher states that the request failed.
+
+        An unsigned response with a 2xx status is neither success nor failure.
+        """
+        return not self.is_not_run and not self._has_success_status
+
+    @property
+    def _has_success_status(self) -> bool:
+        return 200 <= self.head.status < 300
 
 
 class BaseSearcherCodec(abc.ABC):
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -176,7 +176,7 @@
         if run.response is not None:
             return ServedAnswer(run.response, _create_report([run]))
         failure = run.failure
-        if failure and failure.response and not failure.response.is_not_run:
+        if failure and failure.response and failure.response.is_failure:
             return ServedAnswer(failure.response, _create_report([run]))
         raise self._refusals.create(context, [run], 0)
 
--- a/jacinthcart_emulator/platform_searcher.py
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -15,6 +15,7 @@
 _RECEIVE_BYTES = 65536
 _RECORD_BYTES = 16
 _HEADER_PREFIX = 'x-jacinthcart-'
+_STAMP_HEADER = b'x-jacinthcart-server-stamp'
 #: Name and content of a header.
 _Header = tuple[str, str]
 _DISCONNECT_ERRORS = (
@@ -68,6 +69,8 @@
     malformations: tuple[Malformation, ...] = tuple(
         MALFORMATIONS_BY_NAME.values()
     )
+    #: Execute the request and send a response without a stamp.
+    unsigned_fraction: float = 0
     #: Send the response twice.
     duplicate_fraction: float = 0
     #: Execute the request and respond with status 500.
@@ -258,6 +261,8 @@
         if self._draw_bool(faults.truncate_fraction):
             await stream.send(message[: len(message) // 2])
             return False
+        if self._draw_bool(faults.unsigned_fraction):
+            message = message.replace(_STAMP_HEADER, b'x-other')
         if self._draw_bool(faults.malform_fraction):
             malformation = self._random.choice(faults.malformations)
             message = malformation.apply(message)
@@ -314,7 +319,7 @@
     if stamp is None:
         headers.append((f'{_HEADER_PREFIX}not-executed', '1'))
     else:
-        headers.append((f'{_HEADER_PREFIX}server-stamp', stamp))
+        headers.append((_STAMP_HEADER.decode(), stamp))
     response = h11.Response(status_code=status, headers=headers)
     return b''.join(
         codec.send(event) or b''
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -209,6 +209,23 @@
 
         _run_scenario(scenario, DeploymentParameters(vms=1))
 
+    def test_unsigned_success_does_not_reach_callers(self) -> None:
+        """Guards against a success that no searcher vouches for."""
+
+        async def scenario(fixture: NodeFixture) -> None:
+            for searcher in fixture.deployment.searchers_by_id.values():
+                searcher.faults.unsigned_fraction = 1
+            _, response = await fixture.send('/order/o', method='POST')
+            self.assertEqual(response.status_code, 502)
+            runs = [
+                one
+                for one in fixture.deployment.executions
+                if one.service == 'orders'
+            ]
+            self.assertEqual(len(runs), 1)
+
+        _run_scenario(scenario, DeploymentParameters(vms=1))
+
     def test_idempotent_request_is_sent_again_after_malformed_answer(
         self,
     ) -> None:
