Do not trust a repeated request id or stamp

What callers saw: nothing yet; found while heads outside RFC 9110 were looked for. Of a response with two different request ids the first one decided to whom it belongs, and of two stamps the last one signed it.

Cause: the adapter takes one of the fields, though fields that are no lists must not be repeated (RFC 9110, section 5.3).

Change: a repeated id belongs to no request, a repeated stamp signs nothing.

Evidence: test_repeated_id_or_stamp_does_not_count failed before and passes now.

--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -192,10 +192,7 @@
 
     def find_request_id(self, head: ResponseHead) -> str | None:
         """Return the request id that the searcher echoes."""
-        for name, content in head.headers:
-            if name == _REQUEST_ID:
-                return content.decode('latin-1')
-        return None
+        return _decode_single(head, _REQUEST_ID)
 
     def decode_response(
         self,
@@ -204,13 +201,12 @@
     ) -> SearcherResponse:
         """Return the response with its decoded headers."""
         by_name = dict(head.headers)
-        stamp = by_name.get(_STAMP)
         is_misdirected = head.status == _STATUS_MISDIRECTED
         connection = by_name.get(b'connection', b'').lower()
         return SearcherResponse(
             head=head,
             body=body,
-            stamp=stamp.decode('latin-1') if stamp else None,
+            stamp=_decode_single(head, _STAMP),
             is_not_run=_NOT_EXECUTED in by_name or is_misdirected,
             load=_decode_load(by_name.get(_LOAD)),
             idle_timeout_s=_decode_timeout_s(by_name.get(b'keep-alive')),
@@ -223,6 +219,20 @@
         )
 
 
+def _decode_single(head: ResponseHead, wanted_name: bytes) -> str | None:
+    """Return the content of a header that must not be repeated.
+
+    Return None if it is missing, empty or repeated: nothing tells which of
+    several fields is meant.
+    """
+    contents = [
+        content for name, content in head.headers if name == wanted_name
+    ]
+    if len(contents) != 1 or not contents[0]:
+        return None
+    return contents[0].decode('latin-1')
+
+
 def _decode_load(content: bytes | None) -> tuple[int, int, int] | None:
     if content is None:
         return None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -98,6 +98,20 @@
         response = self.codec.decode_response(ResponseHead(421, ()), b'')
         self.assertTrue(response.is_not_run)
 
+    def test_repeated_id_or_stamp_does_not_count(self) -> None:
+        """Guards against a response of which two requests could be meant."""
+        head = ResponseHead(
+            200,
+            (
+                (b'x-jacinthcart-request-id', b'1'),
+                (b'x-jacinthcart-request-id', b'2'),
+                (b'x-jacinthcart-server-stamp', b'a'),
+                (b'x-jacinthcart-server-stamp', b'b'),
+            ),
+        )
+        self.assertIsNone(self.codec.find_request_id(head))
+        self.assertIsNone(self.codec.decode_response(head, b'').stamp)
+
     def test_success_without_a_stamp_is_not_accepted(self) -> None:
         """Guards against accepting a response that no searcher sent."""
         response = self.codec.decode_response(ResponseHead(200, ()), b'')
