Accept refusals only with statuses of refusals

A refusal with status 999 that says "not run" made it send a request again that may run only once.

Cause: the caller took every status but 200 for a refusal, and httpx accepts statuses up to 999.

Change: statuses outside 400 to 599 are an invalid answer, whose outcome is unknown.

Evidence: test_refusal_with_an_invalid_status_is_not_believed got a RefusedError before and passes now.

--- a/jacinthcart/caller/_client.py
+++ b/jacinthcart/caller/_client.py
@@ -28,6 +28,8 @@
 from jacinthcart.wire import decode_json, encode_json
 
 _STATUS_OK = 200
+#: Statuses of refusals. The HTTP library accepts larger ones.
+_REFUSAL_STATUSES = range(400, 600)
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 1
 _ADDRESSES_TIMEOUT_S = 1
@@ -96,8 +98,10 @@
         )
         message = _decode_object(response)
         _check_request_id(message, request.request_id)
-        if response.status_code != _STATUS_OK:
+        if response.status_code in _REFUSAL_STATUSES:
             raise _decode_refusal(message)
+        if response.status_code != _STATUS_OK:
+            raise InvalidAnswerError(f'status {response.status_code}')
         try:
             return ANSWER_ADAPTER.validate_python(message)
         except pydantic.ValidationError as error:
--- a/tests/caller/_fakes.py
+++ b/tests/caller/_fakes.py
@@ -44,12 +44,13 @@
     code: RefusalCode,
     ran: Ran = Ran.NOT_RUN,
     retry_after_ms: int | None = None,
+    status: int = 503,
 ) -> Reply:
     """Return a reply function that refuses the request."""
 
     async def reply(request: dict[str, Any]) -> httpx.Response:
         return httpx.Response(
-            503,
+            status,
             json={
                 'refusal': {
                     'code': code,
--- a/tests/caller/test_caller.py
+++ b/tests/caller/test_caller.py
@@ -223,6 +223,22 @@
 
         run_virtual(test)
 
+    def test_refusal_with_an_invalid_status_is_not_believed(self) -> None:
+        """Guards against a second run after a malformed refusal."""
+
+        async def test(fleet: FakeFleet, caller: Caller) -> None:
+            for status in (201, 302, 600, 999):
+                refusal = refusing(RefusalCode.NOT_READY, status=status)
+                fleet.reply_by_host = {
+                    SEED.address: refusal,
+                    OTHER.address: refusal,
+                }
+                with self.assertRaises(InvalidAnswerError) as caught:
+                    await caller.submit(ROUTE, {}, 1000)
+                self.assertIs(caught.exception.ran, Ran.UNKNOWN)
+
+        run_virtual(test)
+
     def test_answer_to_another_request_is_not_returned(self) -> None:
         """Guards against returning the answer to another request."""
 
