Parse the lines of a head without copying them

Change: the patterns contain the line end and match in place. Possessive quantifiers keep a long line of blanks from quadratic time. A random test compares whole heads with heads that arrive byte by byte.

--- a/jacinthcart/wire/_head.py
+++ b/jacinthcart/wire/_head.py
@@ -19,12 +19,14 @@
 _LINE_END = b'\r\n'
 #: RFC 9112, section 4, with the statuses of RFC 9110, section 15.
 _STATUS_LINE = re.compile(
-    rb'HTTP/1\.([0-9]) ([1-5][0-9]{2}) [\t\x20-\x7e\x80-\xff]*',
+    rb'HTTP/1\.([0-9]) ([1-5][0-9]{2}) [\t\x20-\x7e\x80-\xff]*+\r\n',
 )
 #: RFC 9112, section 5. There is no line folding, and no white space before the
-#: colon.
+#: colon. Possessive quantifiers keep long lines from being searched in
+#: quadratic time.
 _FIELD_LINE = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)",
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]++):"
+    rb'[\t ]*+([\t\x20-\x7e\x80-\xff]*+)\r\n',
 )
 _VERSION_START = b'HTTP/1.'
 #: Bytes that a line without its line end can't contain.
@@ -88,7 +90,9 @@
     def __init__(self) -> None:
         """Create a parser that expects a status line."""
         self._pending = bytearray()
-        self._status_line: re.Match[bytes] | None = None
+        #: Status of the head in progress; 0 before its status line.
+        self._status = 0
+        self._is_old_version = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._raw = bytearray()
         self._interim_responses = 0
@@ -123,73 +127,87 @@
         return rest
 
     def _parse_lines(self) -> ParsedHead | None:
-        start = 0
-        end = self._pending.find(_LINE_END)
-        while end >= 0:
-            line = bytes(self._pending[start:end])
-            start = end + len(_LINE_END)
-            if self._status_line is not None and not line:
-                self._consume(start)
-                return self._complete()
-            self._parse_line(line)
-            end = self._pending.find(_LINE_END, start)
-        self._consume(start)
-        self._check_partial_line()
+        """Parse all complete lines of one head."""
+        start = self._parse_status_line()
+        if self._status:
+            start = self._parse_field_lines(start)
+        is_complete = bool(self._status) and self._pending.startswith(
+            _LINE_END, start
+        )
+        if is_complete:
+            start += len(_LINE_END)
+        self._raw += self._pending[:start]
+        del self._pending[:start]
+        if is_complete:
+            return self._complete()
+        self._check_incomplete_line()
         return None
 
-    def _parse_line(self, line: bytes) -> None:
-        if self._status_line is None:
-            self._status_line = _match(_STATUS_LINE, line)
-            return
-        name, content = _match(_FIELD_LINE, line).groups()
-        self._headers.append((name.lower(), content.strip(_WHITE_SPACE)))
-        if len(self._headers) > _MAX_HEADERS:
-            raise MalformedResponseError('too many headers')
-
-    def _check_partial_line(self) -> None:
-        partial = self._pending
-        if self._status_line is None:
+    def _parse_status_line(self) -> int:
+        """Return the end of the status line, 0 if there is none."""
+        if self._status:
+            return 0
+        match = _STATUS_LINE.match(self._pending)
+        if match is None:
+            return 0
+        self._is_old_version = match.group(1) == b'0'
+        self._status = int(match.group(2))
+        return match.end()
+
+    def _parse_field_lines(self, start: int) -> int:
+        """Return the end of the last complete and valid field line."""
+        match = _FIELD_LINE.match(self._pending, start)
+        while match is not None:
+            name, content = match.groups()
+            self._headers.append((name.lower(), content.rstrip(_WHITE_SPACE)))
+            start = match.end()
+            match = _FIELD_LINE.match(self._pending, start)
+        return start
+
+    def _check_incomplete_line(self) -> None:
+        line, line_end, _ = self._pending.partition(_LINE_END)
+        if line_end or _FORBIDDEN_BYTES.search(line):
+            shown = bytes(line[:_MAX_SHOWN_BYTES])
+            raise MalformedResponseError(
+                f'malformed line in the head: {shown!r}'
+            )
+        if not self._status:
             length = len(_VERSION_START)
-            if not _VERSION_START.startswith(partial[:length]):
+            if not _VERSION_START.startswith(line[:length]):
                 raise MalformedResponseError('no status line')
-        if _FORBIDDEN_BYTES.search(partial):
-            raise MalformedResponseError('control byte in the head')
-        if len(self._raw) + len(partial) > _MAX_HEAD_BYTES:
-            raise MalformedResponseError('head is too large')
+        self._check_size(len(self._raw) + len(line))
 
-    def _consume(self, length: int) -> None:
-        self._raw += self._pending[:length]
-        del self._pending[:length]
-        if len(self._raw) > _MAX_HEAD_BYTES:
+    def _check_size(self, head_bytes: int) -> None:
+        if len(self._headers) > _MAX_HEADERS:
+            raise MalformedResponseError('too many headers')
+        if head_bytes > _MAX_HEAD_BYTES:
             raise MalformedResponseError('head is too large')
 
     def _complete(self) -> ParsedHead:
-        assert self._status_line is not None
+        self._check_size(len(self._raw))
         head = _create_head(
-            self._status_line, tuple(self._headers), bytes(self._raw)
+            self._status,
+            tuple(self._headers),
+            is_old_version=self._is_old_version,
+            raw=bytes(self._raw),
         )
-        self._status_line = None
+        self._status = 0
         self._headers = []
         self._raw.clear()
         return head
 
 
-def _match(pattern: re.Pattern[bytes], line: bytes) -> re.Match[bytes]:
-    match = pattern.fullmatch(line)
-    if match is None:
-        shown = line[:_MAX_SHOWN_BYTES]
-        raise MalformedResponseError(f'malformed line in the head: {shown!r}')
-    return match
-
-
 def _create_head(
-    status_line: re.Match[bytes],
+    status: int,
     headers: tuple[tuple[bytes, bytes], ...],
+    *,
+    is_old_version: bool,
     raw: bytes,
 ) -> ParsedHead:
-    """Return the head; raise MalformedResponseError."""
-    is_old_version = status_line.group(1) == b'0'
-    status = int(status_line.group(2))
+    """Return the head; raise MalformedResponseError.
+
+    `is_old_version` states that it is a head of HTTP/1.0.
+    """
     lengths = _list_contents(headers, _CONTENT_LENGTH_NAME)
     encodings = _list_contents(headers, _TRANSFER_ENCODING_NAME)
     content_length = _parse_content_length(lengths)
--- a/tests/wire/test_head.py
+++ b/tests/wire/test_head.py
@@ -3,6 +3,9 @@
 import itertools
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from jacinthcart.errors import MalformedResponseError
 from jacinthcart.wire import BodyFraming, ParsedHead, ResponseHeadParser
 from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME
@@ -10,6 +13,22 @@
 _RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
 
+_BASE = b'HTTP/1.1 200 OK\r\nA: b c\r\nD:\r\nContent-Length: 2\r\n\r\n'
+_BYTES = st.sampled_from(b'\x00\x01\t\n\r :19ab\x7f\xff')
+
+
+def _parse_pieces(pieces: list[bytes]) -> ParsedHead | str:
+    parser = ResponseHeadParser()
+    try:
+        for piece in pieces:
+            head = parser.feed(piece)
+            if head is not None:
+                return head
+    except MalformedResponseError:
+        return 'malformed'
+    return 'incomplete'
+
+
 def _parse(head: bytes) -> ParsedHead:
     parsed = ResponseHeadParser().feed(head)
     assert parsed is not None
@@ -99,6 +118,18 @@
             keeps_open.append(_parse(head % (version, line)).keeps_open)
         self.assertEqual(keeps_open, [True, *itertools.repeat(False, 5)])
 
+    @settings(derandomize=True, max_examples=500)
+    @given(st.integers(0, len(_BASE) - 1), st.integers(0, 1), _BYTES)
+    def test_pieces_do_not_change_the_result(
+        self, position: int, removed: int, inserted: int
+    ) -> None:
+        """Guards against a head that is valid only in some pieces."""
+        rest = _BASE[position + removed :]
+        changed = _BASE[:position] + bytes((inserted,)) + rest
+        whole = _parse_pieces([changed])
+        single_bytes = [bytes((one,)) for one in changed]
+        self.assertEqual(_parse_pieces(single_bytes), whole)
+
     def test_bytes_after_the_head_are_kept(self) -> None:
         """Guards against a body that lacks its first bytes."""
         parser = ResponseHeadParser()
