--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -70,7 +70,7 @@
         return received[missing:]
 
 
-class _ClosedBody(BaseResponseBody):
+class _CloseDelimitedBody(BaseResponseBody):
     """Body that ends with the connection."""
 
     def finish(self) -> None:
@@ -127,7 +127,7 @@
     if head.framing is BodyFraming.CHUNKED:
         return _ChunkedBody()
     if head.framing is BodyFraming.CLOSE:
-        return _ClosedBody()
+        return _CloseDelimitedBody()
     if head.content_length > _MAX_BODY_BYTES:
         raise MalformedResponseError('body is too large')
     return _LengthBody(head.content_length)
--- a/jacinthcart_lab/soak/_searcher_faults.py
+++ b/jacinthcart_lab/soak/_searcher_faults.py
@@ -34,6 +34,7 @@
                 'reset',
                 'truncate',
                 'malform',
+                'unsigned',
                 'duplicate',
                 'failure',
                 'shed',
