--- /dev/null
+++ b/tests/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of decisions under overload."""
