Decode the slowdown in load reports of searchers

Searchers of newer deployments add a fourth figure to the load header: how long work takes on their machine at this moment, in percent. The decoder accepted exactly three figures and dropped the header whole. It also accepted numbers of any size, and a report of several hundred digits ended requests with an OverflowError in the cost model.

LoadReport replaces the tuple. Each figure is a decimal number of at most 1,000,000; without three usable figures there is no report, an unusable slowdown leaves the other three in force, and further figures are ignored. The counter searcher|malformed_load counts reports with a figure that could not be used.

With the previous parsing behind the new type, the three new decoder tests failed: a slowdown dropped the report, and negative and oversized figures were accepted.

--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -12,12 +12,14 @@
 from jacinthcart.routing import (
     BaseSearcherCodec,
     CallerRequest,
+    LoadReport,
     ResponseHead,
     SearcherResponse,
 )
 from jacinthcart.serving import MergedAnswer, ServedAnswer
 
 _MS_PER_S = 1000
+_PERCENT = 100
 _REQUEST_ID = b'x-jacinthcart-request-id'
 _DEADLINE = b'x-jacinthcart-deadline-ms'
 _CREDENTIAL = b'x-jacinthcart-credential'
@@ -34,6 +36,16 @@
 _RETRY_AFTER = b'retry-after'
 _STATUS_MISDIRECTED = 421
 _DEFAULT_DEADLINE_S = 30.0
+#: Figures of the load that a report must have: running requests, queued
+#: requests and slots.
+_REQUIRED_LOAD_FIGURES = 3
+_LOAD_SEPARATOR = b','
+#: Largest usable figure of a load: a number of requests or slots, or a
+#: slowdown in percent.
+_MAX_LOAD_FIGURE = 1_000_000
+#: Longer figures are not converted: this could raise ValueError, and a float
+#: can't hold the result.
+_MAX_LOAD_DIGITS = 7
 #: Hop-by-hop headers, which are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -201,6 +213,7 @@
     ) -> SearcherResponse:
         """Return the response with its decoded headers."""
         by_name = dict(head.headers)
+        load, has_malformed_load = _decode_load(by_name.get(_LOAD))
         is_misdirected = head.status == _STATUS_MISDIRECTED
         connection = by_name.get(b'connection', b'').lower()
         return SearcherResponse(
@@ -208,7 +221,7 @@
             body=body,
             stamp=_decode_single(head, _STAMP),
             is_not_run=_NOT_EXECUTED in by_name or is_misdirected,
-            load=_decode_load(by_name.get(_LOAD)),
+            load=load,
             idle_timeout_s=_decode_timeout_s(by_name.get(b'keep-alive')),
             closes_connection=b'close' in connection,
             is_leaving=any(
@@ -216,6 +229,7 @@
                 for name in _LEAVING_NAMES
             ),
             retry_after_s=_decode_retry_after_s(head.status, by_name),
+            has_malformed_load=has_malformed_load,
         )
 
 
@@ -233,15 +247,39 @@
     return contents[0].decode('latin-1')
 
 
-def _decode_load(content: bytes | None) -> tuple[int, int, int] | None:
+def _decode_load(content: bytes | None) -> tuple[LoadReport | None, bool]:
+    """Return the load, and whether any of its known figures is malformed.
+
+    The load is only a hint: without three usable figures there is none, and
+    a malformed slowdown leaves the other figures in force. Figures beyond the
+    known ones are ignored.
+    """
     if content is None:
+        return None, False
+    figures = content.split(_LOAD_SEPARATOR, _REQUIRED_LOAD_FIGURES + 1)
+    requests = [
+        _decode_load_figure(figure)
+        for figure in figures[:_REQUIRED_LOAD_FIGURES]
+    ]
+    usable = [number for number in requests if number is not None]
+    if len(usable) < _REQUIRED_LOAD_FIGURES:
+        return None, True
+    running, waiting, slots = usable
+    if len(figures) == _REQUIRED_LOAD_FIGURES:
+        return LoadReport(running, waiting, slots), False
+    percent = _decode_load_figure(figures[_REQUIRED_LOAD_FIGURES])
+    if not percent:
+        return LoadReport(running, waiting, slots), True
+    slowdown = percent / _PERCENT
+    return LoadReport(running, waiting, slots, slowdown), False
+
+
+def _decode_load_figure(content: bytes) -> int | None:
+    digits = content.strip()
+    if len(digits) > _MAX_LOAD_DIGITS or not digits.isdigit():
         return None
-    try:
-        running, waiting, slots = (int(part) for part in content.split(b','))
-    except ValueError:
-        # The load is only a hint, so a malformed one is ignored.
-        return None
-    return running, waiting, slots
+    number = int(digits)
+    return number if number <= _MAX_LOAD_FIGURE else None
 
 
 def _decode_retry_after_s(
--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -19,6 +19,7 @@
     estimate_cost_s,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
+from jacinthcart.routing._load_report import LoadReport
 from jacinthcart.routing._outcome import Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
@@ -35,6 +36,7 @@
     'ConnectionParameters',
     'ExtraSendBudget',
     'HealthTracker',
+    'LoadReport',
     'Outcome',
     'OutcomeKind',
     'QuantileParameters',
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -300,6 +300,8 @@
                 self._health_tracker.record_failure(health)
             return
         self._record_statements(attempt.searcher, response)
+        if response.has_malformed_load:
+            self._metrics.count('searcher', 'malformed_load')
         if response.load is not None:
             self._health_tracker.record_load(health, response.load)
         if outcome.kind is OutcomeKind.NOT_RUN:
--- a/jacinthcart/routing/_codec.py
+++ b/jacinthcart/routing/_codec.py
@@ -3,6 +3,8 @@
 import abc
 import dataclasses
 
+from jacinthcart.routing._load_report import LoadReport
+
 
 @dataclasses.dataclass(frozen=True)
 class CallerRequest:
@@ -50,8 +52,8 @@
     stamp: str | None
     #: Whether the searcher states that it did not run the request.
     is_not_run: bool
-    #: Running requests, queued requests and slots; None if not reported.
-    load: tuple[int, int, int] | None
+    #: Load of the searcher; None if not reported or unusable.
+    load: LoadReport | None
     #: Seconds after which the searcher closes the idle connection.
     idle_timeout_s: float | None
     #: Whether the searcher closes the connection after this response.
@@ -61,6 +63,8 @@
     #: Seconds for which the searcher, which has rejected the request, wants
     #: none from this VM; None if it named no delay.
     retry_after_s: float | None = None
+    #: Whether the load, or a figure of it, was malformed and is ignored.
+    has_malformed_load: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -4,6 +4,7 @@
 import math
 
 from jacinthcart.program import Clock
+from jacinthcart.routing._load_report import LoadReport
 
 #: Weight of a new latency in the exponentially weighted moving average.
 _LATENCY_WEIGHT = 0.3
@@ -175,11 +176,12 @@
     def record_load(
         self,
         health: SearcherHealth,
-        load: tuple[int, int, int],
+        load: LoadReport,
     ) -> None:
-        """Record a reported load: running and queued requests, and slots."""
-        running, waiting, slots = load
-        health.reported_queue_length = max(0, running + waiting + 1 - slots)
+        """Record a reported load."""
+        health.reported_queue_length = max(
+            0, load.running + load.waiting + 1 - load.slots
+        )
         health.in_flight_at_report = health.in_flight
         health.load_at = self._clock()
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -14,7 +14,7 @@
     decode_request,
     encode_refusal,
 )
-from jacinthcart.routing import ResponseHead
+from jacinthcart.routing import LoadReport, ResponseHead, SearcherResponse
 
 
 def create_raw(*extra: tuple[bytes, bytes]) -> RawRequest:
@@ -127,11 +127,48 @@
             ),
         )
         response = self.codec.decode_response(head, b'')
-        self.assertEqual(response.load, (3, 0, 8))
+        self.assertEqual(response.load, LoadReport(3, 0, 8))
+        self.assertFalse(response.has_malformed_load)
         self.assertEqual(response.idle_timeout_s, 7)
         broken = ResponseHead(200, ((b'x-jacinthcart-server-load', b'3,a'),))
         self.assertIsNone(self.codec.decode_response(broken, b'').load)
 
+    def test_slowdown_is_decoded(self) -> None:
+        """Guards against dropping the load because of its fourth figure.
+
+        Further figures are ignored.
+        """
+        for content in (b'3,0,8,250', b'3, 0, 8, 250', b'3,0,8,250,x,7'):
+            response = self._decode_load(content)
+            self.assertEqual(response.load, LoadReport(3, 0, 8, 2.5))
+            self.assertFalse(response.has_malformed_load)
+
+    def test_malformed_slowdown_leaves_the_other_figures(self) -> None:
+        """Guards against losing the queue length with the slowdown."""
+        for figure in (b'', b'0', b'-5', b'2.5', b'nan', b'1e9', b'9' * 700):
+            response = self._decode_load(b'3,0,8,%s' % figure)
+            self.assertEqual(response.load, LoadReport(3, 0, 8), figure)
+            self.assertTrue(response.has_malformed_load, figure)
+
+    def test_malformed_load_is_ignored(self) -> None:
+        """Guards against exceptions and against loads without a bound."""
+        cases = (
+            b'',
+            b'3,0',
+            b'3,0,',
+            b'-3,0,8',
+            b'3,+1,8',
+            b'3,0,1_0',
+            b'3,0,8.0,100',
+            '3,0,\u0663'.encode(),
+            b'3,9999999,8',
+            b'%s,0,8,100' % (b'9' * 700),
+        )
+        for content in cases:
+            response = self._decode_load(content)
+            self.assertIsNone(response.load, content)
+            self.assertTrue(response.has_malformed_load, content)
+
     def test_statements_of_searchers_are_decoded(self) -> None:
         """Only the documented value means that the searcher leaves."""
         for content, expected in ((b'1', True), (b'0', False), (b'', False)):
@@ -156,6 +193,10 @@
             response = self.codec.decode_response(head, b'')
             self.assertEqual(response.retry_after_s, expected, content)
 
+    def _decode_load(self, content: bytes) -> SearcherResponse:
+        head = ResponseHead(200, ((b'x-jacinthcart-server-load', content),))
+        return self.codec.decode_response(head, b'')
+
 
 class EncodeRefusalTests(unittest.TestCase):
     """A status that promises `not run` is used only if it is known."""
