Predict latencies with the slowdown that searchers report

A machine that others slow down for some hundred milliseconds raised the slowness of its searchers for seconds, and only by a part of the delay.

SearcherHealth keeps the last report and the last slowdown. The slowdown multiplies the expected latency, in the queue estimate too, and decays to 1 with a half-life of 0.5 s. Latency samples are divided by it, so that the slowness is what lasts. Its effect is bounded to 0.2 to 20 times, and a constant false figure is compensated by the slowness.

--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -59,7 +59,8 @@
     If the oldest unanswered send is overdue, the time by which it is overdue
     is added: the searcher is stalled, whatever load it last reported.
     """
-    expected_s = median_s * health.compute_slowness(now)
+    slowdown = health.compute_slowdown(now)
+    expected_s = median_s * health.compute_slowness(now) * slowdown
     queue_length = health.estimate_queue_length(now, slots, expected_s)
     latency_s = expected_s * (1 + queue_length / slots)
     overdue_s = health.compute_oldest_age_s(now) - 1.5 * expected_s
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -12,6 +12,13 @@
 #: has recovered gets requests again.
 _SLOWNESS_HALF_LIFE_S = 4.0
 _MAX_SLOWNESS = 50.0
+#: Half-life in seconds of a reported slowdown. The load of the other users of
+#: a machine lasts for some hundred milliseconds.
+_SLOWDOWN_HALF_LIFE_S = 0.5
+#: Bounds of a reported slowdown, so that a false report changes an estimate
+#: by no more than these factors.
+_MIN_SLOWDOWN = 0.2
+_MAX_SLOWDOWN = 20.0
 #: Weight of a new result in the moving average of the failure rate.
 _RESULT_WEIGHT = 0.25
 #: Half-life in seconds of the failure rate.
@@ -33,8 +40,8 @@
 class SearcherHealth:
     """Health of one searcher process. Times are clock times in seconds."""
 
-    #: Moving average of the latency relative to the route's median; 1 is
-    #: the median.
+    #: Moving average of the latency relative to the route's median, without
+    #: the reported slowdown of the machine; 1 is the median.
     slowness: float = 1.0
     #: Time of the last change of `slowness`.
     slowness_at: float = -math.inf
@@ -48,13 +55,16 @@
     consecutive_sheds: int = 0
     #: Time until which other searchers are preferred.
     backoff_until: float = -math.inf
-    #: Requests that a new one would have queued behind, as reported at
-    #: `load_at`.
-    reported_queue_length: int = 0
+    #: Load last reported, at `load_at`; None before the first report.
+    load: LoadReport | None = None
     #: Unanswered sends of this VM at `load_at`.
     in_flight_at_report: int = 0
     #: Time at which the load was last reported.
     load_at: float = -math.inf
+    #: Slowdown last reported, at `slowdown_at`, within its bounds.
+    slowdown: float = 1.0
+    #: Time at which a slowdown was last reported.
+    slowdown_at: float = -math.inf
     #: Start times of this VM's unanswered sends, by attempt number.
     started_at_by_attempt: dict[int, float] = dataclasses.field(
         default_factory=dict,
@@ -77,6 +87,17 @@
         weight = math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
         return 1 + (self.slowness - 1) * weight
 
+    def compute_slowdown(self, now: float) -> float:
+        """Return the slowdown, decayed by the age of its report.
+
+        It is exactly 1 if none has been reported.
+        """
+        if self.slowdown == 1:
+            return 1
+        age_s = now - self.slowdown_at
+        weight = math.exp2(-age_s / _SLOWDOWN_HALF_LIFE_S)
+        return 1 + (self.slowdown - 1) * weight
+
     def compute_failure_rate(self, now: float) -> float:
         """Return the failure rate, decayed by the age of its last sample."""
         age_s = now - self.failure_rate_at
@@ -93,6 +114,8 @@
         seconds.
         """
         own_queue_length = max(0, self.in_flight + 1 - slots)
+        if self.load is None:
+            return own_queue_length
         age_s = now - self.load_at
         weight = 1 - age_s / (
             _LOAD_EXPIRY_SERVICE_TIMES * max(service_time_s, 0.001)
@@ -100,7 +123,7 @@
         if weight <= 0:
             return own_queue_length
         added = self.in_flight - self.in_flight_at_report
-        reported = (self.reported_queue_length + added) * weight
+        reported = (self.load.queue_length + added) * weight
         return max(own_queue_length, reported, 0)
 
 
@@ -134,11 +157,14 @@
     ) -> None:
         """Record a latency, or how long a send has been unanswered.
 
-        `median_s` is the median latency of the route.
+        `median_s` is the median latency of the route. The slowness is to
+        last longer than the slowdown of the machine, so the part of the
+        latency that the slowdown explains is left out.
         """
         now = self._clock()
         current = health.compute_slowness(now)
-        ratio = min(latency_s / max(median_s, 0.001), _MAX_SLOWNESS)
+        usual_s = latency_s / health.compute_slowdown(now)
+        ratio = min(usual_s / max(median_s, 0.001), _MAX_SLOWNESS)
         health.slowness = current + (ratio - current) * _LATENCY_WEIGHT
         health.slowness_at = now
 
@@ -178,12 +204,17 @@
         health: SearcherHealth,
         load: LoadReport,
     ) -> None:
-        """Record a reported load."""
-        health.reported_queue_length = max(
-            0, load.running + load.waiting + 1 - load.slots
-        )
+        """Record a reported load.
+
+        A report without a slowdown leaves the last slowdown to its decay.
+        """
+        health.load = load
         health.in_flight_at_report = health.in_flight
         health.load_at = self._clock()
+        if load.slowdown is not None:
+            bounded = min(load.slowdown, _MAX_SLOWDOWN)
+            health.slowdown = max(bounded, _MIN_SLOWDOWN)
+            health.slowdown_at = health.load_at
 
     def _record_result(self, health: SearcherHealth, *, failed: bool) -> None:
         now = self._clock()
--- a/jacinthcart/routing/_load_report.py
+++ b/jacinthcart/routing/_load_report.py
@@ -16,3 +16,8 @@
     #: How long work takes at this moment relative to its usual duration; 1 is
     #: as usual. None if not reported.
     slowdown: float | None = None
+
+    @property
+    def queue_length(self) -> int:
+        """Return the number of requests that a new one would queue behind."""
+        return max(0, self.running + self.waiting + 1 - self.slots)
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 from unittest import mock
 
@@ -74,12 +74,17 @@
         source: random.Random,
         queue: int = 12,
         refused_fraction: float = 0,
+        compute_slowdown: Callable[[], float] | None = None,
+        *,
+        reports_slowdown: bool = False,
     ) -> None:
         """Create an idle searcher.
 
         `service_time_s` is the median service time of a request, `queue` the
         maximum number of waiting requests and `refused_fraction` the fraction
         of requests that are refused regardless of the load.
+        `compute_slowdown` returns how many times as long as usual work takes
+        on the searcher's machine at present.
         """
         self.searcher = searcher
         self.service_time_s = service_time_s
@@ -87,6 +92,8 @@
         self._random = source
         self._queue = queue
         self._refused_fraction = refused_fraction
+        self._compute_slowdown = compute_slowdown or (lambda: 1.0)
+        self._reports_slowdown = reports_slowdown
         self._running = 0
         self._waiting = 0
         self._slots = anyio.Semaphore(searcher.slots)
@@ -107,7 +114,7 @@
             service_time_s = self.service_time_s * self._random.lognormvariate(
                 0, _SERVICE_TIME_SIGMA
             )
-            await anyio.sleep(service_time_s)
+            await anyio.sleep(service_time_s * self._compute_slowdown())
             return self._respond(200)
         finally:
             self._running -= 1
@@ -119,7 +126,12 @@
             body=b'r' * 16,
             stamp=f'{self.searcher.searcher_id}.{self.arrivals}',
             is_not_run=status == _STATUS_FULL,
-            load=LoadReport(self._running, self._waiting, self.searcher.slots),
+            load=LoadReport(
+                self._running,
+                self._waiting,
+                self.searcher.slots,
+                self._compute_slowdown() if self._reports_slowdown else None,
+            ),
             idle_timeout_s=None,
             closes_connection=False,
             **statements,
@@ -208,19 +220,22 @@
         searchers: list[QueuedSearcher],
         budget: ExtraSendBudget | None = None,
         cold_rate: float = 0,
+        arrival_source: random.Random | None = None,
     ) -> None:
         """Create the request server; requires a running event loop.
 
         `cold_rate` is the limit of requests per second to a cold searcher, 0
-        for no limit.
+        for no limit. With an `arrival_source`, requests arrive at the same
+        times whatever the choice of searchers draws.
         """
         clock = anyio.current_time
         logger = create_logger('test')
         source = random.Random(3)
         self.results = Results()
+        self.metrics = Metrics()
         self._started_at = clock()
         self._route = route
-        self._random = source
+        self._random = arrival_source or source
         catalogue_state = CatalogueState(clock, logger)
         catalogue_state.update_catalogue(
             create_catalogue(route, cold_rate=cold_rate)
@@ -250,7 +265,7 @@
             latencies,
             mock.create_autospec(BaseSearcherCodec, instance=True),
             clock,
-            Metrics(),
+            self.metrics,
             logger,
         )
         catalogue_state.apply_searcher_changes(
