Record how far predicted latencies are from measured ones

Nothing showed whether the predictions that choose searchers and hold back parts are right. Each successful send now records the ratio of its latency to the latency predicted when it started, in percent, in a histogram by route. /metrics lists its quantiles as jacinthcart_latency_ratio; the histograms of durations keep their own family, as a ratio would read as seconds there.

--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -18,6 +18,10 @@
 _JSON = ((b'Content-Type', b'application/json'),)
 _TEXT = ((b'Content-Type', b'text/plain; version=0.0.4'),)
 _QUANTILES = types.MappingProxyType({'0.5': 0.5, '0.9': 0.9, '0.99': 0.99})
+#: Predictions may be too high as well as too low.
+_RATIO_QUANTILES = types.MappingProxyType(
+    {'0.01': 0.01, '0.1': 0.1, **_QUANTILES}
+)
 
 
 class OperatorHandler(BaseNodeHandler):
@@ -81,6 +85,7 @@
         yield from self._collect_gauges()
         yield self._collect_counters(self._node.metrics)
         yield self._collect_latencies(self._node.metrics)
+        yield self._collect_ratios(self._node.metrics)
 
     def _collect_gauges(self) -> Iterator[Any]:
         status = describe_node(self._node)
@@ -125,3 +130,15 @@
                 if seconds is not None:
                     family.add_metric([kind, workspace, route, label], seconds)
         return family
+
+    def _collect_ratios(self, metrics: Metrics) -> Any:
+        family = self._core.GaugeMetricFamily(
+            'jacinthcart_latency_ratio',
+            'quantiles of measured to predicted latency of sends, by route',
+            labels=['kind', 'route', 'quantile'],
+        )
+        for key in metrics.list_ratio_keys():
+            for label, quantile in _RATIO_QUANTILES.items():
+                ratio = metrics.quantile_ratio(key, quantile)
+                family.add_metric([*key, label], ratio)
+        return family
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -32,6 +32,8 @@
 #: route's target latency.
 _DEFAULT_MEDIAN_FRACTION = 0.25
 _STATUS_MISDIRECTED = 421
+#: Shortest latency in seconds that a measured one is compared with.
+_MIN_PREDICTED_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,6 +70,8 @@
         self.number = number
         self.searcher = searcher
         self.started_at = 0.0
+        #: Latency in seconds that was expected when the attempt started.
+        self.predicted_s = 0.0
         self.outcome: Outcome | None = None
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
@@ -141,6 +145,9 @@
         self._attempts += 1
         attempt = Attempt(self._attempts, searcher, on_end)
         attempt.started_at = self.clock()
+        attempt.predicted_s = self.table.estimate_latency_s(
+            searcher, self.estimate_median_s(context.route)
+        )
         health = self.table.get_health(searcher)
         health.started_at_by_attempt[attempt.number] = attempt.started_at
         if self._tasks is None:
@@ -320,3 +327,7 @@
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
+        self._metrics.record_ratio(
+            ('prediction', route.name),
+            latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
+        )
--- a/jacinthcart/telemetry/_metrics.py
+++ b/jacinthcart/telemetry/_metrics.py
@@ -13,11 +13,15 @@
 _HIGHEST_MICROSECONDS = 120_000_000
 _SIGNIFICANT_DIGITS = 2
 _MICROSECONDS_PER_SECOND = 1_000_000
+_PERCENT = 100
+_LOWEST_PERCENT = 1
+#: Ratios above 100 are recorded as 100.
+_HIGHEST_PERCENT = 10_000
 _KEY_SEPARATOR = '|'
 
 
 class Metrics:
-    """Duration histograms and counters, by key.
+    """Histograms of durations and of ratios, and counters, by key.
 
     A key is a tuple of a metric name and its labels, for example
     `('request', 'team/workspace', 'priority')`. Labels must not contain API
@@ -30,6 +34,7 @@
             collections.Counter()
         )
         self._histograms_by_key: dict[MetricKey, Any] = {}
+        self._ratio_histograms_by_key: dict[MetricKey, Any] = {}
 
     def record_seconds(self, key: MetricKey, seconds: float) -> None:
         """Record a duration in the histogram of `key`."""
@@ -42,6 +47,17 @@
             min(max(microseconds, _LOWEST_MICROSECONDS), _HIGHEST_MICROSECONDS),
         )
 
+    def record_ratio(self, key: MetricKey, ratio: float) -> None:
+        """Record a ratio in the histogram of `key`."""
+        histogram = self._ratio_histograms_by_key.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(
+                _LOWEST_PERCENT, _HIGHEST_PERCENT, _SIGNIFICANT_DIGITS
+            )
+            self._ratio_histograms_by_key[key] = histogram
+        percent = min(ratio * _PERCENT, _HIGHEST_PERCENT)
+        histogram.record_value(max(int(percent), _LOWEST_PERCENT))
+
     def count(self, *key: str, amount: int = 1) -> None:
         """Add `amount` to the counter of `key`."""
         self.counts_by_key[key] += amount
@@ -63,9 +79,21 @@
         return float(microseconds) / _MICROSECONDS_PER_SECOND
 
     def list_histogram_keys(self) -> list[MetricKey]:
-        """Return the keys of all histograms, sorted."""
+        """Return the keys of all histograms of durations, sorted."""
         return sorted(self._histograms_by_key)
 
+    def quantile_ratio(self, key: MetricKey, quantile: float) -> float | None:
+        """Return a quantile of the ratios of `key`, or None without any."""
+        histogram = self._ratio_histograms_by_key.get(key)
+        if histogram is None:
+            return None
+        percent = histogram.get_value_at_percentile(quantile * _PERCENT)
+        return float(percent) / _PERCENT
+
+    def list_ratio_keys(self) -> list[MetricKey]:
+        """Return the keys of all histograms of ratios, sorted."""
+        return sorted(self._ratio_histograms_by_key)
+
     def check(self, invariant: str, condition: bool, detail: str = '') -> None:
         """Count a violation and raise InvariantViolationError.
 
@@ -77,7 +105,7 @@
         raise InvariantViolationError(invariant, detail)
 
     def export(self) -> dict[str, dict[str, Any]]:
-        """Return counters and encoded histograms by `|`-joined keys."""
+        """Return counters and histograms of durations by `|`-joined keys."""
         return {
             'histograms': {
                 _KEY_SEPARATOR.join(key): histogram.encode().decode()
--- a/tests/serving/test_load_reports.py
+++ b/tests/serving/test_load_reports.py
@@ -1,5 +1,6 @@
 """Tests of serving with load reports of searchers."""
 
+import dataclasses
 import functools
 import itertools
 import random
@@ -8,6 +9,7 @@
 
 import anyio
 
+from jacinthcart.routing import SearcherResponse
 from tests.serving.support import Load, QueuedSearcher, create_shard_route
 from tests.support import create_searcher, run_in_virtual_time
 
@@ -41,6 +43,15 @@
         return _SLOWDOWN if is_slow else 1
 
 
+class _MalformedReportSearcher(QueuedSearcher):
+    """Searcher whose load reports can't be used."""
+
+    async def answer(self) -> SearcherResponse:
+        """Answer with a malformed report."""
+        response = await super().answer()
+        return dataclasses.replace(response, load=None, has_malformed_load=True)
+
+
 async def _simulate_slow_machines(reports_slowdown: bool) -> Load:
     machines = _Machines()
     replicas = itertools.product(_SHARDS, range(_REPLICAS))
@@ -65,6 +76,15 @@
     return load
 
 
+async def _simulate_malformed_reports() -> tuple[Load, QueuedSearcher]:
+    searcher = _MalformedReportSearcher(
+        create_searcher('i-1'), _SERVICE_TIME_S, random.Random(1)
+    )
+    load = Load(create_shard_route(), [searcher])
+    await load.run(_RATE_PER_S, 1)
+    return load, searcher
+
+
 class SlowMachinesTests(unittest.TestCase):
     """Each machine is slow for 600 ms at a time."""
 
@@ -79,3 +99,18 @@
             for load in loads
         ]
         self.assertLess(*means_s)
+
+
+class ReportMetricsTests(unittest.TestCase):
+    """Metrics of load reports and of the predictions based on them."""
+
+    def test_malformed_reports_are_counted_and_predictions_recorded(
+        self,
+    ) -> None:
+        """Guards against searchers whose reports go unused unnoticed."""
+        load, searcher = run_in_virtual_time(_simulate_malformed_reports)
+        malformed = load.metrics.counts_by_key['searcher', 'malformed_load']
+        self.assertEqual(malformed, searcher.arrivals)
+        ratio = load.metrics.quantile_ratio(('prediction', 'a'), 0.5)
+        self.assertGreater(ratio, 0.5)
+        self.assertLess(ratio, 2)
