Admit queries by the queueing delay at their shards

Nobody decided who goes without while searchers lack capacity: queries queued in the order of arrival until all were late. The new package decides before anything is sent, from the queues that responses report: which queries are sent, which wait in the VM and which are refused.

--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from jacinthcart.network import Endpoint
+from jacinthcart.overload import OverloadMode
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,3 +61,5 @@
     memory_bytes: int
     #: Bounds of the deployment.
     bounds: NodeBounds
+    #: What to do with queries while searchers lack capacity.
+    overload_mode: OverloadMode = OverloadMode.ON
--- /dev/null
+++ b/jacinthcart/overload/__init__.py
@@ -0,0 +1,39 @@
+"""Admission of queries over many shards while searchers lack capacity.
+
+Decides which queries are sent, which wait in this VM and which are refused, by
+priority, time left and the queueing delay that the searchers' reports show.
+"""
+
+from jacinthcart.overload._bands import (
+    AdmissionBands,
+    BandParameters,
+    compute_slack_s,
+)
+from jacinthcart.overload._control import (
+    OverloadControl,
+    OverloadMode,
+    OverloadParameters,
+    QueryDemand,
+)
+from jacinthcart.overload._demand import DemandTracker, QueryKind
+from jacinthcart.overload._returns import (
+    ReturnParameters,
+    ReturnSchedule,
+)
+from jacinthcart.overload._waiting import WaitingQueries, WaitingQuery
+
+__all__ = [
+    'AdmissionBands',
+    'BandParameters',
+    'DemandTracker',
+    'OverloadControl',
+    'OverloadMode',
+    'OverloadParameters',
+    'QueryDemand',
+    'QueryKind',
+    'ReturnParameters',
+    'ReturnSchedule',
+    'WaitingQueries',
+    'WaitingQuery',
+    'compute_slack_s',
+]
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -9,6 +9,7 @@
 from jacinthcart.errors import InvalidMessageError, SettingsError
 from jacinthcart.network import Endpoint, parse_endpoint
 from jacinthcart.node import NodeBounds, NodeSettings
+from jacinthcart.overload import OverloadMode
 from jacinthcart.wire import decode_json
 
 #: Environment variable with the path of the settings file.
@@ -69,6 +70,8 @@
 
     #: Port for metrics; None to disable it.
     metrics_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
+    #: What to do with queries while searchers lack capacity.
+    overload_control: OverloadMode = OverloadMode.ON
     platform_fields: _PlatformFields
 
 
@@ -110,6 +113,7 @@
         link_mbps=decoded.limits.link_mbps,
         memory_bytes=int(decoded.limits.memory_mb * _BYTES_PER_MB),
         bounds=_decode_bounds(decoded.bounds),
+        overload_mode=file.overload_control,
     )
 
 
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -132,6 +132,16 @@
         default_s = route.target_s * _DEFAULT_MEDIAN_FRACTION
         return self.latencies.quantile_s(route.name, 0.5, default_s)
 
+    def estimate_service_time_s(self, route: Route) -> float:
+        """Return how long a searcher without a queue takes on `route`.
+
+        It is the median latency in seconds if searchers do not report the
+        slowdown of their machines.
+        """
+        return self.table.service_times.estimate_s(
+            route.name, 0.5, self.estimate_median_s(route)
+        )
+
     def start(
         self,
         context: CallContext,
@@ -146,7 +156,7 @@
         attempt = Attempt(self._attempts, searcher, on_end)
         attempt.started_at = self.clock()
         attempt.predicted_s = self.table.estimate_latency_s(
-            searcher, self.estimate_median_s(context.route)
+            searcher, self.estimate_service_time_s(context.route)
         )
         health = self.table.get_health(searcher)
         health.started_at_by_attempt[attempt.number] = attempt.started_at
@@ -327,6 +337,10 @@
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
+        if response.load is not None:
+            self.table.service_times.record(
+                route.name, latency_s, response.load
+            )
         self._metrics.record_ratio(
             ('prediction', route.name),
             latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -1,6 +1,7 @@
 """Cost model for choosing the searcher of a request."""
 
 import dataclasses
+import math
 
 from jacinthcart.routing._health import SearcherHealth
 
@@ -8,6 +9,8 @@
 #: connection limit. It is far above usual latencies, so that such a searcher
 #: is chosen only if there is no other.
 _UNAVAILABLE_COST_S = 100.0
+#: Half-life in seconds of a reported queueing delay.
+_DELAY_HALF_LIFE_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,8 +25,7 @@
     #: it is multiplied by the searcher's failure rate. A failed send needs a
     #: retry, if the request can be retried at all.
     failure_penalty: float = 2.0
-    #: Penalty for a cold searcher, as a fraction of the route's median
-    #: latency.
+    #: Penalty for a cold searcher, as a fraction of the route's service time.
     cold_penalty: float = 0.6
     #: Fraction of a searcher's connection limit that all VMs together use. A
     #: searcher with a long queue accepts fewer connections than its limit.
@@ -51,41 +53,85 @@
     health: SearcherHealth,
     *,
     now: float,
-    median_s: float,
+    service_time_s: float,
+    mean_service_time_s: float,
     slots: int,
 ) -> float:
     """Return the expected latency of a new request in seconds.
 
+    `service_time_s` is the usual service time of the request and
+    `mean_service_time_s` that of the requests in the queue. The latter is only
+    known for searchers that report the slowdown of their machine; otherwise
+    the requests in the queue are taken to be like the new one.
+
     If the oldest unanswered send is overdue, the time by which it is overdue
     is added: the searcher is stalled, whatever load it last reported.
     """
     slowdown = health.compute_slowdown(now)
-    expected_s = median_s * health.compute_slowness(now) * slowdown
-    queue_length = health.estimate_queue_length(now, slots, expected_s)
-    latency_s = expected_s * (1 + queue_length / slots)
+    expected_s = service_time_s * health.compute_slowness(now) * slowdown
+    if health.load is None or health.load.slowdown is None:
+        queue_length = health.estimate_queue_length(now, slots, expected_s)
+        latency_s = expected_s * (1 + queue_length / slots)
+    else:
+        latency_s = expected_s + estimate_queue_delay_s(
+            health,
+            now=now,
+            service_time_s=mean_service_time_s,
+            slots=slots,
+        )
     overdue_s = health.compute_oldest_age_s(now) - 1.5 * expected_s
     if overdue_s > 0:
         latency_s += overdue_s + expected_s
     return latency_s
 
 
+def estimate_queue_delay_s(
+    health: SearcherHealth,
+    *,
+    now: float,
+    service_time_s: float,
+    slots: int,
+) -> float:
+    """Return the time in seconds until a new request gets a slot.
+
+    It is 0 unless the searcher reports the slowdown of its machine: without
+    it, the number of waiting requests does not tell how long they take.
+    """
+    load = health.load
+    if load is None or load.slowdown is None:
+        return 0
+    added = health.in_flight - health.in_flight_at_report
+    queue_length = load.queue_length + added
+    if queue_length <= 0:
+        return 0
+    factor = health.compute_slowness(now) * health.compute_slowdown(now)
+    delay_s = service_time_s * factor * queue_length / slots
+    # Other VMs refill the queue while the searcher works on it, so the delay
+    # is taken to persist for a while.
+    return delay_s * math.exp2(-(now - health.load_at) / _DELAY_HALF_LIFE_S)
+
+
 def estimate_cost_s(
     candidate: Candidate,
     *,
     now: float,
-    median_s: float,
+    service_time_s: float,
+    mean_service_time_s: float,
     target_s: float,
     params: SelectionParameters,
 ) -> float:
     """Return the expected latency in seconds including penalties.
 
-    `median_s` is the median and `target_s` the target latency of the route.
+    `service_time_s` is the usual service time of the request,
+    `mean_service_time_s` that of the requests in the queue and `target_s` the
+    target latency of the route.
     """
     health = candidate.health
     cost_s = estimate_latency_s(
         health,
         now=now,
-        median_s=median_s,
+        service_time_s=service_time_s,
+        mean_service_time_s=mean_service_time_s,
         slots=candidate.slots,
     )
     failure_rate = health.compute_failure_rate(now)
@@ -93,7 +139,7 @@
     if candidate.is_remote:
         cost_s += target_s * params.remote_penalty
     if candidate.is_cold:
-        cost_s += median_s * params.cold_penalty
+        cost_s += service_time_s * params.cold_penalty
     if not candidate.may_connect:
         cost_s += _UNAVAILABLE_COST_S
     if health.backoff_until > now:
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -14,8 +14,10 @@
     SelectionParameters,
     estimate_cost_s,
     estimate_latency_s,
+    estimate_queue_delay_s,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
+from jacinthcart.routing._service_times import ServiceTimes
 
 #: Maximum random increase of a cost as a fraction of it, so that searchers
 #: with equal costs share the load.
@@ -51,6 +53,8 @@
         self._params = params
         #: What searchers have said about accepting requests.
         self.availability = AvailabilityTracker(clock)
+        #: Service times of the routes.
+        self.service_times = ServiceTimes()
         catalogue_state.listeners.append(self._update_searchers)
 
     def get_health(self, searcher: Searcher) -> SearcherHealth:
@@ -61,7 +65,7 @@
         self,
         service: str,
         excluded: Collection[str],
-        median_s: float,
+        service_time_s: float,
         target_s: float,
         *,
         includes_backed_off: bool = True,
@@ -78,7 +82,7 @@
             searcher: self._estimate_cost_s(
                 searcher,
                 now,
-                median_s,
+                service_time_s,
                 target_s,
                 connection_limit,
             )
@@ -132,20 +136,53 @@
             default=math.inf,
         )
 
-    def estimate_latency_s(self, searcher: Searcher, median_s: float) -> float:
+    def estimate_latency_s(
+        self, searcher: Searcher, service_time_s: float
+    ) -> float:
         """Return the expected latency in seconds of a request sent now."""
         return estimate_latency_s(
             self.get_health(searcher),
             now=self._clock(),
-            median_s=median_s,
+            service_time_s=service_time_s,
+            mean_service_time_s=self.service_times.mean_s,
             slots=searcher.slots,
         )
 
+    def estimate_queue_delay_s(self, service: str) -> float:
+        """Return the time in seconds until a new request gets a slot.
+
+        The time is that of the searcher at which the request would end first. It is 0 if no
+        searcher of the service is available, because waiting does not help.
+        """
+        now = self._clock()
+        service_time_s = self.service_times.mean_s
+        best_end_s = math.inf
+        best_delay_s: float = 0
+        for searcher in self._catalogue_state.list_searchers(service):
+            health = self.get_health(searcher)
+            is_failing = health.consecutive_failures and (
+                health.backoff_until > now
+            )
+            if is_failing or not self.availability.may_send(searcher):
+                continue
+            delay_s = estimate_queue_delay_s(
+                health,
+                now=now,
+                service_time_s=service_time_s,
+                slots=searcher.slots,
+            )
+            factor = health.compute_slowness(now) * health.compute_slowdown(now)
+            end_s = delay_s + service_time_s * factor
+            if end_s < best_end_s:
+                best_end_s = end_s
+                best_delay_s = delay_s
+        return best_delay_s
+
     def _estimate_cost_s(
         self,
         searcher: Searcher,
         now: float,
-        median_s: float,
+        service_time_s: float,
         target_s: float,
         connection_limit: int,
     ) -> float:
@@ -159,7 +196,8 @@
                 may_connect=health.in_flight < connection_limit,
             ),
             now=now,
-            median_s=median_s,
+            service_time_s=service_time_s,
+            mean_service_time_s=self.service_times.mean_s,
             target_s=target_s,
             params=self._params,
         )
--- a/jacinthcart/serving/_candidates.py
+++ b/jacinthcart/serving/_candidates.py
@@ -27,7 +27,7 @@
         return self._client.table.choose(
             self._service,
             self.tried,
-            self._client.estimate_median_s(self._route),
+            self._client.estimate_service_time_s(self._route),
             self._route.target_s,
             includes_backed_off=includes_backed_off,
         )
@@ -46,7 +46,7 @@
             table.get_health(searcher).in_flight,
             table.estimate_latency_s(
                 searcher,
-                self._client.estimate_median_s(self._route),
+                self._client.estimate_service_time_s(self._route),
             ),
             self._client.clock(),
         )
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -8,6 +8,7 @@
 
 from jacinthcart.catalogue import Route
 from jacinthcart.errors import RefusalCode, RefusalError
+from jacinthcart.overload import OverloadControl, QueryDemand, QueryKind
 from jacinthcart.routing import (
     CallContext,
     CallerRequest,
@@ -85,8 +86,14 @@
         shutdown: Shutdown,
         random_source: random.Random,
         params: ServingParameters,
+        overload: OverloadControl | None = None,
     ) -> None:
-        """Create the server."""
+        """Create the server.
+
+        Without `overload`, no query is held or refused for lack of capacity
+        at searchers.
+        """
+        self._overload = overload
         self._client = client
         self._budget = budget
         self._admission = admission
@@ -206,6 +213,14 @@
             self._compute_answer_time(context.request, route),
         )
         self._check_shards(context, policy)
+        if self._overload is not None:
+            await self._overload.admit(
+                QueryDemand(
+                    QueryKind(route, context.priority, policy.optional_parts),
+                    policy.answer_at,
+                    context.request.deadline,
+                )
+            )
         hold_policy = HoldPolicy(policy.optional_parts, policy.answer_at)
         runs = [
             self._create_run(context, service, hold_policy, wakeup)
--- a/tests/overload/support.py
+++ b/tests/overload/support.py
@@ -11,6 +11,11 @@
 from jacinthcart.catalogue import CatalogueState, Route, Searcher
 from jacinthcart.errors import RefusalError
 from jacinthcart.fleet import MemberParameters, MemberTable
+from jacinthcart.overload import (
+    OverloadControl,
+    OverloadMode,
+    OverloadParameters,
+)
 from jacinthcart.routing import (
     BaseSearcherCodec,
     BudgetParameters,
@@ -19,6 +24,7 @@
     ConnectionParameters,
     ExtraSendBudget,
     HealthTracker,
+    LoadReport,
     QuantileTracker,
     ResponseHead,
     RoutingTable,
@@ -131,7 +137,7 @@
             body=b'r' * 16,
             stamp=f'{self.searcher.searcher_id}.{self._random.random()}',
             is_not_run=status == 503,
-            load=(self._running, self._waiting, SLOTS),
+            load=LoadReport(self._running, self._waiting, SLOTS, 1.0),
             idle_timeout_s=None,
             closes_connection=False,
         )
@@ -279,9 +285,15 @@
             Shutdown(clock, latencies),
             source,
             ServingParameters(),
+            OverloadControl(
+                client,
+                source,
+                serving.get('mode', OverloadMode.OFF),
+                serving.get('params', OverloadParameters()),
+                Metrics(),
+                logger,
+            ),
         )
-        if serving.get('gate'):
-            server.gate = serving['gate'](client, list(self.routes.values()), source)
         return client, server
 
     async def run(self, duration_s: float) -> None:
@@ -308,7 +320,9 @@
             searcher.paused_until = anyio.current_time() + 0.25
             await anyio.sleep(6)
 
-    async def _arrive(self, callers: Any, kind: Kind, duration_s: float) -> None:
+    async def _arrive(
+        self, callers: Any, kind: Kind, duration_s: float
+    ) -> None:
         ends_at = anyio.current_time() + duration_s
         number = 0
         while anyio.current_time() < ends_at:
@@ -326,7 +340,9 @@
         attempts = 2
         for attempt in range(attempts):
             started_at = anyio.current_time()
-            refusal = await self._attempt(kind, f'{request_id}.{attempt}', deadline)
+            refusal = await self._attempt(
+                kind, f'{request_id}.{attempt}', deadline
+            )
             now = anyio.current_time()
             if refusal is None:
                 self._record_answer(kind, second, attempt, now - started_at)
