Estimate queueing delays in a class of their own

The routing table had too many duties. A factory creates the overload control, and the delay of a false report is bounded.

--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -28,7 +28,7 @@
 from jacinthcart.network import DatagramEndpoint, Endpoint
 from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
-from jacinthcart.overload import OverloadControl, OverloadParameters
+from jacinthcart.overload import create_overload_control
 from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.quota import (
     QUOTA_KINDS,
@@ -347,11 +347,10 @@
             self._shutdown,
             source,
             ServingParameters(),
-            OverloadControl(
+            create_overload_control(
                 self._searcher_client,
                 source,
                 self.settings.overload_mode,
-                OverloadParameters(),
                 self.metrics,
                 self.logger,
             ),
--- a/jacinthcart/overload/__init__.py
+++ b/jacinthcart/overload/__init__.py
@@ -14,6 +14,7 @@
     OverloadMode,
     OverloadParameters,
     QueryDemand,
+    create_overload_control,
 )
 from jacinthcart.overload._demand import DemandTracker, QueryKind
 from jacinthcart.overload._returns import (
@@ -36,4 +37,5 @@
     'WaitingQueries',
     'WaitingQuery',
     'compute_slack_s',
+    'create_overload_control',
 ]
--- a/jacinthcart/overload/_control.py
+++ b/jacinthcart/overload/_control.py
@@ -159,10 +159,9 @@
     def _estimate_delay_s(self, query: QueryDemand) -> float:
         # An answer needs all shards but the optional ones, so the slowest of
         # the required shards decides.
-        table = self._client.table
+        queue_delays = self._client.table.queue_delays
         delays_s = sorted(
-            table.estimate_queue_delay_s(shard)
-            for shard in query.kind.route.shards
+            queue_delays.estimate_s(shard) for shard in query.kind.route.shards
         )
         return delays_s[len(delays_s) - 1 - query.kind.optional_parts]
 
@@ -208,3 +207,16 @@
         self._metrics.count(
             _METRIC, decision, query.kind.route.name, str(query.kind.priority)
         )
+
+
+def create_overload_control(
+    client: SearcherClient,
+    random_source: random.Random,
+    mode: OverloadMode,
+    metrics: Metrics,
+    logger: Logger,
+) -> OverloadControl:
+    """Return an overload control with the default parameters."""
+    return OverloadControl(
+        client, random_source, mode, OverloadParameters(), metrics, logger
+    )
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -11,6 +11,9 @@
 _UNAVAILABLE_COST_S = 100.0
 #: Half-life in seconds of a reported queueing delay.
 _DELAY_HALF_LIFE_S = 0.3
+#: Longest queueing delay in seconds, so that a false report does not take a
+#: searcher out of use for longer than a failure does.
+_MAX_DELAY_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +111,8 @@
     delay_s = service_time_s * factor * queue_length / slots
     # Other VMs refill the queue while the searcher works on it, so the delay
     # is taken to persist for a while.
-    return delay_s * math.exp2(-(now - health.load_at) / _DELAY_HALF_LIFE_S)
+    weight = math.exp2(-(now - health.load_at) / _DELAY_HALF_LIFE_S)
+    return min(delay_s * weight, _MAX_DELAY_S)
 
 
 def estimate_cost_s(
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -14,9 +14,9 @@
     SelectionParameters,
     estimate_cost_s,
     estimate_latency_s,
-    estimate_queue_delay_s,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
+from jacinthcart.routing._queue_delays import QueueDelays
 from jacinthcart.routing._service_times import ServiceTimes
 
 #: Maximum random increase of a cost as a fraction of it, so that searchers
@@ -55,6 +55,14 @@
         self.availability = AvailabilityTracker(clock)
         #: Service times of the routes.
         self.service_times = ServiceTimes()
+        #: Queueing delays at the searchers.
+        self.queue_delays = QueueDelays(
+            catalogue_state,
+            health_tracker,
+            self.availability,
+            self.service_times,
+            clock,
+        )
         catalogue_state.listeners.append(self._update_searchers)
 
     def get_health(self, searcher: Searcher) -> SearcherHealth:
@@ -148,36 +156,6 @@
             slots=searcher.slots,
         )
 
-    def estimate_queue_delay_s(self, service: str) -> float:
-        """Return the time in seconds until a new request gets a slot.
-
-        The time is that of the searcher at which the request would end first. It is 0 if no
-        searcher of the service is available, because waiting does not help.
-        """
-        now = self._clock()
-        service_time_s = self.service_times.mean_s
-        best_end_s = math.inf
-        best_delay_s: float = 0
-        for searcher in self._catalogue_state.list_searchers(service):
-            health = self.get_health(searcher)
-            is_failing = health.consecutive_failures and (
-                health.backoff_until > now
-            )
-            if is_failing or not self.availability.may_send(searcher):
-                continue
-            delay_s = estimate_queue_delay_s(
-                health,
-                now=now,
-                service_time_s=service_time_s,
-                slots=searcher.slots,
-            )
-            factor = health.compute_slowness(now) * health.compute_slowdown(now)
-            end_s = delay_s + service_time_s * factor
-            if end_s < best_end_s:
-                best_end_s = end_s
-                best_delay_s = delay_s
-        return best_delay_s
-
     def _estimate_cost_s(
         self,
         searcher: Searcher,
--- a/tests/routing/test_load_reports.py
+++ b/tests/routing/test_load_reports.py
@@ -101,6 +101,7 @@
         return estimate_latency_s(
             self.health,
             now=self.clock(),
-            median_s=_MEDIAN_S,
+            service_time_s=_MEDIAN_S,
+            mean_service_time_s=_MEDIAN_S,
             slots=_SLOTS,
         )
