Do not pass on statuses that promise what no searcher stated

A searcher's own 408, 429 or 503 without the header that states that it has not run the request reached the caller unchanged. Callers take these statuses as a promise that the request has not run, so one that may run only once could run again.

Such a response is now a failure of unknown outcome: the caller gets 502 without the searcher's stamp. Idempotent requests are still sent to another searcher first. The adapter decodes which statuses promise it.

Both new tests failed before the fix: the caller got 408 instead of 502, and the response counted as a failure that may be passed on.

--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -33,6 +33,9 @@
 _LEAVING_NAMES = (b'server-leaving', b'x-jacinthcart-server-leaving')
 _RETRY_AFTER = b'retry-after'
 _STATUS_MISDIRECTED = 421
+#: Statuses that promise callers that the request has not run. In a response
+#: of a searcher, 421 alone states this without `_NOT_EXECUTED`.
+_NOT_RUN_STATUSES = frozenset((408, _STATUS_MISDIRECTED, 429, 503))
 _DEFAULT_DEADLINE_S = 30.0
 #: Hop-by-hop headers, which are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -216,6 +219,7 @@
                 for name in _LEAVING_NAMES
             ),
             retry_after_s=_decode_retry_after_s(head.status, by_name),
+            has_not_run_status=head.status in _NOT_RUN_STATUSES,
         )
 
 
--- a/jacinthcart/routing/_codec.py
+++ b/jacinthcart/routing/_codec.py
@@ -61,6 +61,9 @@
     #: Seconds for which the searcher, which has rejected the request, wants
     #: none from this VM; None if it named no delay.
     retry_after_s: float | None = None
+    #: Whether callers take the status as a promise that the request has not
+    #: run and never will.
+    has_not_run_status: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -70,11 +73,14 @@
 
     @property
     def is_failure(self) -> bool:
-        """Return whether the searcher states that the request failed.
+        """Return whether this is a failure that callers may get unchanged.
 
-        An unsigned response with a 2xx status is neither success nor failure.
+        An unsigned response with a 2xx status is neither success nor failure,
+        nor is one whose status would tell callers that the request has not
+        run, although the searcher does not state that.
         """
-        return not self.is_not_run and not self._has_success_status
+        is_misleading = self._has_success_status or self.has_not_run_status
+        return not self.is_not_run and not is_misleading
 
     @property
     def _has_success_status(self) -> bool:
--- a/jacinthcart_emulator/platform_searcher.py
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -73,8 +73,9 @@
     unsigned_fraction: float = 0
     #: Send the response twice.
     duplicate_fraction: float = 0
-    #: Execute the request and respond with status 500.
+    #: Execute the request and respond with `failure_status`.
     failure_fraction: float = 0
+    failure_status: int = 500
     #: Respond with status 503 without executing the request.
     shed_fraction: float = 0
     #: Seconds to wait that such a response names; None to name none.
@@ -252,7 +253,7 @@
         body = create_part(self.service, request_id, self._records)
         message = _encode_response(
             codec,
-            500 if is_failure else 200,
+            faults.failure_status if is_failure else 200,
             request_id,
             body,
             *statements,
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -226,6 +226,31 @@
 
         _run_scenario(scenario, DeploymentParameters(vms=1))
 
+    def test_failure_does_not_promise_that_the_request_has_not_run(
+        self,
+    ) -> None:
+        """Guards against a second run of a request by its caller.
+
+        Statuses that promise callers that a request has not run were passed
+        on from searchers that did not state so.
+        """
+
+        async def scenario(fixture: NodeFixture) -> None:
+            deployment = fixture.deployment
+            for status in (408, 429, 503):
+                for searcher in deployment.searchers_by_id.values():
+                    searcher.faults.failure_fraction = 1
+                    searcher.faults.failure_status = status
+                _, response = await fixture.send('/order/o', method='POST')
+                self.assertEqual(response.status_code, 502, status)
+                self.assertNotIn('X-Jacinthcart-Server-Stamp', response.headers)
+            runs = [
+                one for one in deployment.executions if one.service == 'orders'
+            ]
+            self.assertEqual(len(runs), 3)
+
+        _run_scenario(scenario, DeploymentParameters(vms=1))
+
     def test_idempotent_request_is_sent_again_after_malformed_answer(
         self,
     ) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -98,6 +98,19 @@
         response = self.codec.decode_response(ResponseHead(421, ()), b'')
         self.assertTrue(response.is_not_run)
 
+    def test_only_some_failures_may_be_passed_on(self) -> None:
+        """Guards against a promise to callers that no searcher made."""
+        not_executed = ((b'x-jacinthcart-not-executed', b'1'),)
+        for status in (302, 400, 404, 500, 504):
+            response = self.codec.decode_response(ResponseHead(status, ()), b'')
+            self.assertTrue(response.is_failure, status)
+        for status in (408, 429, 503):
+            for headers in ((), not_executed):
+                head = ResponseHead(status, headers)
+                response = self.codec.decode_response(head, b'')
+                self.assertFalse(response.is_failure, status)
+                self.assertIs(response.is_not_run, bool(headers))
+
     def test_repeated_id_or_stamp_does_not_count(self) -> None:
         """Guards against a response of which two requests could be meant."""
         head = ResponseHead(
