Refuse requests that reached no searcher as not run

A request whose sends were still waiting for a connection at its end was refused as if it might have run (502 or 504), so that a caller could not repeat one that may run only once. The same held for requests that were waiting to be sent again after each searcher had stated that it did not run them.

Each attempt now records that bytes may be sent, without an await between the record and the send. An attempt that has been cancelled by then sends nothing, so a refusal that cancels it stays true. The refusal is derived from the attempts alone.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -72,8 +72,31 @@
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
         self.scope = anyio.CancelScope()
+        self._may_be_sent = False
         self._on_end: Callable[[Attempt], None] | None = on_end
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the searcher may have run the request.
+
+        Once the attempt is cancelled, this no longer changes from False.
+        """
+        is_not_run = (
+            self.outcome is not None
+            and self.outcome.kind is OutcomeKind.NOT_RUN
+        )
+        return self._may_be_sent and not is_not_run
+
+    def begin_sending(self) -> None:
+        """Record that bytes of the request may be sent from now on.
+
+        Raise NotSentError if the attempt has been cancelled: the request may
+        have been refused as not run.
+        """
+        if self.scope.cancel_called:
+            raise NotSentError('cancelled')
+        self._may_be_sent = True
+
     def end(self, outcome: Outcome) -> None:
         """Set the outcome and call the listener."""
         self.outcome = outcome
@@ -256,6 +279,8 @@
             context.workspace,
         )
         attempt.started_at = self.clock()
+        # Nothing may be awaited between this and the send.
+        attempt.begin_sending()
         return await connection.exchange(message, context.request.request_id)
 
     def _log_malformed_response(
--- a/jacinthcart/serving/_refusals.py
+++ b/jacinthcart/serving/_refusals.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from jacinthcart.errors import Ran, RefusalCode, RefusalError
-from jacinthcart.routing import CallContext, OutcomeKind, SearcherClient
+from jacinthcart.routing import CallContext, SearcherClient
 from jacinthcart.serving._policy import (
     RetryParameters,
     compute_answerable_at,
@@ -126,11 +126,7 @@
 
 
 def _compute_ran(runs: Iterable[ServiceRun]) -> Ran:
-    for run in runs:
-        failure = run.failure
-        is_refused = failure is not None and failure.kind is OutcomeKind.NOT_RUN
-        if run.may_have_run or run.response is not None:
-            return Ran.UNKNOWN
-        if run.was_sent and not is_refused:
-            return Ran.UNKNOWN
-    return Ran.NOT_RUN
+    # The refusal cancels the attempts in progress, so that an attempt of which
+    # nothing has been sent by now never runs.
+    is_unknown = any(run.may_have_run for run in runs)
+    return Ran.UNKNOWN if is_unknown else Ran.NOT_RUN
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -42,7 +42,6 @@
         self.service = service
         self.response: SearcherResponse | None = None
         self.failure: Outcome | None = None
-        self.may_have_run = False
         self.wake_at = math.inf
         self._context = context
         self._client = client
@@ -50,13 +49,13 @@
         self._params = params
         self._on_change = on_change
         self.ended_sends: list[str] = []
+        self._attempts: list[Attempt] = []
         self._pending: list[Attempt] = []
         self._candidates = Candidates(context, service, client, hold_policy)
         #: Failed sends that a searcher may have run.
         self._executions = 0
         #: Ended sends of which at least one byte was sent.
         self._delivered = 0
-        self._send_count = 0
         self._has_hedged = False
         self._last_outcome = Outcome(OutcomeKind.NOT_RUN, 'not sent')
         self._target_at = context.request.received_at + context.route.target_s
@@ -67,15 +66,15 @@
         return self.response is not None or self.failure is not None
 
     @property
-    def was_sent(self) -> bool:
-        """Return whether any send was started."""
-        return self._send_count > 0
+    def may_have_run(self) -> bool:
+        """Return whether any searcher may have run the request."""
+        return any(attempt.may_have_run for attempt in self._attempts)
 
     def describe(self) -> str:
         """Return why there is no successful response, for logs."""
         if self.failure is not None:
             return f'{self.service}: {self.failure.reason}'
-        if not self.was_sent:
+        if not self._attempts:
             return f'{self.service}: held back, its searchers are overloaded'
         if not self._pending:
             reason = self._last_outcome.reason
@@ -95,7 +94,7 @@
         self.wake_at = math.inf
         if self._pending:
             self._hedge(now)
-        elif not self.was_sent:
+        elif not self._attempts:
             self._send_first()
         else:
             self._retry(self._last_outcome)
@@ -169,7 +168,6 @@
     def _handle_failure(self, outcome: Outcome) -> None:
         is_idempotent = self._context.route.is_idempotent
         if outcome.kind is not OutcomeKind.NOT_RUN:
-            self.may_have_run = True
             self._executions += 1
             if not is_idempotent:
                 self.failure = outcome
@@ -184,7 +182,7 @@
         retry_at = now + self._params.retry_delay_s
         is_exhausted = (
             self._executions >= route.attempts
-            or self._send_count >= self._params.max_sends
+            or len(self._attempts) >= self._params.max_sends
             or now >= self._context.deadline
             or not self._context.may_send()
         )
@@ -230,12 +228,12 @@
 
     def _send(self, searcher: Searcher) -> None:
         self._candidates.tried.add(searcher.searcher_id)
-        self._send_count += 1
         attempt = self._client.start(
             self._context,
             searcher,
             self._on_end,
         )
+        self._attempts.append(attempt)
         self._pending.append(attempt)
         if self._context.route.is_idempotent and not self._has_hedged:
             self.wake_at = attempt.started_at + compute_hedge_delay_s(
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -10,7 +10,7 @@
 import anyio
 
 from jacinthcart.catalogue import CatalogueState, Route, Searcher
-from jacinthcart.errors import RefusalError
+from jacinthcart.errors import Ran, RefusalError
 from jacinthcart.fleet import MemberParameters, MemberTable
 from jacinthcart.routing import (
     BaseSearcherCodec,
@@ -143,22 +143,26 @@
 
 
 class _Pools(SearcherPools):
-    """Pools that connect to simulated searchers without delay."""
+    """Pools that connect to simulated searchers after a fixed delay."""
 
     def __init__(
         self,
         searchers: Mapping[str, QueuedSearcher],
         clock: Any,
+        connect_s: float,
     ) -> None:
         """Create the pools; `searchers` maps ids to searchers."""
         codec = mock.create_autospec(BaseSearcherCodec, instance=True)
         super().__init__(codec, clock, ConnectionParameters())
         self._searchers = searchers
+        self._connect_s = connect_s
 
     async def acquire(
         self, searcher: Searcher, request_id: str, *, at_most_once: bool
     ) -> Any:
         """Return a connection."""
+        if self._connect_s:
+            await anyio.sleep(self._connect_s)
         return _Connection(self._searchers[searcher.searcher_id])
 
     async def release(self, *arguments: Any) -> None:
@@ -177,6 +181,8 @@
     refused: int = 0
     #: Seconds after which requests were refused.
     refused_after_s: list[float] = dataclasses.field(default_factory=list)
+    #: Whether each refused request may have run, as its refusal says.
+    ran: list[Ran] = dataclasses.field(default_factory=list)
     #: Seconds from the start of the load to a refusal, and its retry delay in
     #: seconds.
     retry_after_by_time: list[tuple[float, float]] = dataclasses.field(
@@ -207,11 +213,12 @@
         searchers: list[QueuedSearcher],
         budget: ExtraSendBudget | None = None,
         cold_rate: float = 0,
+        connect_s: float = 0,
     ) -> None:
         """Create the request server; requires a running event loop.
 
         `cold_rate` is the limit of requests per second to a cold searcher, 0
-        for no limit.
+        for no limit. Each send first waits `connect_s` for its connection.
         """
         clock = anyio.current_time
         logger = create_logger('test')
@@ -234,7 +241,7 @@
         by_id = {one.searcher.searcher_id: one for one in searchers}
         latencies = QuantileTracker()
         self._client = SearcherClient(
-            _Pools(by_id, clock),
+            _Pools(by_id, clock, connect_s),
             RoutingTable(
                 catalogue_state,
                 members,
@@ -294,6 +301,7 @@
         results = self.results
         results.refused += 1
         results.refused_after_s.append(now - sent_at)
+        results.ran.append(refusal.ran)
         if refusal.retry_after_ms is not None:
             results.retry_after_by_time.append(
                 (now - self._started_at, refusal.retry_after_ms / 1000),
