Do not wait for the body of a response to HEAD

A searcher's response to HEAD has no body (RFC 9110, section 9.3.2), but the connection waited until the request's deadline for the one that its head announces, so that each HEAD request ended with 504.

A response with the id of a HEAD request now ends with its head; a late response to another request that arrives first is still read with its body. The connection isn't used again: neither a late copy without its body nor a body that a searcher sends nevertheless could be told from what comes next. The caller gets the length that the searcher stated instead of one of 0, and no length of our own, as that would have to be the length of the response to GET.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -69,7 +69,8 @@
     """A response to be written."""
 
     status: int
-    #: Headers, without `Content-Length` and `Connection`.
+    #: Headers, without `Connection`, and without `Content-Length` unless this
+    #: is the response to a HEAD request.
     headers: tuple[tuple[bytes, bytes], ...] = ()
     #: Complete body.
     body: bytes = b''
@@ -328,16 +329,21 @@
     keep_alive: bool,
     has_body: bool = True,
 ) -> bytes:
-    """Return the response in wire form, with the length of its body."""
+    """Return the response in wire form, with the length of its body.
+
+    Without `has_body` it is the response to a HEAD request. Its length would
+    have to be that of the response to GET, which only the handler may know.
+    """
+    has_body = has_body and response.status not in _BODYLESS_STATUSES
     phrase = _PHRASE_BY_STATUS.get(response.status, 'Status')
     lines = [f'HTTP/1.1 {response.status} {phrase}\r\n'.encode()]
     for name, content in response.headers:
         lines.append(b'%s: %s\r\n' % (name, content))
-    if response.status not in _BODYLESS_STATUSES:
+    if has_body:
         lines.append(b'Content-Length: %d\r\n' % len(response.body))
     if not keep_alive:
         lines.append(b'Connection: close\r\n')
     lines.append(b'\r\n')
-    if has_body and response.status not in _BODYLESS_STATUSES:
+    if has_body:
         lines.append(response.body)
     return b''.join(lines)
--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -32,6 +32,8 @@
 #: have, so it is accepted in both forms.
 _LEAVING_NAMES = (b'server-leaving', b'x-jacinthcart-server-leaving')
 _RETRY_AFTER = b'retry-after'
+_CONTENT_LENGTH = b'content-length'
+_STATUS_NO_CONTENT = 204
 _STATUS_MISDIRECTED = 421
 #: Statuses that promise callers that the request has not run. In a response
 #: of a searcher, 421 alone states this without `_NOT_EXECUTED`.
@@ -49,7 +51,7 @@
         b'trailer',
         b'transfer-encoding',
         b'upgrade',
-        b'content-length',
+        _CONTENT_LENGTH,
         b'expect',
     ),
 )
@@ -134,11 +136,10 @@
     """Encode the answer to a served request."""
     if isinstance(answer, ServedAnswer):
         head = answer.response.head
-        headers = tuple(
-            (name, content)
-            for name, content in head.headers
-            if name not in _HOP_BY_HOP_HEADERS
-        )
+        dropped = set(_HOP_BY_HOP_HEADERS)
+        if request.method == 'HEAD' and head.status != _STATUS_NO_CONTENT:
+            dropped.remove(_CONTENT_LENGTH)
+        headers = tuple(one for one in head.headers if one[0] not in dropped)
         return RawResponse(head.status, headers, answer.response.body)
     return RawResponse(
         200,
--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -122,8 +122,13 @@
             raise MalformedResponseError(f'chunked body: {error}') from error
 
 
-def create_body(head: ParsedHead) -> BaseResponseBody:
-    """Return the empty body of a response; raise MalformedResponseError."""
+def create_body(head: ParsedHead, *, has_body: bool) -> BaseResponseBody:
+    """Return the empty body of a response; raise MalformedResponseError.
+
+    Without `has_body` the response ends with its head.
+    """
+    if not has_body:
+        return _LengthBody(0)
     if head.framing is BodyFraming.CHUNKED:
         return _ChunkedBody()
     if head.framing is BodyFraming.CLOSE:
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -281,7 +281,11 @@
         attempt.started_at = self.clock()
         # Nothing may be awaited between this and the send.
         attempt.begin_sending()
-        return await connection.exchange(message, context.request.request_id)
+        return await connection.exchange(
+            message,
+            context.request.request_id,
+            expects_body=context.request.method != 'HEAD',
+        )
 
     def _log_malformed_response(
         self, searcher: Searcher, error: MalformedResponseError
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 connections to searchers."""
 
 import dataclasses
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -51,8 +52,15 @@
 class _ResponseParser:
     """Collects the complete responses that arrive on a connection."""
 
-    def __init__(self, memory: ResponseMemory) -> None:
-        """Create a parser in its initial state."""
+    def __init__(
+        self,
+        memory: ResponseMemory,
+        has_body: Callable[[ResponseHead], bool],
+    ) -> None:
+        """Create a parser in its initial state.
+
+        `has_body` returns whether the body that a head announces follows it.
+        """
         self.complete: list[tuple[ResponseHead, bytes]] = []
         #: Why no further response can be read; None while one can.
         self.failure: OutcomeUnknownError | None = None
@@ -61,6 +69,7 @@
         self._heads = ResponseHeadParser()
         self._head: ParsedHead | None = None
         self._body: BaseResponseBody | None = None
+        self._has_body = has_body
         self._account = memory.open(self.discard)
 
     @property
@@ -122,7 +131,12 @@
                 return b''
             rest = self._heads.take_rest()
             self._head = head
-            self._body = create_body(head)
+            self._body = create_body(
+                head,
+                has_body=self._has_body(
+                    ResponseHead(head.status, head.headers)
+                ),
+            )
         self._complete_response()
         return rest
 
@@ -155,10 +169,12 @@
         self.is_usable = True
         self._stream = stream
         self._codec = codec
-        self._parser = _ResponseParser(memory)
+        self._parser = _ResponseParser(memory, self._has_body)
         self._socket = stream.extra(SocketAttribute.raw_socket)
         #: Ids of requests that this connection answered without success.
         self._failed_ids: set[str] = set()
+        #: Id of the request in progress if its response has no body.
+        self._bodyless_id: str | None = None
 
     def may_carry(self, request_id: str) -> bool:
         """Return whether a send of the request may use this connection.
@@ -174,15 +190,17 @@
         return not is_readable(self._socket)
 
     async def exchange(
-        self, message: bytes, request_id: str
+        self, message: bytes, request_id: str, *, expects_body: bool = True
     ) -> SearcherResponse:
         """Send a request and return its complete response.
 
-        Responses to other requests are skipped. Raise OutcomeUnknownError
+        `expects_body` is False for a HEAD request. Responses to other requests are skipped. Raise OutcomeUnknownError
         if no response to this request arrives; the connection is unusable
         afterwards.
         """
         self.is_usable = False
+        if not expects_body:
+            self._bodyless_id = request_id
         await self._send(message)
         for _ in range(_MAX_RESPONSES_READ):
             head, body = await self._receive()
@@ -225,7 +243,18 @@
             raise OutcomeUnknownError(f'receive: {error!r}') from error
         return b''
 
+    def _has_body(self, head: ResponseHead) -> bool:
+        # A late response to another request may arrive first.
+        request_id = self._bodyless_id
+        if request_id is None:
+            return True
+        return self._codec.find_request_id(head) != request_id
+
     def _is_reusable(self, response: SearcherResponse) -> bool:
+        # A late copy of a response without its body could not be told from
+        # one with a body, nor a body sent nevertheless from a next response.
+        if self._bodyless_id is not None:
+            return False
         parser = self._parser
         has_more = bool(parser.complete) or parser.is_in_response
         has_more = has_more or parser.failure is not None
--- a/jacinthcart_emulator/platform_searcher.py
+++ b/jacinthcart_emulator/platform_searcher.py
@@ -222,7 +222,9 @@
                 ),
             )
             await anyio.sleep(faults.service_s)
-        return await self._send_answer(stream, codec, request_id, statements)
+        return await self._send_answer(
+            stream, codec, request_id, statements, method=request.method
+        )
 
     def _record_arrival(self, request_id: str, *, is_shed: bool) -> None:
         faults = self.faults
@@ -243,6 +245,8 @@
         codec: h11.Connection,
         request_id: str,
         statements: list[_Header],
+        *,
+        method: bytes,
     ) -> bool:
         """Send the answer; return whether the connection stays open."""
         faults = self.faults
@@ -258,6 +262,7 @@
             body,
             *statements,
             stamp=stamp,
+            has_body=method != b'HEAD',
         )
         if self._draw_bool(faults.truncate_fraction):
             await stream.send(message[: len(message) // 2])
@@ -310,6 +315,7 @@
     body: bytes,
     *statements: _Header,
     stamp: str | None = None,
+    has_body: bool = True,
 ) -> bytes:
     """Encode a response; without `stamp` it is marked as not executed."""
     headers = [
@@ -322,7 +328,8 @@
     else:
         headers.append((_STAMP_HEADER.decode(), stamp))
     response = h11.Response(status_code=status, headers=headers)
+    content = h11.Data(body if has_body else b'')
     return b''.join(
         codec.send(event) or b''
-        for event in (response, h11.Data(body), h11.EndOfMessage())
+        for event in (response, content, h11.EndOfMessage())
     )
--- a/tests/front/test_response.py
+++ b/tests/front/test_response.py
@@ -20,3 +20,15 @@
         """Guards against a body that ends with the connection."""
         message = encode_response(RawResponse(200), keep_alive=True)
         self.assertIn(b'Content-Length: 0\r\n', message)
+
+    def test_response_to_head_has_neither_body_nor_own_length(self) -> None:
+        """Guards against a length that GET would not have, and a body."""
+        length = (b'Content-Length', b'7')
+        for headers in ((), (length,)):
+            message = encode_response(
+                RawResponse(200, headers, b'abc'),
+                keep_alive=True,
+                has_body=False,
+            )
+            self.assertEqual(message.count(b'Content-Length'), len(headers))
+            self.assertTrue(message.endswith(b'\r\n\r\n'))
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -113,6 +113,25 @@
 
         _run_scenario(scenario)
 
+    def test_connection_is_usable_after_a_head_request(self) -> None:
+        """Guards against a body that is taken for the next answer."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            head = _GET.replace(b'GET', b'HEAD')
+            close = b'GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+            await stream.send(head + close)
+            received = await _read_all(stream)
+            first, end, rest = received.partition(b'\r\n\r\n')
+            self.assertTrue(rest.startswith(b'HTTP/1.1 200 '), received)
+            self.assertTrue(rest.endswith(b'/b'))
+
+        _run_scenario(scenario)
+
     def test_disconnect_cancels_the_request(self) -> None:
         """Searchers must not work for a caller that has disconnected."""
 
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -268,6 +268,26 @@
 
         _run_scenario(scenario, DeploymentParameters(vms=1))
 
+    def test_head_request_gets_the_head_alone(self) -> None:
+        """Guards against waiting until the deadline for a body.
+
+        The caller learns the length that the searcher states and uses its
+        connection for further requests.
+        """
+
+        async def scenario(fixture: NodeFixture) -> None:
+            length = str(len(create_part('orders', '', 6)))
+            for method in ('HEAD', 'POST', 'HEAD', 'HEAD', 'POST'):
+                _, response = await fixture.send('/order/o', method=method)
+                self.assertEqual(response.status_code, 200)
+                self.assertEqual(response.headers['Content-Length'], length)
+                self.assertEqual(bool(response.content), method != 'HEAD')
+            _, merged = await fixture.send('/search/q', method='HEAD')
+            self.assertEqual(merged.status_code, 200)
+            self.assertEqual(merged.headers['X-Jacinthcart-Missing-Parts'], '0')
+
+        _run_scenario(scenario, DeploymentParameters(vms=1))
+
     def test_searchers_see_the_workspace_and_not_the_key(self) -> None:
         """The API key must not leave the VM."""
 
--- a/tests/routing/test_call.py
+++ b/tests/routing/test_call.py
@@ -90,7 +90,9 @@
         """Guards against a refusal as `not run` after bytes may have left."""
         seen = []
 
-        async def exchange(fixture: _Fixture, *arguments: Any) -> None:
+        async def exchange(
+            fixture: _Fixture, *arguments: Any, **keywords: Any
+        ) -> None:
             assert fixture.attempt is not None
             seen.append(fixture.attempt.may_have_run)
             fixture.client.cancel(fixture.attempt)
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -137,6 +137,8 @@
         self,
         message: bytes,
         request_id: str,
+        *,
+        expects_body: bool,
     ) -> SearcherResponse:
         """Return the searcher's response."""
         return await self._searcher.answer()
