Ignore Upgrade, refuse CONNECT and deadlines that are not finite

A caller's request with Connection: Upgrade and Upgrade: h2c or websocket, or with the method CONNECT, ended the process: httptools raises HttpParserUpgrade for it, which is no HttpParserError.

Upgrade is now ignored (RFC 9110, section 7.8). httptools takes all bytes after the head of such a request, its body included, for the other protocol; to go on from there would take a body for the next request. The head is therefore parsed again without Upgrade. CONNECT is answered with 501, and the connection closes. Fields that any of several Connection headers names, and HTTP2-Settings, aren't forwarded; before, only the first Connection header counted. A deadline of inf, nan or 400 digits is answered with 400: it passed as a number before.

The new tests failed before the fix: both of UpgradeTests with HttpParserUpgrade at the end of the server's task group, whole and byte by byte; those of the deadline and of a second Connection header with accepted values. A searcher's 101 with Upgrade is already a malformed response (tests.routing.test_malformed_responses), so nothing changed there.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -25,6 +25,7 @@
 _STATUS_BODY_TOO_LARGE = 413
 _STATUS_HEADERS_TOO_LARGE = 431
 _STATUS_INTERNAL_ERROR = 500
+_STATUS_NOT_IMPLEMENTED = 501
 _PHRASE_BY_STATUS = types.MappingProxyType(
     {one.value: one.phrase for one in http.HTTPStatus},
 )
@@ -113,7 +114,9 @@
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise httptools.HttpParserError."""
-        self._parser.feed_data(received)
+        rest = received
+        while rest and not self.violation_status:
+            rest = self._parse(rest)
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
@@ -147,9 +150,13 @@
             self.violation_status = _STATUS_BODY_TOO_LARGE
 
     def on_message_complete(self) -> None:
-        """Add the request to `completed` unless it exceeded a limit."""
+        """Add the request to `completed` unless it exceeded a limit.
+
+        A request that asks for another protocol is completed later, as the
+        parser takes all bytes after its head for that protocol.
+        """
         self.is_receiving = False
-        if self.violation_status:
+        if self.violation_status or self._parser.should_upgrade():
             return
         self.completed.append(
             RawRequest(
@@ -162,6 +169,35 @@
             ),
         )
 
+    def _parse(self, received: bytes) -> bytes:
+        """Parse bytes; return those that are still to be parsed."""
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade()
+            return received[upgrade.args[0] :]
+        return b''
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the last head again as if it did not ask for an upgrade.
+
+        A server may ignore `Upgrade` (RFC 9110, section 7.8). CONNECT is not
+        implemented.
+        """
+        method = self._parser.get_method()
+        if method == b'CONNECT':
+            self.violation_status = _STATUS_NOT_IMPLEMENTED
+            return
+        version = self._parser.get_http_version().encode()
+        lines = [b'%b %b HTTP/%b' % (method, self._target, version)]
+        lines.extend(
+            b'%b: %b' % header
+            for header in self._headers
+            if header[0] != b'upgrade'
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b'%b\r\n\r\n' % b'\r\n'.join(lines))
+
 
 class ServerConnection:
     """Reads the requests of one client and writes the responses in order.
--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -1,5 +1,6 @@
 """Translates HTTP headers and statuses of callers and searchers."""
 
+import math
 import types
 
 from jacinthcart.errors import (
@@ -51,6 +52,7 @@
         b'trailer',
         b'transfer-encoding',
         b'upgrade',
+        b'http2-settings',
         _CONTENT_LENGTH,
         b'expect',
     ),
@@ -98,11 +100,7 @@
 ) -> CallerRequest:
     target = raw.target.decode('ascii')
     key = first_by_name.get(_CREDENTIAL)
-    dropped = (
-        _HOP_BY_HOP_HEADERS
-        | _OWN_HEADERS
-        | _parse_connection_names(first_by_name)
-    )
+    dropped = _HOP_BY_HOP_HEADERS | _OWN_HEADERS | _parse_connection_names(raw)
     return CallerRequest(
         request_id=first_by_name[_REQUEST_ID].decode('ascii'),
         method=raw.method,
@@ -118,15 +116,22 @@
     )
 
 
-def _parse_connection_names(first_by_name: dict[bytes, bytes]) -> set[bytes]:
-    listed = first_by_name.get(b'connection', b'').split(b',')
-    return {token.strip().lower() for token in listed}
+def _parse_connection_names(raw: RawRequest) -> set[bytes]:
+    return {
+        token.strip().lower()
+        for name, content in raw.headers
+        if name == b'connection'
+        for token in content.split(b',')
+    }
 
 
 def _decode_deadline_s(content: bytes | None) -> float:
     if content is None:
         return _DEFAULT_DEADLINE_S
-    return max(0, float(content) / _MS_PER_S)
+    limit_s = float(content) / _MS_PER_S
+    if not math.isfinite(limit_s):
+        raise InvalidMessageError('the deadline is not a finite number')
+    return max(0, limit_s)
 
 
 def encode_answer(
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server over loopback sockets."""
 
 import functools
+import itertools
 import resource
 import socket
 import unittest
@@ -21,7 +22,22 @@
 from jacinthcart.telemetry import create_logger
 
 _GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+_LAST_GET = b'GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
 _ADDRESS = '127.0.0.1'
+_UPGRADES = (
+    b'Connection: Upgrade\r\nUpgrade: websocket\r\n',
+    b'Upgrade: h2c\r\nHTTP2-Settings: AAMA\r\n'
+    b'Connection: keep-alive, HTTP2-Settings, upgrade\r\n',
+)
+#: Requests with the body `abcde` or without one, each without its end of head.
+_BODIES = (
+    (b'', b''),
+    (b'Content-Length: 5\r\n', b'abcde'),
+    (
+        b'Transfer-Encoding: chunked\r\n',
+        b'3\r\nabc\r\n2\r\nde\r\n0\r\nUpgrade: h2c\r\n\r\n',
+    ),
+)
 
 
 class FakeHandler(BaseRequestHandler):
@@ -33,6 +49,7 @@
         self.gate.set()
         self.started = anyio.Event()
         self.bodies: list[bytes] = []
+        self.requests: list[RawRequest] = []
         self.cancelled = 0
 
     def get_limits(self) -> FrontLimits:
@@ -42,6 +59,7 @@
     async def handle(self, request: RawRequest) -> RawResponse:
         """Wait for the gate and answer with the target."""
         self.bodies.append(request.body)
+        self.requests.append(request)
         self.started.set()
         try:
             await self.gate.wait()
@@ -53,6 +71,23 @@
         return RawResponse(200, (), request.target)
 
 
+async def _exchange(
+    port: int, message: bytes, piece_bytes: int, first: bytes = b''
+) -> bytes:
+    """Send the message in pieces; return all until the server closes.
+
+    `first` is a request that is answered before the message is sent.
+    """
+    async with await anyio.connect_tcp(_ADDRESS, port) as stream:
+        if first:
+            await stream.send(first)
+            await stream.receive()
+        for start in range(0, len(message), piece_bytes):
+            await stream.send(message[start : start + piece_bytes])
+            await anyio.sleep(0)
+        return await _read_all(stream)
+
+
 Scenario = Callable[[FakeHandler, HttpServer, int], Awaitable[None]]
 
 
@@ -106,8 +141,7 @@
             port: int,
         ) -> None:
             stream = await anyio.connect_tcp(_ADDRESS, port)
-            close = b'GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
-            await stream.send(_GET + close)
+            await stream.send(_GET + _LAST_GET)
             received = await _read_all(stream)
             self.assertLess(received.index(b'/a'), received.index(b'/b'))
 
@@ -123,8 +157,7 @@
         ) -> None:
             stream = await anyio.connect_tcp(_ADDRESS, port)
             head = _GET.replace(b'GET', b'HEAD')
-            close = b'GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
-            await stream.send(head + close)
+            await stream.send(head + _LAST_GET)
             received = await _read_all(stream)
             first, end, rest = received.partition(b'\r\n\r\n')
             self.assertTrue(rest.startswith(b'HTTP/1.1 200 '), received)
@@ -312,3 +345,66 @@
             self.assertEqual(handler.bodies, [b'abcde'])
 
         _run_scenario(scenario)
+
+
+class UpgradeTests(unittest.TestCase):
+    """A switch of protocols that a caller asks for is ignored."""
+
+    def test_request_with_an_upgrade_is_answered_as_without_it(self) -> None:
+        """Guards against a request that ends the process.
+
+        Its body must not be taken for the next request, nor what follows for
+        bytes in the other protocol.
+        """
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            for upgrade, (field, body), before in itertools.product(
+                _UPGRADES, _BODIES, (b'', _GET)
+            ):
+                start = b'POST /u HTTP/1.1\r\nHost: h\r\n'
+                request = b'%b%b%b\r\n%b' % (start, upgrade, field, body)
+                message = b''.join((before, request, request, _LAST_GET))
+                for piece_bytes in (1, len(message)):
+                    handler.requests.clear()
+                    received = await _exchange(port, message, piece_bytes)
+                    self.assertEqual(
+                        received.count(b'HTTP/1.1 200 '), 3 + bool(before)
+                    )
+                    self._check(handler, b'abcde' if field else b'')
+
+        _run_scenario(scenario)
+
+    def test_connect_is_refused(self) -> None:
+        """Guards against a tunnel whose bytes are taken for requests."""
+        connect = b'CONNECT h:80 HTTP/1.1\r\nHost: h\r\n%b\r\n'
+        fields = (b'', b'Content-Length: 5\r\n', *_UPGRADES)
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            for field, first in itertools.product(fields, (b'', _GET)):
+                message = connect % field
+                # What follows is sent at once with the head: the server may
+                # have closed the connection before a later piece.
+                for sent, piece_bytes in ((message, 1), (message + _GET, 4096)):
+                    handler.requests.clear()
+                    received = await _exchange(port, sent, piece_bytes, first)
+                    self.assertTrue(received.startswith(b'HTTP/1.1 501 '))
+                    self.assertIn(b'Connection: close', received)
+                    self.assertEqual(len(handler.requests), bool(first))
+
+        _run_scenario(scenario)
+
+    def _check(self, handler: FakeHandler, body: bytes) -> None:
+        *_, first, second, last = handler.requests
+        self.assertEqual(last.target, b'/b')
+        for request in (first, second):
+            self.assertEqual((request.method, request.body), ('POST', body))
+            names = [name for name, _ in request.headers]
+            self.assertEqual(names.count(b'host'), 1)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -50,6 +50,20 @@
         names = {name for name, _ in request.headers}
         self.assertEqual(names, {b'host', b'x-jacinthcart-request-id'})
 
+    def test_every_connection_header_counts(self) -> None:
+        """Guards against forwarding what a second one lists."""
+        request = decode_request(
+            create_raw(
+                (b'connection', b'keep-alive'),
+                (b'connection', b'X-Own,Upgrade'),
+                (b'upgrade', b'h2c'),
+                (b'http2-settings', b'AAMA'),
+                (b'x-own', b'1'),
+            ),
+        )
+        names = {name for name, _ in request.headers}
+        self.assertEqual(names, {b'host', b'x-jacinthcart-request-id'})
+
     def test_callers_can_not_set_the_workspace(self) -> None:
         """Guards against callers that act as another workspace."""
         request = decode_request(create_raw((b'x-jacinthcart-tenant', b'evil')))
@@ -65,12 +79,13 @@
     def test_unreadable_deadline_is_an_error(self) -> None:
         """A malformed number must not be replaced by a default."""
         raw = create_raw()
-        headers = tuple(
-            (name, b'soon' if name.endswith(b'-ms') else content)
-            for name, content in raw.headers
-        )
-        with self.assertRaises(InvalidMessageError):
-            decode_request(RawRequest('GET', b'/', headers, b'', 0, True))
+        for deadline in (b'soon', b'inf', b'-inf', b'nan', b'9' * 400):
+            headers = tuple(
+                (name, deadline if name.endswith(b'-ms') else content)
+                for name, content in raw.headers
+            )
+            with self.assertRaises(InvalidMessageError, msg=deadline):
+                decode_request(RawRequest('GET', b'/', headers, b'', 0, True))
 
 
 class SearcherCodecTests(unittest.TestCase):
