Let an error in one attempt end that attempt alone

An error in recording the outcome of an attempt, or in the request that handles it, was raised outside the try block of the attempt. It ended the task group of the client and with it the process.

An error in recording an outcome now makes it an unknown one, which is not sent again if the request may run only once. After an error in handling an outcome the request cancels its sends and fails as one that may have run. Both are logged and counted as internal_error.

The two new tests of tests.routing.test_call and the one of tests.serving.test_refusals ended with the error in the task group before the fix.

--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -19,12 +19,13 @@
     estimate_cost_s,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
-from jacinthcart.routing._outcome import Outcome, OutcomeKind
+from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
 from jacinthcart.routing._table import RoutingTable
 
 __all__ = [
+    'INTERNAL_ERROR',
     'Attempt',
     'BaseSearcherCodec',
     'BudgetParameters',
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -19,7 +19,7 @@
     SearcherResponse,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
-from jacinthcart.routing._outcome import Outcome, OutcomeKind
+from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._table import RoutingTable
@@ -55,7 +55,8 @@
 class Attempt:
     """One send of a request to a searcher.
 
-    It calls its listener once, after the outcome is set.
+    It calls its listener once, after the outcome is set. An error that the
+    listener raises is logged.
     """
 
     def __init__(
@@ -203,25 +204,38 @@
         context: CallContext,
         health: SearcherHealth,
     ) -> None:
+        # A bug that one attempt triggers must not end the other attempts.
+        try:
+            outcome = await self._send_in_scope(attempt, context, health)
+            self._record_outcome(attempt, context, health, outcome)
+        except Exception as error:
+            self._record_internal_error('send failed', error)
+            outcome = INTERNAL_ERROR
+        self._metrics.count('searcher', outcome.kind.value)
+        try:
+            attempt.end(outcome)
+        except Exception as listener_error:
+            self._record_internal_error('outcome not handled', listener_error)
+
+    async def _send_in_scope(
+        self,
+        attempt: Attempt,
+        context: CallContext,
+        health: SearcherHealth,
+    ) -> Outcome:
         outcome = Outcome(
             OutcomeKind.UNKNOWN, 'cancelled', affects_health=False
         )
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, context)
-        except Exception as error:
-            # A bug that one attempt triggers must not end the other attempts.
-            self._metrics.count('searcher', 'internal_error')
-            self._logger.error('send failed', error=repr(error))
-            outcome = Outcome(
-                OutcomeKind.UNKNOWN,
-                'internal error',
-                affects_health=False,
-            )
         finally:
             health.started_at_by_attempt.pop(attempt.number, None)
-        self._record_outcome(attempt, context, health, outcome)
-        attempt.end(outcome)
+        return outcome
+
+    def _record_internal_error(self, event: str, error: Exception) -> None:
+        self._metrics.count('searcher', 'internal_error')
+        self._logger.error(event, error=repr(error))
 
     async def _send(self, attempt: Attempt, context: CallContext) -> Outcome:
         searcher = attempt.searcher
@@ -322,7 +336,6 @@
         health: SearcherHealth,
         outcome: Outcome,
     ) -> None:
-        self._metrics.count('searcher', outcome.kind.value)
         response = outcome.response
         if response is None:
             if outcome.affects_health:
--- a/jacinthcart/routing/_outcome.py
+++ b/jacinthcart/routing/_outcome.py
@@ -35,3 +35,9 @@
     def is_success(self) -> bool:
         """Return whether there is a response and it is a success."""
         return self.response is not None and self.response.is_success
+
+
+#: Outcome of an attempt that an error in this process has ended.
+INTERNAL_ERROR = Outcome(
+    OutcomeKind.UNKNOWN, 'internal error', affects_health=False
+)
--- a/jacinthcart/serving/_service_run.py
+++ b/jacinthcart/serving/_service_run.py
@@ -5,6 +5,7 @@
 
 from jacinthcart.catalogue import Searcher
 from jacinthcart.routing import (
+    INTERNAL_ERROR,
     Attempt,
     CallContext,
     ExtraSendBudget,
@@ -57,6 +58,7 @@
         #: Ended sends of which at least one byte was sent.
         self._delivered = 0
         self._has_hedged = False
+        self._has_internal_error = False
         self._last_outcome = Outcome(OutcomeKind.NOT_RUN, 'not sent')
         self._target_at = context.request.received_at + context.route.target_s
 
@@ -68,7 +70,9 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether any searcher may have run the request."""
-        return any(attempt.may_have_run for attempt in self._attempts)
+        return self._has_internal_error or any(
+            attempt.may_have_run for attempt in self._attempts
+        )
 
     def describe(self) -> str:
         """Return why there is no successful response, for logs."""
@@ -148,6 +152,20 @@
         self._send(searcher)
 
     def _on_end(self, attempt: Attempt) -> None:
+        try:
+            self._handle_end(attempt)
+        except Exception:
+            # The state may be inconsistent, so the request ends, and no send
+            # counts as not run.
+            self.cancel()
+            self._has_internal_error = True
+            self.response = None
+            self.failure = INTERNAL_ERROR
+            raise
+        finally:
+            self._on_change()
+
+    def _handle_end(self, attempt: Attempt) -> None:
         outcome = attempt.outcome
         if attempt in self._pending:
             self._pending.remove(attempt)
@@ -161,15 +179,10 @@
         if outcome.is_success:
             self.response = outcome.response
             self.abandon()
-        else:
-            self._handle_failure(outcome)
-        self._on_change()
-
-    def _handle_failure(self, outcome: Outcome) -> None:
-        is_idempotent = self._context.route.is_idempotent
+            return
         if outcome.kind is not OutcomeKind.NOT_RUN:
             self._executions += 1
-            if not is_idempotent:
+            if not self._context.route.is_idempotent:
                 self.failure = outcome
                 return
         if not self._pending:
--- a/tests/routing/test_call.py
+++ b/tests/routing/test_call.py
@@ -6,18 +6,22 @@
 
 import anyio
 
+from jacinthcart.errors import OutcomeUnknownError
 from jacinthcart.program import Clock
 from jacinthcart.routing import (
     Attempt,
     BaseSearcherCodec,
     CallContext,
     HealthTracker,
+    OutcomeKind,
     QuantileTracker,
+    ResponseHead,
     RoutingTable,
     SearcherClient,
     SearcherPools,
+    SearcherResponse,
 )
-from jacinthcart.telemetry import Metrics, create_logger
+from jacinthcart.telemetry import Metrics
 from tests.support import (
     create_request,
     create_route,
@@ -32,6 +36,9 @@
     def __init__(self, clock: Clock) -> None:
         """Create a client that is not running."""
         self.connection = mock.Mock(exchange=mock.AsyncMock())
+        self.metrics = Metrics()
+        self.logger = mock.Mock()
+        self.on_end = mock.Mock()
         self.pools = mock.create_autospec(SearcherPools, instance=True)
         self.pools.acquire.return_value = self.connection
         health_tracker = HealthTracker(clock)
@@ -45,8 +52,8 @@
             QuantileTracker(),
             mock.create_autospec(BaseSearcherCodec, instance=True),
             clock,
-            Metrics(),
-            create_logger('test'),
+            self.metrics,
+            self.logger,
         )
         self.attempt: Attempt | None = None
 
@@ -60,7 +67,7 @@
             tasks.start_soon(self.client.run)
             await anyio.sleep(0.1)
             self.attempt = self.client.start(
-                context, create_searcher('s'), mock.Mock()
+                context, create_searcher('s'), self.on_end
             )
             await anyio.sleep(0.5)
             tasks.cancel_scope.cancel()
@@ -102,6 +109,44 @@
         self.assertEqual(seen, [True])
         self.assertTrue(attempt.may_have_run)
 
+    def test_error_in_recording_an_outcome_is_an_unknown_outcome(self) -> None:
+        """Guards against an error that ends all attempts of the process."""
+
+        async def exchange(
+            fixture: _Fixture, *arguments: Any, **keywords: Any
+        ) -> SearcherResponse:
+            head = ResponseHead(503, ())
+            return SearcherResponse(head, b'', None, True, None, None, False)
+
+        with mock.patch.object(
+            HealthTracker, 'record_shed', side_effect=ValueError
+        ):
+            fixture, attempt = run_in_virtual_time(_run, None, exchange)
+        fixture.on_end.assert_called_once_with(attempt)
+        self.assertIs(attempt.outcome.kind, OutcomeKind.UNKNOWN)
+        self.assertTrue(attempt.may_have_run)
+        self._check_error(fixture)
+
+    def test_error_of_a_listener_ends_no_other_attempt(self) -> None:
+        """Guards against an error that ends all attempts of the process."""
+
+        async def exchange(
+            fixture: _Fixture, *arguments: Any, **keywords: Any
+        ) -> None:
+            fixture.on_end.side_effect = ValueError
+            raise OutcomeUnknownError('connection closed')
+
+        fixture, attempt = run_in_virtual_time(_run, None, exchange)
+        fixture.on_end.assert_called_once_with(attempt)
+        self._check_error(fixture)
+
+    def _check_error(self, fixture: _Fixture) -> None:
+        self.assertEqual(
+            fixture.metrics.counts_by_key,
+            {('searcher', 'internal_error'): 1, ('searcher', 'unknown'): 1},
+        )
+        fixture.logger.error.assert_called_once()
+
 
 async def _run(acquire: Any, exchange: Any) -> tuple[_Fixture, Attempt]:
     fixture = _Fixture(anyio.current_time)
--- a/tests/serving/test_refusals.py
+++ b/tests/serving/test_refusals.py
@@ -1,10 +1,11 @@
 """Tests of what refusals say about requests that got no response."""
 
 import random
-import unittest
+from unittest import TestCase, mock
 
 from jacinthcart.catalogue import Route
 from jacinthcart.errors import Ran
+from jacinthcart.routing import ExtraSendBudget, HealthTracker
 from tests.serving.support import (
     Load,
     QueuedSearcher,
@@ -22,7 +23,7 @@
 )
 
 
-class RefusalTests(unittest.TestCase):
+class RefusalTests(TestCase):
     """A refusal says `not run` exactly if no searcher got the request."""
 
     def test_request_that_waits_for_a_connection_has_not_run(self) -> None:
@@ -49,6 +50,24 @@
             self.assertGreater(arrivals, 0)
             self._check(results, Ran.NOT_RUN)
 
+    def test_error_in_an_attempt_ends_its_request_alone(self) -> None:
+        """Guards against an error in one attempt that ends the process.
+
+        The errors arise while an outcome is recorded and while the request
+        handles it. Neither may lead to another send of a request that may run
+        only once, nor to its refusal as `not run`.
+        """
+        for route in _ROUTES:
+            for owner, name in (
+                (HealthTracker, 'record_shed'),
+                (ExtraSendBudget, 'take'),
+            ):
+                with mock.patch.object(owner, name, side_effect=ValueError):
+                    results, arrivals = _play(route, refused_fraction=1)
+                self._check(results, Ran.UNKNOWN)
+                if not route.is_idempotent:
+                    self.assertEqual(arrivals, results.total)
+
     def _check(self, results: Results, ran: Ran) -> None:
         self.assertEqual(results.refused, results.total)
         self.assertEqual(set(results.ran), {ran})
