Write interim responses in the task that writes the others

A caller that sent Expect: 100-continue while the response to its previous request was still being written ended the process: the reading task wrote to the connection, too, and anyio raised BusyResourceError. A play with a response of 20 MB that the caller did not read showed it.

The task that writes the responses now writes 100 as well, after the responses to earlier requests and only while the body is awaited. The same play ends without an error.

test_interim_response_follows_the_response_before_it failed before the fix: 100 came before the response to the earlier request. The other new test passed before; it fails if the expectation outlives its request.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -104,6 +104,8 @@
         self.is_receiving = False
         self.header_bytes = 0
         self.body_bytes = 0
+        #: Whether the client waits for an interim response before it sends the
+        #: body of the request in progress.
         self.expects_continue = False
         self._clock = clock
         self._get_limits = get_limits
@@ -156,6 +158,7 @@
         parser takes all bytes after its head for that protocol.
         """
         self.is_receiving = False
+        self.expects_continue = False
         if self.violation_status or self._parser.should_upgrade():
             return
         self.completed.append(
@@ -277,6 +280,7 @@
                 return None
             if self._is_disconnected:
                 return None
+            await self._write_continue()
             is_receiving = self._parser.is_receiving
             wait_s = limits.header_timeout_s if is_receiving else idle_s
             if not await self._wait_for_change(wait_s):
@@ -287,6 +291,13 @@
                 return None
         return self._parser.completed.pop(0)
 
+    async def _write_continue(self) -> None:
+        # Only the task that writes the responses writes to the stream, so that
+        # this comes after the responses to earlier requests.
+        if self._parser.expects_continue:
+            self._parser.expects_continue = False
+            await self._send(_CONTINUE)
+
     async def _wait_for_change(self, wait_s: float) -> bool:
         with anyio.move_on_after(wait_s):
             await self._changed.wait()
@@ -327,9 +338,6 @@
                 received = await self._stream.receive(_RECEIVE_BYTES)
                 self._parser.feed(received)
                 self._error_status = self._parser.violation_status
-                if self._parser.expects_continue:
-                    self._parser.expects_continue = False
-                    await self._stream.send(_CONTINUE)
                 self._changed.set()
         except httptools.HttpParserError:
             self._error_status = _STATUS_BAD_REQUEST
@@ -346,9 +354,11 @@
         keep_alive: bool,
         has_body: bool = True,
     ) -> bool:
-        message = encode_response(
-            response, keep_alive=keep_alive, has_body=has_body
+        return await self._send(
+            encode_response(response, keep_alive=keep_alive, has_body=has_body)
         )
+
+    async def _send(self, message: bytes) -> bool:
         is_sent = False
         try:
             with anyio.move_on_after(_SEND_TIMEOUT_S):
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -23,6 +23,11 @@
 
 _GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 _LAST_GET = b'GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+_EXPECTING = (
+    b'POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n'
+    b'Content-Length: 5\r\n\r\n'
+)
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _ADDRESS = '127.0.0.1'
 _UPGRADES = (
     b'Connection: Upgrade\r\nUpgrade: websocket\r\n',
@@ -347,6 +352,56 @@
         _run_scenario(scenario)
 
 
+class ExpectationTests(unittest.TestCase):
+    """A caller that waits before it sends a body is told to go on."""
+
+    def test_interim_response_follows_the_response_before_it(self) -> None:
+        """Guards against two tasks that write to a connection.
+
+        The second one raised an error that ended the process.
+        """
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            handler.gate = anyio.Event()
+            async with await anyio.connect_tcp(_ADDRESS, port) as stream:
+                await stream.send(_GET + _EXPECTING)
+                await handler.started.wait()
+                handler.gate.set()
+                received = b''
+                while _CONTINUE not in received:
+                    received += await stream.receive()
+                self.assertTrue(received.startswith(b'HTTP/1.1 200 '))
+                await stream.send(b'abcde')
+                answer = await stream.receive()
+                self.assertTrue(answer.startswith(b'HTTP/1.1 200 '))
+            self.assertEqual(handler.bodies, [b'', b'abcde'])
+
+        _run_scenario(scenario)
+
+    def test_no_interim_response_after_the_body(self) -> None:
+        """Guards against bytes that belong to no request."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            async with await anyio.connect_tcp(_ADDRESS, port) as stream:
+                await stream.send(b'%babcde' % _EXPECTING)
+                received = await stream.receive()
+                await stream.send(_LAST_GET)
+                received += await _read_all(stream)
+            _, _, after = received.partition(b'HTTP/1.1 200 ')
+            self.assertIn(b'HTTP/1.1 200 ', after)
+            self.assertNotIn(_CONTINUE, after)
+
+        _run_scenario(scenario)
+
+
 class UpgradeTests(unittest.TestCase):
     """A switch of protocols that a caller asks for is ignored."""
 
