--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -194,9 +194,9 @@
     ) -> SearcherResponse:
         """Send a request and return its complete response.
 
-        `expects_body` is False for a HEAD request. Responses to other requests are skipped. Raise OutcomeUnknownError
-        if no response to this request arrives; the connection is unusable
-        afterwards.
+        `expects_body` is False for a HEAD request. Responses to other requests
+        are skipped. Raise OutcomeUnknownError if no response to this request
+        arrives; the connection is unusable afterwards.
         """
         self.is_usable = False
         if not expects_body:
