Refuse a head, chunk or trailer that does not end

The limit of a head was checked after each complete header only, so a target, header, chunk extension or trailer without an end grew until the caller stopped: 6.5 MB of each were accepted with a limit of 16 KB.

All that arrives since the last complete part of a request, and the target, now count.

test_head_or_trailer_without_an_end_is_refused failed before the fix (no violation). The other two new tests passed before: one keeps the limit from depending on the pieces in which a head arrives, the other keeps requests of unclear length with Upgrade at 400.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -110,6 +110,8 @@
         self._clock = clock
         self._get_limits = get_limits
         self._parser: Any = httptools.HttpRequestParser(self)
+        #: Bytes received since the last complete part of a request.
+        self._pending_bytes = 0
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
@@ -122,6 +124,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        self._pending_bytes = 0
         self.is_receiving = True
         self.header_bytes = 0
         self.body_bytes = 0
@@ -131,21 +134,24 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
+        self._pending_bytes = 0
         self._target += url
         self.header_bytes += len(url)
+        self._check_header_limit(self.header_bytes)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header and check the header limit."""
+        self._pending_bytes = 0
         lowered = name.lower()
         self.header_bytes += len(name) + len(content) + 4
         self._headers.append((lowered, content))
-        if self.header_bytes > self._get_limits().max_header_bytes:
-            self.violation_status = _STATUS_HEADERS_TOO_LARGE
+        self._check_header_limit(self.header_bytes)
         if lowered == b'expect' and content.lower() == b'100-continue':
             self.expects_continue = True
 
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body and check the body limit."""
+        self._pending_bytes = 0
         self.body_bytes += len(chunk)
         self._chunks.append(chunk)
         if self.body_bytes > self._get_limits().max_body_bytes:
@@ -157,6 +163,7 @@
         A request that asks for another protocol is completed later, as the
         parser takes all bytes after its head for that protocol.
         """
+        self._pending_bytes = 0
         self.is_receiving = False
         self.expects_continue = False
         if self.violation_status or self._parser.should_upgrade():
@@ -174,13 +181,20 @@
 
     def _parse(self, received: bytes) -> bytes:
         """Parse bytes; return those that are still to be parsed."""
+        self._pending_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade as upgrade:
             self._ignore_upgrade()
             return received[upgrade.args[0] :]
+        # The parser holds a header until it is complete.
+        self._check_header_limit(self._pending_bytes)
         return b''
 
+    def _check_header_limit(self, held_bytes: int) -> None:
+        if held_bytes > self._get_limits().max_header_bytes:
+            self.violation_status = _STATUS_HEADERS_TOO_LARGE
+
     def _ignore_upgrade(self) -> None:
         """Parse the last head again as if it did not ask for an upgrade.
 
--- /dev/null
+++ b/tests/front/test_parser.py
@@ -0,0 +1,51 @@
+"""Tests of the parser of requests."""
+
+import unittest
+
+from jacinthcart.catalogue import FrontLimits
+from jacinthcart.front._connection import _RequestParser
+
+_LIMIT_BYTES = 1024
+_PIECE = b'x' * 64
+_START = b'POST /u HTTP/1.1\r\nHost: h\r\n'
+_CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n0' % _START
+#: Starts of requests that end in the target, a header name, a header, a chunk
+#: and the trailer.
+_STARTS = (
+    b'GET /',
+    _START,
+    b'%bX: ' % _START,
+    b'%b;' % _CHUNKED,
+    b'%b\r\nX: ' % _CHUNKED,
+)
+
+
+class RequestParserTests(unittest.TestCase):
+    """The parser holds no more of a request than the limits allow."""
+
+    def test_head_or_trailer_without_an_end_is_refused(self) -> None:
+        """Guards against memory that grows with all that a caller sends."""
+        for start in _STARTS:
+            parser = _create_parser()
+            parser.feed(start)
+            for _ in range(2 * _LIMIT_BYTES // len(_PIECE)):
+                parser.feed(_PIECE)
+            self.assertEqual(parser.violation_status, 431, start)
+
+    def test_head_of_the_greatest_size_is_accepted_in_pieces(self) -> None:
+        """Guards against a limit that depends on how a head arrives."""
+        # Each header counts with 4 bytes besides its name and content.
+        counted = len(b'/u') + len(b'Host') + len(b'h') + len(b'X') + 8
+        content = b'x' * (_LIMIT_BYTES - counted)
+        message = b'%bX: %b\r\n\r\n' % (_START, content)
+        for piece_bytes in (1, len(message)):
+            parser = _create_parser()
+            for start in range(0, 2 * len(message), piece_bytes):
+                parser.feed((message * 2)[start : start + piece_bytes])
+            self.assertEqual(parser.violation_status, 0)
+            self.assertEqual(len(parser.completed), 2)
+
+
+def _create_parser() -> _RequestParser:
+    limits = FrontLimits(_LIMIT_BYTES, 2048, 0.3, 5)
+    return _RequestParser(float, lambda: limits)
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -34,6 +34,7 @@
     b'Upgrade: h2c\r\nHTTP2-Settings: AAMA\r\n'
     b'Connection: keep-alive, HTTP2-Settings, upgrade\r\n',
 )
+_START = b'POST /u HTTP/1.1\r\nHost: h\r\n'
 #: Requests with the body `abcde` or without one, each without its end of head.
 _BODIES = (
     (b'', b''),
@@ -352,6 +353,36 @@
         _run_scenario(scenario)
 
 
+class MalformedRequestTests(unittest.TestCase):
+    """A request that others could read in another way is refused."""
+
+    def test_unclear_length_with_an_upgrade_is_refused(self) -> None:
+        """Guards against a body that is taken for the next request."""
+        chunked = b'Transfer-Encoding: chunked\r\n'
+        length = b'Content-Length: 5\r\n'
+        fields = (
+            (chunked, length),
+            (length, chunked),
+            (length, b'Content-Length: 50\r\n'),
+            (b'Transfer-Encoding: chunked, gzip\r\n',),
+        )
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            for upgrade, lengths in itertools.product(_UPGRADES, fields):
+                head = b''.join((_START, upgrade, *lengths, b'\r\n'))
+                received = await _exchange(
+                    port, b'%b0\r\n\r\n%b' % (head, _LAST_GET), 4096
+                )
+                self.assertTrue(received.startswith(b'HTTP/1.1 400 '))
+                self.assertEqual(handler.requests, [])
+
+        _run_scenario(scenario)
+
+
 class ExpectationTests(unittest.TestCase):
     """A caller that waits before it sends a body is told to go on."""
 
@@ -420,8 +451,7 @@
             for upgrade, (field, body), before in itertools.product(
                 _UPGRADES, _BODIES, (b'', _GET)
             ):
-                start = b'POST /u HTTP/1.1\r\nHost: h\r\n'
-                request = b'%b%b%b\r\n%b' % (start, upgrade, field, body)
+                request = b'%b%b%b\r\n%b' % (_START, upgrade, field, body)
                 message = b''.join((before, request, request, _LAST_GET))
                 for piece_bytes in (1, len(message)):
                     handler.requests.clear()
