Keep the idle time of a connection that was not used

An attempt that ended before it sent anything, because it was cancelled or its deadline had passed, gave its connection back to the pool as one that was just used. The idle timeout that the searcher had announced was replaced by the default, and a request that may run only once could be sent on a connection that the searcher was about to close.

Only an exchange renews these times now. test_connection_that_was_not_used_is_not_recent failed before the fix: no new connection was opened.

--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -167,6 +167,9 @@
         self.used_at = now
         self.idle_until = now
         self.is_usable = True
+        #: Whether this was opened or carried a request since it was last put
+        #: into its pool.
+        self.was_used = True
         self._stream = stream
         self._codec = codec
         self._parser = _ResponseParser(memory, self._has_body)
@@ -199,6 +202,7 @@
         arrives; the connection is unusable afterwards.
         """
         self.is_usable = False
+        self.was_used = True
         if not expects_body:
             self._bodyless_id = request_id
         await self._send(message)
@@ -316,14 +320,8 @@
         if not connection.is_usable:
             await connection.close()
             return
-        now = self._clock()
-        idle_s = self._params.idle_timeout_s
-        if idle_timeout_s is not None:
-            idle_s = min(
-                idle_s, idle_timeout_s * self._params.idle_timeout_fraction
-            )
-        connection.used_at = now
-        connection.idle_until = now + idle_s
+        if connection.was_used:
+            self._renew(connection, idle_timeout_s)
         idle = self._idle_by_process.setdefault(searcher.process, [])
         idle.append(connection)
 
@@ -352,6 +350,19 @@
             while idle:
                 await idle.pop().close()
 
+    def _renew(
+        self, connection: SearcherConnection, idle_timeout_s: float | None
+    ) -> None:
+        now = self._clock()
+        idle_s = self._params.idle_timeout_s
+        if idle_timeout_s is not None:
+            idle_s = min(
+                idle_s, idle_timeout_s * self._params.idle_timeout_fraction
+            )
+        connection.used_at = now
+        connection.idle_until = now + idle_s
+        connection.was_used = False
+
     def _is_reusable(
         self, connection: SearcherConnection, *, at_most_once: bool
     ) -> bool:
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         """Create a usable connection."""
         self.is_usable = True
+        self.was_used = True
         self.used_at = 0.0
         self.idle_until = 0.0
 
@@ -83,6 +84,33 @@
         taken.append(await pools.acquire(searcher, 'id', at_most_once=False))
         return [id(one) for one in taken]
 
+    def test_connection_that_was_not_used_is_not_recent(self) -> None:
+        """Guards against a request on a connection that is about to be closed.
+
+        An attempt that was cancelled before it sent anything made its
+        connection count as used. One that had been idle for long carried a
+        request that may run only once.
+        """
+        run_in_virtual_time(self._return_unused)
+
+    async def _return_unused(self) -> None:
+        searcher = create_searcher('a')
+        pools = SearcherPools(
+            None,  # type: ignore[arg-type]
+            anyio.current_time,
+            ConnectionParameters(idle_timeout_s=1, at_most_once_idle_s=0.4),
+        )
+        connection = FakeConnection()
+        await pools.release(searcher, connection, None)  # type: ignore[arg-type]
+        for at_most_once in (False, True):
+            await anyio.sleep(0.3)
+            with mock.patch.object(pools, '_open') as opened:
+                taken = await pools.acquire(
+                    searcher, 'id', at_most_once=at_most_once
+                )
+            self.assertIs(opened.called, at_most_once)
+            await pools.release(searcher, taken, None)
+
 
 class _ScriptedStream:
     """Stream whose peer sends the given chunks."""
