--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -50,6 +50,20 @@
         names = {name for name, _ in request.headers}
         self.assertEqual(names, {b'host', b'x-jacinthcart-request-id'})
 
+    def test_every_connection_header_counts(self) -> None:
+        """Guards against forwarding what a second one lists."""
+        request = decode_request(
+            create_raw(
+                (b'connection', b'keep-alive'),
+                (b'connection', b'X-Own,Upgrade'),
+                (b'upgrade', b'h2c'),
+                (b'http2-settings', b'AAMA'),
+                (b'x-own', b'1'),
+            ),
+        )
+        names = {name for name, _ in request.headers}
+        self.assertEqual(names, {b'host', b'x-jacinthcart-request-id'})
+
     def test_callers_can_not_set_the_workspace(self) -> None:
         """Guards against callers that act as another workspace."""
         request = decode_request(create_raw((b'x-jacinthcart-tenant', b'evil')))
@@ -65,12 +79,13 @@
     def test_unreadable_deadline_is_an_error(self) -> None:
         """A malformed number must not be replaced by a default."""
         raw = create_raw()
-        headers = tuple(
-            (name, b'soon' if name.endswith(b'-ms') else content)
-            for name, content in raw.headers
-        )
-        with self.assertRaises(InvalidMessageError):
-            decode_request(RawRequest('GET', b'/', headers, b'', 0, True))
+        for deadline in (b'soon', b'inf', b'-inf', b'nan', b'9' * 400):
+            headers = tuple(
+                (name, deadline if name.endswith(b'-ms') else content)
+                for name, content in raw.headers
+            )
+            with self.assertRaises(InvalidMessageError, msg=deadline):
+                decode_request(RawRequest('GET', b'/', headers, b'', 0, True))
 
 
 class SearcherCodecTests(unittest.TestCase):
@@ -98,6 +113,19 @@
         response = self.codec.decode_response(ResponseHead(421, ()), b'')
         self.assertTrue(response.is_not_run)
 
+    def test_only_some_failures_may_be_passed_on(self) -> None:
+        """Guards against a promise to callers that no searcher made."""
+        not_executed = ((b'x-jacinthcart-not-executed', b'1'),)
+        for status in (302, 400, 404, 500, 504):
+            response = self.codec.decode_response(ResponseHead(status, ()), b'')
+            self.assertTrue(response.is_failure, status)
+        for status in (408, 429, 503):
+            for headers in ((), not_executed):
+                head = ResponseHead(status, headers)
+                response = self.codec.decode_response(head, b'')
+                self.assertFalse(response.is_failure, status)
+                self.assertIs(response.is_not_run, bool(headers))
+
     def test_repeated_id_or_stamp_does_not_count(self) -> None:
         """Guards against a response of which two requests could be meant."""
         head = ResponseHead(
