--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -19,7 +19,7 @@
     SearcherResponse,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
-from jacinthcart.routing._outcome import Outcome, OutcomeKind
+from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._table import RoutingTable
@@ -57,7 +57,8 @@
 class Attempt:
     """One send of a request to a searcher.
 
-    It calls its listener once, after the outcome is set.
+    It calls its listener once, after the outcome is set. An error that the
+    listener raises is logged.
     """
 
     def __init__(
@@ -76,8 +77,31 @@
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
         self.scope = anyio.CancelScope()
+        self._may_be_sent = False
         self._on_end: Callable[[Attempt], None] | None = on_end
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the searcher may have run the request.
+
+        Once the attempt is cancelled, this no longer changes from False.
+        """
+        is_not_run = (
+            self.outcome is not None
+            and self.outcome.kind is OutcomeKind.NOT_RUN
+        )
+        return self._may_be_sent and not is_not_run
+
+    def begin_sending(self) -> None:
+        """Record that bytes of the request may be sent from now on.
+
+        Raise NotSentError if the attempt has been cancelled: the request may
+        have been refused as not run.
+        """
+        if self.scope.cancel_called:
+            raise NotSentError('cancelled')
+        self._may_be_sent = True
+
     def end(self, outcome: Outcome) -> None:
         """Set the outcome and call the listener."""
         self.outcome = outcome
@@ -197,25 +221,38 @@
         context: CallContext,
         health: SearcherHealth,
     ) -> None:
+        # A bug that one attempt triggers must not end the other attempts.
+        try:
+            outcome = await self._send_in_scope(attempt, context, health)
+            self._record_outcome(attempt, context, health, outcome)
+        except Exception as error:
+            self._record_internal_error('send failed', error)
+            outcome = INTERNAL_ERROR
+        self._metrics.count('searcher', outcome.kind.value)
+        try:
+            attempt.end(outcome)
+        except Exception as listener_error:
+            self._record_internal_error('outcome not handled', listener_error)
+
+    async def _send_in_scope(
+        self,
+        attempt: Attempt,
+        context: CallContext,
+        health: SearcherHealth,
+    ) -> Outcome:
         outcome = Outcome(
             OutcomeKind.UNKNOWN, 'cancelled', affects_health=False
         )
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, context)
-        except Exception as error:
-            # A bug that one attempt triggers must not end the other attempts.
-            self._metrics.count('searcher', 'internal_error')
-            self._logger.error('send failed', error=repr(error))
-            outcome = Outcome(
-                OutcomeKind.UNKNOWN,
-                'internal error',
-                affects_health=False,
-            )
         finally:
             health.started_at_by_attempt.pop(attempt.number, None)
-        self._record_outcome(attempt, context, health, outcome)
-        attempt.end(outcome)
+        return outcome
+
+    def _record_internal_error(self, event: str, error: Exception) -> None:
+        self._metrics.count('searcher', 'internal_error')
+        self._logger.error(event, error=repr(error))
 
     async def _send(self, attempt: Attempt, context: CallContext) -> Outcome:
         searcher = attempt.searcher
@@ -273,7 +310,13 @@
             context.workspace,
         )
         attempt.started_at = self.clock()
-        return await connection.exchange(message, context.request.request_id)
+        # Nothing may be awaited between this and the send.
+        attempt.begin_sending()
+        return await connection.exchange(
+            message,
+            context.request.request_id,
+            expects_body=context.request.method != 'HEAD',
+        )
 
     def _log_malformed_response(
         self, searcher: Searcher, error: MalformedResponseError
@@ -310,7 +353,6 @@
         health: SearcherHealth,
         outcome: Outcome,
     ) -> None:
-        self._metrics.count('searcher', outcome.kind.value)
         response = outcome.response
         if response is None:
             if outcome.affects_health:
