Apply the review of load reports

An abandoned send on a slowed machine made its searcher look fast: the wait was divided by the slowdown although the work had not ended. The cap of a queueing delay was applied after its decay, so a false report excluded a searcher for 5.3 s. Service times were divided by slowdowns without bounds. One malformed figure switched the formula.

--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -267,14 +267,13 @@
     if content is None:
         return None, False
     figures = content.split(_LOAD_SEPARATOR, _REQUIRED_LOAD_FIGURES + 1)
-    requests = [
-        _decode_load_figure(figure)
-        for figure in figures[:_REQUIRED_LOAD_FIGURES]
-    ]
-    usable = [number for number in requests if number is not None]
-    if len(usable) < _REQUIRED_LOAD_FIGURES:
+    if len(figures) < _REQUIRED_LOAD_FIGURES:
+        return None, True
+    running, waiting, slots = map(
+        _decode_load_figure, figures[:_REQUIRED_LOAD_FIGURES]
+    )
+    if running is None or waiting is None or slots is None:
         return None, True
-    running, waiting, slots = usable
     if len(figures) == _REQUIRED_LOAD_FIGURES:
         return LoadReport(running, waiting, slots), False
     percent = _decode_load_figure(figures[_REQUIRED_LOAD_FIGURES])
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -34,6 +34,8 @@
 _STATUS_MISDIRECTED = 421
 #: Shortest latency in seconds that a measured one is compared with.
 _MIN_PREDICTED_S = 0.001
+#: Number of attempts of which one is compared with its prediction.
+_PREDICTION_INTERVAL = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,8 +73,9 @@
         self.number = number
         self.searcher = searcher
         self.started_at = 0.0
-        #: Latency in seconds that was expected when the attempt started.
-        self.predicted_s = 0.0
+        #: Latency in seconds that was expected when the attempt started; None
+        #: if it was not computed.
+        self.predicted_s: float | None = None
         self.outcome: Outcome | None = None
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
@@ -179,9 +182,10 @@
         self._attempts += 1
         attempt = Attempt(self._attempts, searcher, on_end)
         attempt.started_at = self.clock()
-        attempt.predicted_s = self.table.estimate_latency_s(
-            searcher, self.estimate_service_time_s(context.route)
-        )
+        if attempt.number % _PREDICTION_INTERVAL == 0:
+            attempt.predicted_s = self.table.estimate_latency_s(
+                searcher, self.estimate_service_time_s(context.route)
+            )
         health = self.table.get_health(searcher)
         health.started_at_by_attempt[attempt.number] = attempt.started_at
         if self._tasks is None:
@@ -201,13 +205,11 @@
         attempt.detach_listener()
         elapsed_s = self.clock() - attempt.started_at
         health = self.table.get_health(attempt.searcher)
-        if elapsed_s > self.estimate_median_s(route):
+        median_s = self.estimate_median_s(route)
+        # Within the slowdown, the time so far says nothing about slowness.
+        if elapsed_s > median_s * health.compute_slowdown(self.clock()):
             attempt.is_latency_recorded = True
-            self._health_tracker.record_latency(
-                health,
-                elapsed_s,
-                self.estimate_median_s(route),
-            )
+            self._health_tracker.record_latency(health, elapsed_s, median_s)
         attempt.scope.deadline = anyio.current_time() + _ABANDONED_TIMEOUT_S
 
     def cancel(self, attempt: Attempt) -> None:
@@ -361,6 +363,12 @@
         self._record_statements(attempt.searcher, response)
         if response.has_malformed_load:
             self._metrics.count('searcher', 'malformed_load')
+            self._logger.warning(
+                'malformed load report',
+                limit_key='malformed_load',
+                searcher=attempt.searcher.searcher_id,
+                born=attempt.searcher.born,
+            )
         if response.load is not None:
             self._health_tracker.record_load(health, response.load)
         if outcome.kind is OutcomeKind.NOT_RUN:
@@ -379,11 +387,15 @@
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
-        if response.load is not None:
+        load = response.load
+        if load is not None and load.slowdown is not None:
             self.table.service_times.record(
-                route.name, latency_s, response.load
+                route.name,
+                latency_s / health.slowdown,
+                is_queued=load.waiting > 0,
+            )
+        if attempt.predicted_s is not None:
+            self._metrics.record_ratio(
+                ('prediction', route.name),
+                latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
             )
-        self._metrics.record_ratio(
-            ('prediction', route.name),
-            latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
-        )
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -72,7 +72,7 @@
     """
     slowdown = health.compute_slowdown(now)
     expected_s = service_time_s * health.compute_slowness(now) * slowdown
-    if health.load is None or health.load.slowdown is None:
+    if not health.reports_slowdown:
         queue_length = health.estimate_queue_length(now, slots, expected_s)
         latency_s = expected_s * (1 + queue_length / slots)
     else:
@@ -101,7 +101,7 @@
     it, the number of waiting requests does not tell how long they take.
     """
     load = health.load
-    if load is None or load.slowdown is None:
+    if load is None or not health.reports_slowdown:
         return 0
     added = health.in_flight - health.in_flight_at_report
     queue_length = load.queue_length + added
@@ -112,7 +112,7 @@
     # Other VMs refill the queue while the searcher works on it, so the delay
     # is taken to persist for a while.
     weight = math.exp2(-(now - health.load_at) / _DELAY_HALF_LIFE_S)
-    return min(delay_s * weight, _MAX_DELAY_S)
+    return min(delay_s, _MAX_DELAY_S) * weight
 
 
 def estimate_cost_s(
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -15,8 +15,8 @@
 #: Half-life in seconds of a reported slowdown. The load of the other users of
 #: a machine lasts for some hundred milliseconds.
 _SLOWDOWN_HALF_LIFE_S = 0.5
-#: Bounds of a reported slowdown, so that a false report changes the expected
-#: service time by no more than these factors.
+#: Bounds of a reported slowdown, so that a false report multiplies the expected
+#: service time by no more and no less.
 _MIN_SLOWDOWN = 0.2
 _MAX_SLOWDOWN = 20.0
 #: Weight of a new result in the moving average of the failure rate.
@@ -75,6 +75,11 @@
         """Return the number of this VM's unanswered sends."""
         return len(self.started_at_by_attempt)
 
+    @property
+    def reports_slowdown(self) -> bool:
+        """Return whether the searcher has ever reported a slowdown."""
+        return self.slowdown_at > -math.inf
+
     def compute_oldest_age_s(self, now: float) -> float:
         """Return the age in seconds of the oldest unanswered send."""
         if not self.started_at_by_attempt:
--- a/jacinthcart/routing/_service_times.py
+++ b/jacinthcart/routing/_service_times.py
@@ -1,6 +1,5 @@
 """How long searchers work on one request when it does not wait."""
 
-from jacinthcart.routing._load_report import LoadReport
 from jacinthcart.routing._quantiles import QuantileTracker
 
 #: Weight of a new sample in the mean service time of all routes. A query over
@@ -14,8 +13,7 @@
     The latencies that a route has at the moment say little about the work
     that its requests need: while searchers are overloaded, all of them include
     time in queues. Only responses of searchers that report no waiting requests
-    are therefore used, divided by the reported slowdown of their machine.
-    Responses without a slowdown are ignored.
+    are therefore used.
     """
 
     def __init__(self) -> None:
@@ -31,12 +29,13 @@
         """
         return self._mean_s or 0
 
-    def record(self, route: str, latency_s: float, load: LoadReport) -> None:
-        """Record the latency of a response and the load reported with it."""
-        if load.slowdown is None:
-            return
-        if load.waiting == 0:
-            self._quantiles.add(route, latency_s / load.slowdown)
+    def record(self, route: str, latency_s: float, *, is_queued: bool) -> None:
+        """Record the latency of a response without the machine's slowdown.
+
+        `is_queued` states whether requests wait at the searcher.
+        """
+        if not is_queued:
+            self._quantiles.add(route, latency_s)
         service_time_s = self._quantiles.quantile_s(route, 0.5, latency_s)
         if self._mean_s is None:
             self._mean_s = service_time_s
--- a/tests/routing/test_call.py
+++ b/tests/routing/test_call.py
@@ -21,6 +21,7 @@
     SearcherPools,
     SearcherResponse,
 )
+from jacinthcart.routing._service_times import ServiceTimes
 from jacinthcart.telemetry import Metrics
 from tests.support import (
     create_request,
@@ -45,6 +46,7 @@
         table = mock.create_autospec(RoutingTable, instance=True)
         table.get_health.return_value = health_tracker.get_or_create(('s', 1))
         table.availability = mock.Mock()
+        table.service_times = mock.create_autospec(ServiceTimes)
         self.client = SearcherClient(
             self.pools,
             table,
--- a/tests/serving/test_load_reports.py
+++ b/tests/serving/test_load_reports.py
@@ -99,6 +99,9 @@
             for load in loads
         ]
         self.assertLess(*means_s)
+        for load in loads:
+            complete = len(load.results.latencies_by_missing[0])
+            self.assertEqual(load.results.total, complete)
 
 
 class ReportMetricsTests(unittest.TestCase):
