--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -19,7 +19,7 @@
     SearcherResponse,
 )
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
-from jacinthcart.routing._outcome import Outcome, OutcomeKind
+from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._table import RoutingTable
@@ -34,6 +34,8 @@
 _STATUS_MISDIRECTED = 421
 #: Shortest latency in seconds that a measured one is compared with.
 _MIN_PREDICTED_S = 0.001
+#: Number of attempts of which one is compared with its prediction.
+_PREDICTION_INTERVAL = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,7 +59,8 @@
 class Attempt:
     """One send of a request to a searcher.
 
-    It calls its listener once, after the outcome is set.
+    It calls its listener once, after the outcome is set. An error that the
+    listener raises is logged.
     """
 
     def __init__(
@@ -70,14 +73,38 @@
         self.number = number
         self.searcher = searcher
         self.started_at = 0.0
-        #: Latency in seconds that was expected when the attempt started.
-        self.predicted_s = 0.0
+        #: Latency in seconds that was expected when the attempt started; None
+        #: if it was not computed.
+        self.predicted_s: float | None = None
         self.outcome: Outcome | None = None
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
         self.scope = anyio.CancelScope()
+        self._may_be_sent = False
         self._on_end: Callable[[Attempt], None] | None = on_end
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the searcher may have run the request.
+
+        Once the attempt is cancelled, this no longer changes from False.
+        """
+        is_not_run = (
+            self.outcome is not None
+            and self.outcome.kind is OutcomeKind.NOT_RUN
+        )
+        return self._may_be_sent and not is_not_run
+
+    def begin_sending(self) -> None:
+        """Record that bytes of the request may be sent from now on.
+
+        Raise NotSentError if the attempt has been cancelled: the request may
+        have been refused as not run.
+        """
+        if self.scope.cancel_called:
+            raise NotSentError('cancelled')
+        self._may_be_sent = True
+
     def end(self, outcome: Outcome) -> None:
         """Set the outcome and call the listener."""
         self.outcome = outcome
@@ -155,9 +182,10 @@
         self._attempts += 1
         attempt = Attempt(self._attempts, searcher, on_end)
         attempt.started_at = self.clock()
-        attempt.predicted_s = self.table.estimate_latency_s(
-            searcher, self.estimate_service_time_s(context.route)
-        )
+        if attempt.number % _PREDICTION_INTERVAL == 0:
+            attempt.predicted_s = self.table.estimate_latency_s(
+                searcher, self.estimate_service_time_s(context.route)
+            )
         health = self.table.get_health(searcher)
         health.started_at_by_attempt[attempt.number] = attempt.started_at
         if self._tasks is None:
@@ -177,13 +205,11 @@
         attempt.detach_listener()
         elapsed_s = self.clock() - attempt.started_at
         health = self.table.get_health(attempt.searcher)
-        if elapsed_s > self.estimate_median_s(route):
+        median_s = self.estimate_median_s(route)
+        # Within the slowdown, the time so far says nothing about slowness.
+        if elapsed_s > median_s * health.compute_slowdown(self.clock()):
             attempt.is_latency_recorded = True
-            self._health_tracker.record_latency(
-                health,
-                elapsed_s,
-                self.estimate_median_s(route),
-            )
+            self._health_tracker.record_latency(health, elapsed_s, median_s)
         attempt.scope.deadline = anyio.current_time() + _ABANDONED_TIMEOUT_S
 
     def cancel(self, attempt: Attempt) -> None:
@@ -197,25 +223,38 @@
         context: CallContext,
         health: SearcherHealth,
     ) -> None:
+        # A bug that one attempt triggers must not end the other attempts.
+        try:
+            outcome = await self._send_in_scope(attempt, context, health)
+            self._record_outcome(attempt, context, health, outcome)
+        except Exception as error:
+            self._record_internal_error('send failed', error)
+            outcome = INTERNAL_ERROR
+        self._metrics.count('searcher', outcome.kind.value)
+        try:
+            attempt.end(outcome)
+        except Exception as listener_error:
+            self._record_internal_error('outcome not handled', listener_error)
+
+    async def _send_in_scope(
+        self,
+        attempt: Attempt,
+        context: CallContext,
+        health: SearcherHealth,
+    ) -> Outcome:
         outcome = Outcome(
             OutcomeKind.UNKNOWN, 'cancelled', affects_health=False
         )
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, context)
-        except Exception as error:
-            # A bug that one attempt triggers must not end the other attempts.
-            self._metrics.count('searcher', 'internal_error')
-            self._logger.error('send failed', error=repr(error))
-            outcome = Outcome(
-                OutcomeKind.UNKNOWN,
-                'internal error',
-                affects_health=False,
-            )
         finally:
             health.started_at_by_attempt.pop(attempt.number, None)
-        self._record_outcome(attempt, context, health, outcome)
-        attempt.end(outcome)
+        return outcome
+
+    def _record_internal_error(self, event: str, error: Exception) -> None:
+        self._metrics.count('searcher', 'internal_error')
+        self._logger.error(event, error=repr(error))
 
     async def _send(self, attempt: Attempt, context: CallContext) -> Outcome:
         searcher = attempt.searcher
@@ -273,7 +312,13 @@
             context.workspace,
         )
         attempt.started_at = self.clock()
-        return await connection.exchange(message, context.request.request_id)
+        # Nothing may be awaited between this and the send.
+        attempt.begin_sending()
+        return await connection.exchange(
+            message,
+            context.request.request_id,
+            expects_body=context.request.method != 'HEAD',
+        )
 
     def _log_malformed_response(
         self, searcher: Searcher, error: MalformedResponseError
@@ -310,7 +355,6 @@
         health: SearcherHealth,
         outcome: Outcome,
     ) -> None:
-        self._metrics.count('searcher', outcome.kind.value)
         response = outcome.response
         if response is None:
             if outcome.affects_health:
@@ -319,6 +363,12 @@
         self._record_statements(attempt.searcher, response)
         if response.has_malformed_load:
             self._metrics.count('searcher', 'malformed_load')
+            self._logger.warning(
+                'malformed load report',
+                limit_key='malformed_load',
+                searcher=attempt.searcher.searcher_id,
+                born=attempt.searcher.born,
+            )
         if response.load is not None:
             self._health_tracker.record_load(health, response.load)
         if outcome.kind is OutcomeKind.NOT_RUN:
@@ -337,11 +387,15 @@
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
-        if response.load is not None:
+        load = response.load
+        if load is not None and load.slowdown is not None:
             self.table.service_times.record(
-                route.name, latency_s, response.load
+                route.name,
+                latency_s / health.slowdown,
+                is_queued=load.waiting > 0,
+            )
+        if attempt.predicted_s is not None:
+            self._metrics.record_ratio(
+                ('prediction', route.name),
+                latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
             )
-        self._metrics.record_ratio(
-            ('prediction', route.name),
-            latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
-        )
