--- a/jacinthcart/overload/__init__.py
+++ b/jacinthcart/overload/__init__.py
@@ -17,9 +17,9 @@
     create_overload_control,
 )
 from jacinthcart.overload._demand import DemandTracker, QueryKind
-from jacinthcart.overload._returns import (
-    ReturnParameters,
-    ReturnSchedule,
+from jacinthcart.overload._retry_delays import (
+    RetryDelayParameters,
+    RetryDelays,
 )
 from jacinthcart.overload._waiting import WaitingQueries, WaitingQuery
 
@@ -32,8 +32,8 @@
     'OverloadParameters',
     'QueryDemand',
     'QueryKind',
-    'ReturnParameters',
-    'ReturnSchedule',
+    'RetryDelayParameters',
+    'RetryDelays',
     'WaitingQueries',
     'WaitingQuery',
     'compute_slack_s',
--- a/jacinthcart/overload/_control.py
+++ b/jacinthcart/overload/_control.py
@@ -11,7 +11,7 @@
     compute_slack_s,
 )
 from jacinthcart.overload._demand import DemandTracker, QueryKind
-from jacinthcart.overload._returns import ReturnParameters, ReturnSchedule
+from jacinthcart.overload._retry_delays import RetryDelayParameters, RetryDelays
 from jacinthcart.overload._waiting import WaitingQueries, WaitingQuery
 from jacinthcart.routing import SearcherClient
 from jacinthcart.telemetry import Logger, Metrics
@@ -43,7 +43,7 @@
     #: Seconds between two decisions on a waiting query.
     interval_s: float = 0.02
     bands: BandParameters = BandParameters()
-    returns: ReturnParameters = ReturnParameters()
+    retry_delays: RetryDelayParameters = RetryDelayParameters()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,7 +82,7 @@
         self._logger = logger
         self._demand = DemandTracker(client.clock)
         self._waiting = WaitingQueries()
-        self._returns = ReturnSchedule(client.clock, params.returns)
+        self._retry_delays = RetryDelays(client.clock, params.retry_delays)
 
     async def admit(self, query: QueryDemand) -> None:
         """Return once the query may be sent.
@@ -178,10 +178,10 @@
     def _create_refusal(
         self, query: QueryDemand, fraction: float
     ) -> RefusalError:
-        self._returns.record_refusal()
+        self._retry_delays.record_refusal()
         delay_s = self._estimate_delay_s(query)
         now = self._client.clock()
-        retry_after_s = self._returns.compute_retry_after_s(
+        retry_after_s = self._retry_delays.compute_retry_after_s(
             delay_s,
             fraction,
             self._random.random(),
--- a/jacinthcart/overload/_returns.py
+++ b/jacinthcart/overload/_retry_delays.py
@@ -1,4 +1,4 @@
-"""When callers whose queries were refused should return."""
+"""Retry delays of queries that overload control refuses."""
 
 import dataclasses
 import math
@@ -7,7 +7,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ReturnParameters:
+class RetryDelayParameters:
     """How refused callers are spread over time."""
 
     #: Minimum period in seconds over which they return.
@@ -16,7 +16,7 @@
     calm_s: float = 1.0
 
 
-class ReturnSchedule:
+class RetryDelays:
     """Computes retry delays from the present overload.
 
     Nothing tells how long an overload will last; it is expected to last about
@@ -24,8 +24,8 @@
     of them can be served now.
     """
 
-    def __init__(self, clock: Clock, params: ReturnParameters) -> None:
-        """Create a schedule without an overload."""
+    def __init__(self, clock: Clock, params: RetryDelayParameters) -> None:
+        """Start without an overload."""
         self._clock = clock
         self._params = params
         self._started_at = -math.inf
