--- /dev/null
+++ b/tests/overload/test_bands.py
@@ -0,0 +1,85 @@
+"""Tests of the fraction of queries that is admitted at a delay."""
+
+import itertools
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthcart.overload import (
+    AdmissionBands,
+    BandParameters,
+    compute_slack_s,
+)
+from tests.support import create_route
+
+#: No kind of query is served less than a quarter as often as all.
+_MIN_RELATIVE_FRACTION = 0.25
+_SLACKS_S = st.floats(0, 3)
+_DELAYS_S = st.floats(-0.1, 10)
+_PRIORITIES = st.sets(st.integers(0, 9), min_size=1, max_size=5)
+
+
+class BandTests(unittest.TestCase):
+    """Bands of several priorities."""
+
+    @settings(derandomize=True)
+    @given(_SLACKS_S, _PRIORITIES, _DELAYS_S)
+    def test_urgent_priorities_are_never_admitted_less(
+        self, slack_s: float, priorities: set[int], delay_s: float
+    ) -> None:
+        """Guards against urgent queries refused in favour of others."""
+        fractions = _list_fractions(slack_s, priorities, delay_s)
+        self.assertEqual(fractions, sorted(fractions, reverse=True))
+        self.assertTrue(all(0 <= one <= 1 for one in fractions))
+
+    @settings(derandomize=True)
+    @given(_SLACKS_S, _PRIORITIES, st.tuples(_DELAYS_S, _DELAYS_S))
+    def test_longer_delay_never_admits_more(
+        self, slack_s: float, priorities: set[int], delays_s: tuple[float, ...]
+    ) -> None:
+        """Guards against a band that opens as the queue grows."""
+        shorter, longer = (
+            _list_fractions(slack_s, priorities, delay_s)
+            for delay_s in sorted(delays_s)
+        )
+        for at_shorter, at_longer in zip(shorter, longer, strict=True):
+            self.assertGreaterEqual(at_shorter, at_longer)
+
+    @settings(derandomize=True)
+    @given(_SLACKS_S, _PRIORITIES, _DELAYS_S)
+    def test_no_priority_starves_beside_the_next_more_urgent(
+        self, slack_s: float, priorities: set[int], delay_s: float
+    ) -> None:
+        """Guards against a priority that is refused while others pass."""
+        fractions = _list_fractions(slack_s, priorities, delay_s)
+        for more_urgent, less_urgent in itertools.pairwise(fractions):
+            self.assertGreaterEqual(
+                less_urgent, more_urgent * _MIN_RELATIVE_FRACTION
+            )
+
+    @settings(derandomize=True)
+    @given(_SLACKS_S, _PRIORITIES, st.floats(-1, 0))
+    def test_everything_is_admitted_without_a_delay(
+        self, slack_s: float, priorities: set[int], delay_s: float
+    ) -> None:
+        """Guards against refusals at searchers without a queue."""
+        fractions = _list_fractions(slack_s, priorities, delay_s)
+        self.assertEqual(set(fractions), {1})
+
+    def test_slack_is_never_negative(self) -> None:
+        """Guards against bands of a route whose work exceeds its target."""
+        route = create_route('a', target_s=0.1)
+        params = BandParameters(reserve_s=0.02)
+        self.assertAlmostEqual(compute_slack_s(route, 0.05, params), 0.03)
+        self.assertEqual(compute_slack_s(route, 0.2, params), 0)
+
+
+def _list_fractions(
+    slack_s: float, priorities: set[int], delay_s: float
+) -> list[float]:
+    bands = AdmissionBands(slack_s, priorities, BandParameters())
+    return [
+        bands.compute_fraction(priority, delay_s)
+        for priority in sorted(priorities)
+    ]
--- /dev/null
+++ b/tests/overload/test_control.py
@@ -0,0 +1,127 @@
+"""Tests of the admission of queries in one VM."""
+
+import random
+from unittest import TestCase, mock
+
+import anyio
+
+from jacinthcart.errors import RefusalCode, RefusalError
+from jacinthcart.overload import (
+    BandParameters,
+    OverloadControl,
+    OverloadMode,
+    OverloadParameters,
+    QueryDemand,
+    QueryKind,
+    compute_slack_s,
+)
+from jacinthcart.routing import HealthTracker, LoadReport
+from jacinthcart.routing._cost import estimate_queue_delay_s
+from jacinthcart.telemetry import Metrics, create_logger
+from tests.support import ManualClock, create_route, run_in_virtual_time
+
+_SHARDS = ('shard-0', 'shard-1')
+_ROUTE = create_route('a', target_s=0.3, shards=_SHARDS, shares=())
+_SERVICE_TIME_S = 0.05
+#: A queueing delay with which no query is in time.
+_HOPELESS_S = 5.0
+
+
+class _Control:
+    """A control whose searchers have a given queueing delay."""
+
+    def __init__(self, mode: OverloadMode, delay_s: float) -> None:
+        """Create the control; requires a running event loop."""
+        client = mock.MagicMock()
+        client.clock = anyio.current_time
+        client.table.queue_delays.estimate_s.return_value = delay_s
+        client.table.service_times.estimate_s.return_value = _SERVICE_TIME_S
+        self.metrics = Metrics()
+        self.control = OverloadControl(
+            client,
+            random.Random(1),
+            mode,
+            OverloadParameters(),
+            self.metrics,
+            create_logger('test'),
+        )
+
+    async def admit(self, priority: int = 1) -> RefusalError | None:
+        """Return the refusal of a query, if it is refused."""
+        now = anyio.current_time()
+        kind = QueryKind(_ROUTE, priority, 0)
+        demand = QueryDemand(kind, now + _ROUTE.target_s, now + 1)
+        try:
+            await self.control.admit(demand)
+        except RefusalError as refusal:
+            return refusal
+        return None
+
+    def count(self, decision: str) -> int:
+        """Return the number of decisions on queries of priority 1."""
+        return self.metrics.counts_by_key['overload', decision, 'a', '1']
+
+
+class ModeTests(TestCase):
+    """Queries that can't be answered in time."""
+
+    def test_off_neither_refuses_nor_counts(self) -> None:
+        """Guards against control that an operator has switched off."""
+        run_in_virtual_time(self._check_passing, OverloadMode.OFF, 0)
+
+    def test_observe_counts_and_lets_pass(self) -> None:
+        """Guards against refusals while an operator only observes."""
+        run_in_virtual_time(self._check_passing, OverloadMode.OBSERVE, 1)
+
+    def test_on_refuses_within_a_tenth_of_the_target(self) -> None:
+        """Guards against callers held until their time has run out."""
+        run_in_virtual_time(self._check_refusal)
+
+    def test_nothing_changes_without_a_delay(self) -> None:
+        """Guards against control of searchers that report no slowdown."""
+        health_tracker = HealthTracker(ManualClock())
+        health = health_tracker.get_or_create(('i-1', 1))
+        health_tracker.record_load(health, LoadReport(2, 30, 2, None))
+        delay_s = estimate_queue_delay_s(
+            health, now=1000, service_time_s=_SERVICE_TIME_S, slots=2
+        )
+        self.assertEqual(delay_s, 0)
+        run_in_virtual_time(self._check_passing, OverloadMode.ON, 0, delay_s)
+
+    async def _check_passing(
+        self, mode: OverloadMode, observed: int, delay_s: float = _HOPELESS_S
+    ) -> None:
+        control = _Control(mode, delay_s)
+        started_at = anyio.current_time()
+        self.assertIsNone(await control.admit())
+        self.assertEqual(anyio.current_time(), started_at)
+        self.assertEqual(control.count('observed'), observed)
+        self.assertEqual(control.count('admitted'), 0)
+
+    async def _check_refusal(self) -> None:
+        control = _Control(OverloadMode.ON, _HOPELESS_S)
+        started_at = anyio.current_time()
+        refusal = await control.admit()
+        assert refusal is not None
+        self.assertEqual(refusal.code, RefusalCode.OVERLOADED)
+        held_s = anyio.current_time() - started_at
+        self.assertLessEqual(held_s, _ROUTE.target_s / 10 + 0.001)
+        self.assertEqual(control.count('refused'), 1)
+
+
+class WaitingTests(TestCase):
+    """Queries of which half are admitted."""
+
+    def test_caller_that_leaves_is_removed(self) -> None:
+        """Guards against admissions that nobody uses any more."""
+        run_in_virtual_time(self._check_leaving)
+
+    async def _check_leaving(self) -> None:
+        slack_s = compute_slack_s(_ROUTE, _SERVICE_TIME_S, BandParameters())
+        control = _Control(OverloadMode.ON, slack_s / 2)
+        with anyio.move_on_after(0.001) as scope:
+            await control.admit()
+        self.assertTrue(scope.cancelled_caught)
+        # The draws of both queries admit one; the first has left.
+        self.assertIsNone(await control.admit())
+        self.assertEqual(control.count('admitted'), 1)
