--- a/tests/overload/support.py
+++ b/tests/overload/support.py
@@ -2,15 +2,18 @@
 
 import collections
 import dataclasses
+import enum
+import functools
+import itertools
 import random
 from typing import Any
 from unittest import mock
 
 import anyio
+from anyio.abc import TaskGroup
 
-from jacinthcart.catalogue import CatalogueState, Route, Searcher
-from jacinthcart.errors import RefusalError
-from jacinthcart.fleet import MemberParameters, MemberTable
+from jacinthcart.catalogue import Route, Searcher
+from jacinthcart.errors import Ran, RefusalError
 from jacinthcart.overload import (
     OverloadControl,
     OverloadMode,
@@ -19,19 +22,12 @@
 from jacinthcart.routing import (
     BaseSearcherCodec,
     BudgetParameters,
-    CallerRequest,
-    ColdStartLimiter,
     ConnectionParameters,
     ExtraSendBudget,
-    HealthTracker,
     LoadReport,
-    QuantileTracker,
-    ResponseHead,
-    RoutingTable,
     SearcherClient,
     SearcherPools,
     SearcherResponse,
-    SelectionParameters,
 )
 from jacinthcart.serving import (
     Admission,
@@ -41,34 +37,49 @@
     Shutdown,
 )
 from jacinthcart.telemetry import Metrics, create_logger
+from tests.serving.support import QueuedSearcher, create_client
 from tests.support import (
     create_catalogue,
     create_member,
+    create_request,
     create_route,
     create_searcher,
+    run_in_virtual_time,
 )
 
-SHARDS = tuple(f'shard-{number}' for number in range(8))
-DATA_CENTRES = ('one', 'two', 'three')
-SLOTS = 6
-QUEUE = 36
+#: Demand that the searchers bear.
+CAPACITY = 7.5
+_DATA_CENTRES = ('one', 'two', 'three')
+_SLOTS = 6
+_QUEUE = 36
 _BUDGET = BudgetParameters(ratio=0.2, slack=208)
+_NETWORK_S = 0.001
+#: Frequency and length of an answer that takes longer than usual.
+_TAIL_FRACTION = 0.01
+_TAIL_FACTOR = 5
+_PAUSE_S = 0.25
+_PAUSE_PERIOD_S = 6
+#: Wait of a caller that was not told when to return.
+_DEFAULT_RETRY_S = 0.1
+_MAX_NONSENSE = 1000
+_NONSENSE_SHARE = 7
 
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """One kind of request and its demand."""
+    """One kind of query and its demand."""
 
     name: str
     priority: int
     target_s: float
     limit_s: float
-    #: Median work of a searcher for one part in seconds.
-    work_s: float
+    #: Median service time of one part in seconds.
+    service_time_s: float
+    #: Queries per second at a demand of 1.
     rate_per_s: float
 
-    def create_route(self) -> Route:
-        """Return the route of these requests."""
+    def create_route(self, shards: tuple[str, ...]) -> Route:
+        """Return the route of these queries; one part may be missing."""
         return create_route(
             self.name,
             priority=self.priority,
@@ -76,8 +87,8 @@
             timeout_s=self.limit_s,
             attempts=3,
             shares=(),
-            shards=SHARDS,
-            min_shard_fraction=0.87,
+            shards=shards,
+            min_shard_fraction=1 - 1.04 / len(shards),
             is_public=True,
             top_k=5,
         )
@@ -86,310 +97,368 @@
 #: Light and urgent queries beside heavy ones, at the same searchers.
 URGENT = Kind('urgent', 0, 0.097, 1.2, 0.0138, 15)
 HEAVY = Kind('heavy', 1, 0.349, 3.0, 0.042, 45)
+KINDS = (URGENT, HEAVY)
 
 
-class SharedSearcher:
-    """Simulated searcher with slots and a bounded queue."""
+class Reports(enum.Enum):
+    """What searchers report about their load."""
 
-    def __init__(self, searcher: Searcher, source: random.Random) -> None:
+    CORRECT = enum.auto()
+    #: No slowdown, so that queueing delays are unknown.
+    WITHOUT_SLOWDOWN = enum.auto()
+    #: Random figures from one in seven searchers.
+    PARTLY_NONSENSE = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True)
+class Phase:
+    """A period of constant demand."""
+
+    duration_s: float
+    demand: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """Parameters of a played load."""
+
+    phases: tuple[Phase, ...]
+    mode: OverloadMode = OverloadMode.ON
+    vms: int = 6
+    shards: int = 4
+    seed: int = 1
+    reports: Reports = Reports.CORRECT
+    #: Number of VMs that get no reports.
+    deaf_vms: int = 0
+    #: How often a caller sends a query.
+    attempts: int = 2
+    #: Whether callers wait as long as a refusal asks for.
+    honors_retry_after: bool = True
+    #: Seconds after which the first VM stops, None for never.
+    stops_after_s: float | None = None
+    #: Seconds that the VM has for its stop.
+    grace_s: float = 0.5
+
+
+class SharedSearcher(QueuedSearcher):
+    """Searcher with pauses, some slow answers and maybe false reports."""
+
+    def __init__(
+        self, searcher: Searcher, source: random.Random, reports: Reports
+    ) -> None:
         """Create an idle searcher."""
-        self.searcher = searcher
-        #: Duration of work relative to the usual one.
-        self.slowdown = 1.0
-        self.paused_until = 0.0
-        self.busy_s = 0.0
-        self.refused = 0
-        self._random = source
-        self._running = 0
-        self._waiting = 0
-        self._slots = anyio.Semaphore(searcher.slots)
-
-    async def answer(self, work_s: float) -> SearcherResponse:
-        """Wait for a slot and work on a request."""
-        if self._waiting >= QUEUE:
-            self.refused += 1
-            return self._respond(503)
-        self._waiting += 1
-        try:
-            await self._slots.acquire()
-        finally:
-            self._waiting -= 1
-        self._running += 1
-        started_at = anyio.current_time()
-        try:
-            await anyio.sleep_until(max(started_at, self.paused_until))
-            tail = 5 if self._random.random() < 0.01 else 1
-            await anyio.sleep(
-                work_s
-                * self.slowdown
-                * tail
-                * self._random.lognormvariate(0, 0.35)
-            )
-            return self._respond(200)
-        finally:
-            self.busy_s += anyio.current_time() - started_at
-            self._running -= 1
-            self._slots.release()
-
-    def _respond(self, status: int) -> SearcherResponse:
-        return SearcherResponse(
-            head=ResponseHead(status, ()),
-            body=b'r' * 16,
-            stamp=f'{self.searcher.searcher_id}.{self._random.random()}',
-            is_not_run=status == 503,
-            load=LoadReport(self._running, self._waiting, SLOTS, 1.0),
-            idle_timeout_s=None,
-            closes_connection=False,
+        super().__init__(
+            searcher,
+            1,
+            source,
+            _QUEUE,
+            reports_slowdown=reports is not Reports.WITHOUT_SLOWDOWN,
+        )
+        self._reports = reports
+        self._paused_until: float = 0
+
+    async def answer(
+        self, service_time_s: float | None = None
+    ) -> SearcherResponse:
+        """Wait for a slot and process a request."""
+        await anyio.sleep(_NETWORK_S)
+        response = await super().answer(service_time_s)
+        if self._reports is not Reports.PARTLY_NONSENSE:
+            return response
+        return dataclasses.replace(response, load=self._create_nonsense())
+
+    async def run_pauses(self) -> None:
+        """Pause at regular intervals until cancelled."""
+        await anyio.sleep(self._random.random() * _PAUSE_PERIOD_S)
+        while True:
+            self._paused_until = anyio.current_time() + _PAUSE_S
+            await anyio.sleep(_PAUSE_PERIOD_S)
+
+    async def _process(self, service_time_s: float) -> None:
+        await anyio.sleep_until(max(anyio.current_time(), self._paused_until))
+        is_slow = self._random.random() < _TAIL_FRACTION
+        factor = _TAIL_FACTOR if is_slow else 1
+        await super()._process(service_time_s * factor)
+
+    def _create_nonsense(self) -> LoadReport:
+        running, waiting, slots = self._random.choices(
+            range(1, _MAX_NONSENSE), k=3
+        )
+        return LoadReport(
+            running, waiting, slots, self._random.random() * _MAX_NONSENSE
         )
 
 
 class _Connection:
-    """A connection to a shared searcher."""
+    """A connection of one VM to a shared searcher."""
 
     is_usable = True
 
-    def __init__(self, searcher: SharedSearcher, work_s: float) -> None:
+    def __init__(
+        self, searcher: SharedSearcher, service_time_s: float, is_deaf: bool
+    ) -> None:
         """Create a usable connection."""
         self._searcher = searcher
-        self._work_s = work_s
+        self._service_time_s = service_time_s
+        self._is_deaf = is_deaf
 
     async def exchange(self, *_: Any) -> SearcherResponse:
         """Return the searcher's response."""
-        await anyio.sleep(0.001)
-        return await self._searcher.answer(self._work_s)
+        response = await self._searcher.answer(self._service_time_s)
+        if self._is_deaf:
+            return dataclasses.replace(response, load=None)
+        return response
 
 
 class _Pools(SearcherPools):
-    """Pools that connect to simulated searchers without delay."""
+    """Pools that connect to shared searchers without delay."""
 
-    def __init__(
-        self, by_id: dict[str, SharedSearcher], work_s_by_kind: dict[str, float]
-    ) -> None:
+    def __init__(self, searchers: list[SharedSearcher], is_deaf: bool) -> None:
         """Create the pools."""
         codec = mock.create_autospec(BaseSearcherCodec, instance=True)
         super().__init__(codec, anyio.current_time, ConnectionParameters())
-        self._by_id = by_id
-        self._work_s_by_kind = work_s_by_kind
+        self._searcher_by_id = {
+            one.searcher.searcher_id: one for one in searchers
+        }
+        self._is_deaf = is_deaf
 
     async def acquire(
         self, searcher: Searcher, request_id: str, *, at_most_once: bool
     ) -> Any:
         """Return a connection."""
-        work_s = self._work_s_by_kind[request_id.partition('-')[0]]
-        return _Connection(self._by_id[searcher.searcher_id], work_s)
+        return _Connection(
+            self._searcher_by_id[searcher.searcher_id],
+            _SERVICE_TIME_BY_KIND[request_id],
+            self._is_deaf,
+        )
 
     async def release(self, *arguments: Any) -> None:
         """Discard the connection."""
 
 
+#: Service times in seconds; requests have the name of their kind as id.
+_SERVICE_TIME_BY_KIND = {kind.name: kind.service_time_s for kind in KINDS}
+
+
 @dataclasses.dataclass
 class Outcomes:
     """What callers of one kind got."""
 
-    in_time: int = 0
-    in_time_after_refusal: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-    refused_after_s: list[float] = dataclasses.field(default_factory=list)
-    #: In-time answers by whole second of the first attempt.
-    in_time_by_second: collections.Counter[int] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    total_by_second: collections.Counter[int] = dataclasses.field(
-        default_factory=collections.Counter
+    #: Numbers of callers by result and whole second of the first attempt.
+    count_by_second: dict[str, collections.Counter[int]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(collections.Counter)
     )
+    #: Seconds until a refusal of a query that did not run.
+    refused_after_s: list[float] = dataclasses.field(default_factory=list)
+
+    def count(self, *results: str, seconds: range | None = None) -> int:
+        """Return the number of callers with one of the results."""
+        return sum(
+            count
+            for result in results
+            for second, count in self.count_by_second[result].items()
+            if seconds is None or second in seconds
+        )
+
+    def count_in_time(self, seconds: range | None = None) -> int:
+        """Return the number of answers in time, also after a refusal."""
+        return self.count('in_time', 'in_time_after_refusal', seconds=seconds)
 
-    @property
-    def total(self) -> int:
+    def count_all(self, seconds: range | None = None) -> int:
         """Return the number of callers."""
-        answered = self.in_time + self.in_time_after_refusal + self.late
-        return answered + self.refused + self.failed
+        return self.count(*self.count_by_second, seconds=seconds)
+
+
+@dataclasses.dataclass
+class _Vm:
+    """A VM and its unanswered attempts."""
+
+    client: SearcherClient
+    server: RequestServer
+    shutdown: Shutdown
+    unanswered: int = 0
 
 
 class PlayedLoad:
-    """VMs that serve the callers of several kinds of request."""
+    """VMs that serve the callers of several kinds of query."""
 
-    def __init__(
-        self, kinds: tuple[Kind, ...], vms: int, seed: int = 1, **serving: Any
-    ) -> None:
+    def __init__(self, scenario: Scenario) -> None:
         """Create VMs and searchers; requires a running event loop."""
-        self.outcomes = {kind.name: Outcomes() for kind in kinds}
-        self.kinds = kinds
-        self.demand = 1.0
-        self.random = random.Random(seed)
-        self.searchers = [
-            SharedSearcher(
-                create_searcher(
-                    f'{shard}.{data_centre}',
-                    service=shard,
-                    slots=SLOTS,
-                    data_centre=data_centre,
-                ),
-                random.Random(f'{seed} {shard} {data_centre}'),
+        self.outcomes = {kind.name: Outcomes() for kind in KINDS}
+        #: Attempts without an answer when the first VM began to stop, and
+        #: after its grace period.
+        self.unanswered_at_stop: tuple[int, int] | None = None
+        self._scenario = scenario
+        self._random = random.Random(scenario.seed)
+        shards = tuple(f'shard-{number}' for number in range(scenario.shards))
+        self._route_by_kind = {
+            kind.name: kind.create_route(shards) for kind in KINDS
+        }
+        self._searchers = [
+            self._create_searcher(number, shard, data_centre)
+            for number, (shard, data_centre) in enumerate(
+                itertools.product(shards, _DATA_CENTRES)
             )
-            for shard in SHARDS
-            for data_centre in DATA_CENTRES
         ]
-        self.routes = {kind.name: kind.create_route() for kind in kinds}
         self._started_at = anyio.current_time()
-        self.vms = [
-            self._create_vm(DATA_CENTRES[number % 3], number, vms, serving)
-            for number in range(vms)
-        ]
+        self._vms = [self._create_vm(vm) for vm in range(scenario.vms)]
 
-    def _create_vm(
-        self, data_centre: str, number: int, vms: int, serving: dict[str, Any]
-    ) -> tuple[SearcherClient, RequestServer]:
-        clock = anyio.current_time
-        logger = create_logger('test')
-        source = random.Random(number)
-        state = CatalogueState(clock, logger)
-        state.update_catalogue(create_catalogue(*self.routes.values()))
-        health_tracker = HealthTracker(clock)
-        members = MemberTable(
-            create_member(f'10.0.0.{number}', data_centre=data_centre),
-            clock,
-            logger,
-            MemberParameters(),
+    def compute_in_time_share(self, seconds: range | None = None) -> float:
+        """Return the fraction of all callers that are answered in time."""
+        found = self.outcomes.values()
+        total = sum(one.count_all(seconds) for one in found)
+        return self.count_in_time(seconds) / total
+
+    def count_in_time(self, seconds: range | None = None) -> int:
+        """Return the number of answers in time, also after a refusal."""
+        found = self.outcomes.values()
+        return sum(one.count_in_time(seconds) for one in found)
+
+    async def run(self) -> None:
+        """Send queries at random times and wait for their results."""
+        async with anyio.create_task_group() as background:
+            for vm in self._vms:
+                background.start_soon(vm.client.run)
+            for searcher in self._searchers:
+                background.start_soon(searcher.run_pauses)
+            async with anyio.create_task_group() as callers:
+                callers.start_soon(self._stop_first_vm)
+                for kind in KINDS:
+                    callers.start_soon(self._arrive, callers, kind)
+            background.cancel_scope.cancel()
+
+    def _create_searcher(
+        self, number: int, shard: str, data_centre: str
+    ) -> SharedSearcher:
+        reports = self._scenario.reports
+        if reports is Reports.PARTLY_NONSENSE and number % _NONSENSE_SHARE:
+            reports = Reports.CORRECT
+        return SharedSearcher(
+            create_searcher(
+                f'{shard}.{data_centre}',
+                service=shard,
+                slots=_SLOTS,
+                data_centre=data_centre,
+            ),
+            random.Random(f'{self._scenario.seed} {number}'),
+            reports,
         )
-        latencies = QuantileTracker()
-        by_id = {one.searcher.searcher_id: one for one in self.searchers}
-        client = SearcherClient(
-            _Pools(by_id, {kind.name: kind.work_s for kind in self.kinds}),
-            RoutingTable(
-                state,
-                members,
-                health_tracker,
-                ColdStartLimiter(members.own.address, members.rank, clock),
-                clock,
-                source,
-                lambda: 1.0,
-                serving.get('selection') or SelectionParameters(),
+
+    def _create_vm(self, number: int) -> _Vm:
+        scenario = self._scenario
+        clock = anyio.current_time
+        source = random.Random(f'{scenario.seed} VM {number}')
+        client = create_client(
+            _Pools(self._searchers, number < scenario.deaf_vms),
+            [one.searcher for one in self._searchers],
+            create_catalogue(*self._route_by_kind.values()),
+            create_member(
+                f'10.0.0.{number}',
+                data_centre=_DATA_CENTRES[number % len(_DATA_CENTRES)],
             ),
-            health_tracker,
-            latencies,
-            mock.create_autospec(BaseSearcherCodec, instance=True),
-            clock,
+            source,
             Metrics(),
-            logger,
-        )
-        state.apply_searcher_changes(
-            {key: one.searcher for key, one in by_id.items()}
         )
-        share = 1 / vms
+        shutdown = Shutdown(clock, client.latencies)
         server = RequestServer(
             client,
-            ExtraSendBudget(_BUDGET, lambda: share, clock),
+            ExtraSendBudget(_BUDGET, lambda: 1 / scenario.vms, clock),
             mock.create_autospec(Admission, instance=True),
-            Shutdown(clock, latencies),
+            shutdown,
             source,
             ServingParameters(),
             OverloadControl(
                 client,
                 source,
-                serving.get('mode', OverloadMode.OFF),
-                serving.get('params', OverloadParameters()),
+                scenario.mode,
+                OverloadParameters(),
                 Metrics(),
-                logger,
+                create_logger('test'),
             ),
         )
-        return client, server
-
-    async def run(self, duration_s: float) -> None:
-        """Send requests at random times and wait for their results."""
-        async with anyio.create_task_group() as background:
-            for client, _ in self.vms:
-                background.start_soon(client.run)
-            for searcher in self.searchers:
-                background.start_soon(self._pause, searcher)
-            async with anyio.create_task_group() as callers:
-                for kind in self.kinds:
-                    callers.start_soon(self._arrive, callers, kind, duration_s)
-            background.cancel_scope.cancel()
-
-    async def slow_down(self, x: float, share: float) -> None:
-        """Slow down a share of each shard's searchers."""
-        for searcher in self.searchers:
-            if self.random.random() < share:
-                searcher.slowdown = x
-
-    async def _pause(self, searcher: SharedSearcher) -> None:
-        await anyio.sleep(self.random.random() * 6)
-        while True:
-            searcher.paused_until = anyio.current_time() + 0.25
-            await anyio.sleep(6)
-
-    async def _arrive(
-        self, callers: Any, kind: Kind, duration_s: float
-    ) -> None:
-        ends_at = anyio.current_time() + duration_s
-        number = 0
-        while anyio.current_time() < ends_at:
-            rate = kind.rate_per_s * self.demand
-            await anyio.sleep(self.random.expovariate(rate))
-            number += 1
-            callers.start_soon(self._call, kind, f'{kind.name}-{number}')
-
-    async def _call(self, kind: Kind, request_id: str) -> None:
+        return _Vm(client, server, shutdown)
+
+    async def _stop_first_vm(self) -> None:
+        if self._scenario.stops_after_s is None:
+            return
+        await anyio.sleep(self._scenario.stops_after_s)
+        vm = self._vms.pop(0)
+        unanswered = vm.unanswered
+        vm.shutdown.begin(self._scenario.grace_s)
+        await anyio.sleep(self._scenario.grace_s)
+        self.unanswered_at_stop = unanswered, vm.unanswered
+
+    async def _arrive(self, callers: TaskGroup, kind: Kind) -> None:
+        for phase in self._scenario.phases:
+            ends_at = anyio.current_time() + phase.duration_s
+            while anyio.current_time() < ends_at:
+                rate_per_s = kind.rate_per_s * phase.demand
+                await anyio.sleep(self._random.expovariate(rate_per_s))
+                callers.start_soon(self._call, kind)
+
+    async def _call(self, kind: Kind) -> None:
+        now = anyio.current_time()
+        second = int(now - self._started_at)
+        result = await self._repeat(kind, now + kind.limit_s)
         outcomes = self.outcomes[kind.name]
-        first_at = anyio.current_time()
-        deadline = first_at + kind.limit_s
-        second = int(first_at - self._started_at)
-        outcomes.total_by_second[second] += 1
-        attempts = 2
-        for attempt in range(attempts):
+        outcomes.count_by_second[result][second] += 1
+
+    async def _repeat(self, kind: Kind, deadline: float) -> str:
+        result = ''
+        for attempt in range(self._scenario.attempts):
             started_at = anyio.current_time()
-            refusal = await self._attempt(
-                kind, f'{request_id}.{attempt}', deadline
-            )
+            refusal = await self._attempt(kind, deadline)
             now = anyio.current_time()
             if refusal is None:
-                self._record_answer(kind, second, attempt, now - started_at)
-                return
-            if attempt == 0:
-                outcomes.refused_after_s.append(now - started_at)
-            wait_s = (refusal.retry_after_ms or 100) / 1000
-            if attempt == attempts - 1 or now >= deadline:
-                if refusal.ran == 'not_run':
-                    outcomes.refused += 1
-                else:
-                    outcomes.failed += 1
-                return
-            await anyio.sleep(min(wait_s, (deadline - now) / 3))
-
-    def _record_answer(
-        self, kind: Kind, second: int, attempt: int, latency_s: float
-    ) -> None:
-        outcomes = self.outcomes[kind.name]
-        if latency_s > kind.target_s:
-            outcomes.late += 1
-        elif attempt:
-            outcomes.in_time_after_refusal += 1
-        else:
-            outcomes.in_time += 1
-            outcomes.in_time_by_second[second] += 1
+                if now - started_at > kind.target_s:
+                    return 'late'
+                return 'in_time_after_refusal' if attempt else 'in_time'
+            result = 'failed'
+            if refusal.ran == Ran.NOT_RUN:
+                result = 'refused'
+                self.outcomes[kind.name].refused_after_s.append(
+                    now - started_at
+                )
+            if now >= deadline:
+                break
+            await anyio.sleep(self._compute_wait_s(refusal, deadline - now))
+        return result
+
+    def _compute_wait_s(self, refusal: RefusalError, left_s: float) -> float:
+        if not self._scenario.honors_retry_after:
+            return 0
+        wait_s = (refusal.retry_after_ms or 0) / 1000 or _DEFAULT_RETRY_S
+        return min(wait_s, left_s / 3)
 
     async def _attempt(
-        self, kind: Kind, request_id: str, deadline: float
+        self, kind: Kind, deadline: float
     ) -> RefusalError | None:
         now = anyio.current_time()
-        request = CallerRequest(
-            request_id=request_id,
-            method='GET',
-            target='/a/',
-            host='shop.example',
-            path='/a/',
-            headers=(),
-            body=b'',
-            credential=None,
-            received_at=now,
-            deadline=deadline,
+        request = dataclasses.replace(
+            create_request(now, deadline - now), request_id=kind.name
         )
-        route = self.routes[kind.name]
-        _, server = self.random.choice(self.vms)
+        route = self._route_by_kind[kind.name]
+        vm = self._random.choice(self._vms)
+        vm.unanswered += 1
         try:
-            await server.serve(request, Admitted(route, None, route.priority))
+            await vm.server.serve(
+                request, Admitted(route, None, route.priority)
+            )
         except RefusalError as refusal:
             return refusal
+        finally:
+            vm.unanswered -= 1
         return None
+
+
+@functools.cache
+def play(scenario: Scenario) -> PlayedLoad:
+    """Return the played load; the same one for the same scenario."""
+    loads: list[PlayedLoad] = []
+    run_in_virtual_time(_play, scenario, loads)
+    return loads[0]
+
+
+async def _play(scenario: Scenario, loads: list[PlayedLoad]) -> None:
+    loads.append(PlayedLoad(scenario))
+    await loads[0].run()
--- /dev/null
+++ b/tests/overload/test_played_overload.py
@@ -0,0 +1,157 @@
+"""Tests of played overloads in virtual time."""
+
+import unittest
+
+from jacinthcart.overload import OverloadMode
+from tests.overload.support import (
+    CAPACITY,
+    KINDS,
+    URGENT,
+    Phase,
+    Reports,
+    Scenario,
+    play,
+)
+
+_LIGHT = Phase(1, CAPACITY / 3)
+#: Whole seconds of overload, and those after the system has recovered.
+_OVERLOAD = range(1, 4)
+_RECOVERED = range(6, 7)
+_MIN_RECOVERED_SHARE = 0.95
+_GRANULARITY_S = 0.001
+
+
+def _create_scenario(relative_demand: float, **changes: object) -> Scenario:
+    phases = (
+        _LIGHT,
+        Phase(len(_OVERLOAD), relative_demand * CAPACITY),
+        Phase(3, _LIGHT.demand),
+    )
+    return Scenario(phases, **changes)  # type: ignore[arg-type]
+
+
+_AT_CAPACITY = _create_scenario(1)
+_AT_TWICE = _create_scenario(2)
+_STORM = _create_scenario(2, attempts=4, honors_retry_after=False)
+
+
+class OfferedLoadTests(unittest.TestCase):
+    """Three seconds in which once or twice the capacity is offered."""
+
+    def test_twice_the_load_keeps_the_answers_in_time(self) -> None:
+        """Guards against capacity spent on answers that come too late."""
+        answered = play(_AT_CAPACITY).count_in_time(_OVERLOAD)
+        answered_at_twice = play(_AT_TWICE).count_in_time(_OVERLOAD)
+        self.assertGreaterEqual(answered_at_twice, 0.85 * answered)
+
+    def test_more_in_time_than_without_control(self) -> None:
+        """Guards against control that serves callers worse than none."""
+        first_second = range(1, 2)
+        former = Scenario(
+            _AT_TWICE.phases[:1] + (Phase(1, 2 * CAPACITY),), OverloadMode.OFF
+        )
+        self.assertGreater(
+            play(_AT_TWICE).count_in_time(first_second),
+            play(former).count_in_time(first_second),
+        )
+
+    def test_urgent_queries_are_in_time_at_capacity(self) -> None:
+        """Guards against urgent queries that share the fate of the others."""
+        outcomes = play(_AT_CAPACITY).outcomes[URGENT.name]
+        share = outcomes.count_in_time(_OVERLOAD) / outcomes.count_all(
+            _OVERLOAD
+        )
+        self.assertGreaterEqual(share, 0.95)
+
+    def test_refusals_come_within_a_tenth_of_the_target(self) -> None:
+        """Guards against callers held until their time has run out."""
+        for scenario in (_AT_CAPACITY, _AT_TWICE, _STORM):
+            for kind in KINDS:
+                outcomes = play(scenario).outcomes[kind.name]
+                self.assertLessEqual(
+                    max(outcomes.refused_after_s, default=0),
+                    kind.target_s / 10 + _GRANULARITY_S,
+                )
+
+    def test_no_kind_starves(self) -> None:
+        """Guards against kinds that an overload excludes from service."""
+        for scenario in (_AT_CAPACITY, _AT_TWICE, _STORM):
+            found = play(scenario).outcomes.values()
+            served = [
+                one.count_in_time(_OVERLOAD)
+                + one.count('late', seconds=_OVERLOAD)
+                for one in found
+            ]
+            totals = [one.count_all(_OVERLOAD) for one in found]
+            share = sum(served) / sum(totals)
+            for answered, total in zip(served, totals, strict=True):
+                self.assertGreaterEqual(answered / total, share / 4)
+
+
+class RecoveryTests(unittest.TestCase):
+    """The seconds after the demand has ended."""
+
+    def test_recovers_when_callers_return_as_asked(self) -> None:
+        """Guards against returns and queues that outlast the demand."""
+        self._check_recovery(_AT_TWICE)
+
+    def test_recovers_when_callers_repeat_at_once(self) -> None:
+        """Guards against an overload that repetitions keep alive."""
+        self._check_recovery(_STORM)
+
+    def _check_recovery(self, scenario: Scenario) -> None:
+        for second in _RECOVERED:
+            self.assertGreaterEqual(
+                play(scenario).compute_in_time_share(range(second, second + 1)),
+                _MIN_RECOVERED_SHARE,
+            )
+
+
+class FailureTests(unittest.TestCase):
+    """Overloads in which something else fails."""
+
+    def test_nonsense_reports_do_little_harm(self) -> None:
+        """Guards against reports that one in seven searchers makes up."""
+        nonsense, without = (
+            play(_create_short_scenario(1, reports=reports, shards=7))
+            for reports in (Reports.PARTLY_NONSENSE, Reports.WITHOUT_SLOWDOWN)
+        )
+        self.assertGreaterEqual(
+            nonsense.count_in_time(), 0.95 * without.count_in_time()
+        )
+
+    def test_vms_without_reports_do_not_end_the_control(self) -> None:
+        """Guards against VMs that fill the queues that others relieve."""
+        partly, without = (
+            play(_create_short_scenario(1.5, deaf_vms=deaf_vms))
+            for deaf_vms in (3, 6)
+        )
+        self.assertGreaterEqual(partly.count_in_time(), without.count_in_time())
+
+    def test_stop_of_a_vm_ends_its_waiting_queries(self) -> None:
+        """Guards against queries that hang in a VM that stops."""
+        load = play(_create_short_scenario(1.5, stops_after_s=1))
+        self.assertIsNotNone(load.unanswered_at_stop)
+        before, after = load.unanswered_at_stop or (0, 0)
+        self.assertGreater(before, 0)
+        self.assertEqual(after, 0)
+
+    def test_nothing_changes_without_reported_slowdowns(self) -> None:
+        """Guards against control of searchers that report too little."""
+        counts = []
+        for mode in (OverloadMode.ON, OverloadMode.OFF):
+            scenario = _create_short_scenario(
+                1.5, mode=mode, reports=Reports.WITHOUT_SLOWDOWN
+            )
+            counts.append(list(play(scenario).outcomes.values()))
+        self.assertEqual(*counts)
+
+
+def _create_short_scenario(
+    relative_demand: float, **changes: object
+) -> Scenario:
+    phases = (
+        Phase(0.5, _LIGHT.demand),
+        Phase(1, relative_demand * CAPACITY),
+    )
+    return Scenario(phases, **changes)  # type: ignore[arg-type]
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -9,9 +9,9 @@
 
 import anyio
 
-from jacinthcart.catalogue import CatalogueState, Route, Searcher
+from jacinthcart.catalogue import Catalogue, CatalogueState, Route, Searcher
 from jacinthcart.errors import RefusalError
-from jacinthcart.fleet import MemberParameters, MemberTable
+from jacinthcart.fleet import MemberParameters, MemberRecord, MemberTable
 from jacinthcart.routing import (
     BaseSearcherCodec,
     BudgetParameters,
@@ -98,8 +98,14 @@
         self._waiting = 0
         self._slots = anyio.Semaphore(searcher.slots)
 
-    async def answer(self) -> SearcherResponse:
-        """Wait for a slot and process a request."""
+    async def answer(
+        self, service_time_s: float | None = None
+    ) -> SearcherResponse:
+        """Wait for a slot and process a request.
+
+        `service_time_s` is the median service time of the request, that of
+        the searcher if not given.
+        """
         self.arrivals += 1
         is_refused = self._random.random() < self._refused_fraction
         if is_refused or self._waiting >= self._queue:
@@ -111,15 +117,16 @@
             self._waiting -= 1
         self._running += 1
         try:
-            service_time_s = self.service_time_s * self._random.lognormvariate(
-                0, _SERVICE_TIME_SIGMA
-            )
-            await anyio.sleep(service_time_s * self._compute_slowdown())
+            await self._process(service_time_s or self.service_time_s)
             return self._respond(200)
         finally:
             self._running -= 1
             self._slots.release()
 
+    async def _process(self, service_time_s: float) -> None:
+        noise = self._random.lognormvariate(0, _SERVICE_TIME_SIGMA)
+        await anyio.sleep(service_time_s * noise * self._compute_slowdown())
+
     def _respond(self, status: int, **statements: Any) -> SearcherResponse:
         return SearcherResponse(
             head=ResponseHead(status, ()),
@@ -178,6 +185,46 @@
         """Discard the connection."""
 
 
+def create_client(
+    pools: SearcherPools,
+    searchers: list[Searcher],
+    catalogue: Catalogue,
+    member: MemberRecord,
+    source: random.Random,
+    metrics: Metrics,
+) -> SearcherClient:
+    """Return the client of the VM `member`; requires a running event loop."""
+    clock = anyio.current_time
+    logger = create_logger('test')
+    catalogue_state = CatalogueState(clock, logger)
+    catalogue_state.update_catalogue(catalogue)
+    health_tracker = HealthTracker(clock)
+    members = MemberTable(member, clock, logger, MemberParameters())
+    client = SearcherClient(
+        pools,
+        RoutingTable(
+            catalogue_state,
+            members,
+            health_tracker,
+            ColdStartLimiter(members.own.address, members.rank, clock),
+            clock,
+            source,
+            lambda: 1.0,
+            SelectionParameters(),
+        ),
+        health_tracker,
+        QuantileTracker(),
+        mock.create_autospec(BaseSearcherCodec, instance=True),
+        clock,
+        metrics,
+        logger,
+    )
+    catalogue_state.apply_searcher_changes(
+        {one.searcher_id: one for one in searchers}
+    )
+    return client
+
+
 @dataclasses.dataclass
 class Results:
     """Results of a simulated load."""
@@ -229,53 +276,26 @@
         times whatever the choice of searchers draws.
         """
         clock = anyio.current_time
-        logger = create_logger('test')
         source = random.Random(3)
         self.results = Results()
         self.metrics = Metrics()
         self._started_at = clock()
         self._route = route
         self._random = arrival_source or source
-        catalogue_state = CatalogueState(clock, logger)
-        catalogue_state.update_catalogue(
-            create_catalogue(route, cold_rate=cold_rate)
-        )
-        health_tracker = HealthTracker(clock)
-        members = MemberTable(
-            create_member('10.0.0.1'),
-            clock,
-            logger,
-            MemberParameters(),
-        )
         by_id = {one.searcher.searcher_id: one for one in searchers}
-        latencies = QuantileTracker()
-        self._client = SearcherClient(
+        self._client = create_client(
             _Pools(by_id, clock),
-            RoutingTable(
-                catalogue_state,
-                members,
-                health_tracker,
-                ColdStartLimiter(members.own.address, members.rank, clock),
-                clock,
-                source,
-                lambda: 1.0,
-                SelectionParameters(),
-            ),
-            health_tracker,
-            latencies,
-            mock.create_autospec(BaseSearcherCodec, instance=True),
-            clock,
+            [one.searcher for one in searchers],
+            create_catalogue(route, cold_rate=cold_rate),
+            create_member('10.0.0.1'),
+            source,
             self.metrics,
-            logger,
-        )
-        catalogue_state.apply_searcher_changes(
-            {one.searcher.searcher_id: one.searcher for one in searchers},
         )
         self._server = RequestServer(
             self._client,
             budget or ExtraSendBudget(_BUDGET, lambda: 1.0, clock),
             mock.create_autospec(Admission, instance=True),
-            Shutdown(clock, latencies),
+            Shutdown(clock, self._client.latencies),
             source,
             ServingParameters(),
         )
