--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -25,6 +25,7 @@
 _STATUS_BODY_TOO_LARGE = 413
 _STATUS_HEADERS_TOO_LARGE = 431
 _STATUS_INTERNAL_ERROR = 500
+_STATUS_NOT_IMPLEMENTED = 501
 _PHRASE_BY_STATUS = types.MappingProxyType(
     {one.value: one.phrase for one in http.HTTPStatus},
 )
@@ -69,7 +70,8 @@
     """A response to be written."""
 
     status: int
-    #: Headers, without `Content-Length` and `Connection`.
+    #: Headers, without `Connection`, and without `Content-Length` unless this
+    #: is the response to a HEAD request.
     headers: tuple[tuple[bytes, bytes], ...] = ()
     #: Complete body.
     body: bytes = b''
@@ -102,20 +104,27 @@
         self.is_receiving = False
         self.header_bytes = 0
         self.body_bytes = 0
+        #: Whether the client waits for an interim response before it sends the
+        #: body of the request in progress.
         self.expects_continue = False
         self._clock = clock
         self._get_limits = get_limits
         self._parser: Any = httptools.HttpRequestParser(self)
+        #: Bytes received since the last complete part of a request.
+        self._pending_bytes = 0
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise httptools.HttpParserError."""
-        self._parser.feed_data(received)
+        rest = received
+        while rest and not self.violation_status:
+            rest = self._parse(rest)
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        self._pending_bytes = 0
         self.is_receiving = True
         self.header_bytes = 0
         self.body_bytes = 0
@@ -125,30 +134,39 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
+        self._pending_bytes = 0
         self._target += url
         self.header_bytes += len(url)
+        self._check_header_limit(self.header_bytes)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header and check the header limit."""
+        self._pending_bytes = 0
         lowered = name.lower()
         self.header_bytes += len(name) + len(content) + 4
         self._headers.append((lowered, content))
-        if self.header_bytes > self._get_limits().max_header_bytes:
-            self.violation_status = _STATUS_HEADERS_TOO_LARGE
+        self._check_header_limit(self.header_bytes)
         if lowered == b'expect' and content.lower() == b'100-continue':
             self.expects_continue = True
 
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body and check the body limit."""
+        self._pending_bytes = 0
         self.body_bytes += len(chunk)
         self._chunks.append(chunk)
         if self.body_bytes > self._get_limits().max_body_bytes:
             self.violation_status = _STATUS_BODY_TOO_LARGE
 
     def on_message_complete(self) -> None:
-        """Add the request to `completed` unless it exceeded a limit."""
+        """Add the request to `completed` unless it exceeded a limit.
+
+        A request that asks for another protocol is completed later, as the
+        parser takes all bytes after its head for that protocol.
+        """
+        self._pending_bytes = 0
         self.is_receiving = False
-        if self.violation_status:
+        self.expects_continue = False
+        if self.violation_status or self._parser.should_upgrade():
             return
         self.completed.append(
             RawRequest(
@@ -161,6 +179,42 @@
             ),
         )
 
+    def _parse(self, received: bytes) -> bytes:
+        """Parse bytes; return those that are still to be parsed."""
+        self._pending_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade()
+            return received[upgrade.args[0] :]
+        # The parser holds a header until it is complete.
+        self._check_header_limit(self._pending_bytes)
+        return b''
+
+    def _check_header_limit(self, held_bytes: int) -> None:
+        if held_bytes > self._get_limits().max_header_bytes:
+            self.violation_status = _STATUS_HEADERS_TOO_LARGE
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the last head again as if it did not ask for an upgrade.
+
+        A server may ignore `Upgrade` (RFC 9110, section 7.8). CONNECT is not
+        implemented.
+        """
+        method = self._parser.get_method()
+        if method == b'CONNECT':
+            self.violation_status = _STATUS_NOT_IMPLEMENTED
+            return
+        version = self._parser.get_http_version().encode()
+        lines = [b'%b %b HTTP/%b' % (method, self._target, version)]
+        lines.extend(
+            b'%b: %b' % header
+            for header in self._headers
+            if header[0] != b'upgrade'
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b'%b\r\n\r\n' % b'\r\n'.join(lines))
+
 
 class ServerConnection:
     """Reads the requests of one client and writes the responses in order.
@@ -240,6 +294,7 @@
                 return None
             if self._is_disconnected:
                 return None
+            await self._write_continue()
             is_receiving = self._parser.is_receiving
             wait_s = limits.header_timeout_s if is_receiving else idle_s
             if not await self._wait_for_change(wait_s):
@@ -250,6 +305,13 @@
                 return None
         return self._parser.completed.pop(0)
 
+    async def _write_continue(self) -> None:
+        # Only the task that writes the responses writes to the stream, so that
+        # this comes after the responses to earlier requests.
+        if self._parser.expects_continue:
+            self._parser.expects_continue = False
+            await self._send(_CONTINUE)
+
     async def _wait_for_change(self, wait_s: float) -> bool:
         with anyio.move_on_after(wait_s):
             await self._changed.wait()
@@ -290,9 +352,6 @@
                 received = await self._stream.receive(_RECEIVE_BYTES)
                 self._parser.feed(received)
                 self._error_status = self._parser.violation_status
-                if self._parser.expects_continue:
-                    self._parser.expects_continue = False
-                    await self._stream.send(_CONTINUE)
                 self._changed.set()
         except httptools.HttpParserError:
             self._error_status = _STATUS_BAD_REQUEST
@@ -309,9 +368,11 @@
         keep_alive: bool,
         has_body: bool = True,
     ) -> bool:
-        message = encode_response(
-            response, keep_alive=keep_alive, has_body=has_body
+        return await self._send(
+            encode_response(response, keep_alive=keep_alive, has_body=has_body)
         )
+
+    async def _send(self, message: bytes) -> bool:
         is_sent = False
         try:
             with anyio.move_on_after(_SEND_TIMEOUT_S):
@@ -328,16 +389,21 @@
     keep_alive: bool,
     has_body: bool = True,
 ) -> bytes:
-    """Return the response in wire form, with the length of its body."""
+    """Return the response in wire form, with the length of its body.
+
+    Without `has_body` it is the response to a HEAD request. Its length would
+    have to be that of the response to GET, which only the handler may know.
+    """
+    has_body = has_body and response.status not in _BODYLESS_STATUSES
     phrase = _PHRASE_BY_STATUS.get(response.status, 'Status')
     lines = [f'HTTP/1.1 {response.status} {phrase}\r\n'.encode()]
     for name, content in response.headers:
         lines.append(b'%s: %s\r\n' % (name, content))
-    if response.status not in _BODYLESS_STATUSES:
+    if has_body:
         lines.append(b'Content-Length: %d\r\n' % len(response.body))
     if not keep_alive:
         lines.append(b'Connection: close\r\n')
     lines.append(b'\r\n')
-    if has_body and response.status not in _BODYLESS_STATUSES:
+    if has_body:
         lines.append(response.body)
     return b''.join(lines)
--- a/tests/overload/support.py
+++ b/tests/overload/support.py
@@ -202,7 +202,7 @@
         self._service_time_s = service_time_s
         self._is_deaf = is_deaf
 
-    async def exchange(self, *_: Any) -> SearcherResponse:
+    async def exchange(self, *_: Any, expects_body: bool) -> SearcherResponse:
         """Return the searcher's response."""
         response = await self._searcher.answer(self._service_time_s)
         if self._is_deaf:
--- a/tests/overload/test_returns.py
+++ b/tests/overload/test_retry_delays.py
@@ -1,11 +1,11 @@
-"""Tests of the times at which refused callers return."""
+"""Tests of the retry delays of refused queries."""
 
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jacinthcart.overload import ReturnParameters, ReturnSchedule
+from jacinthcart.overload import RetryDelayParameters, RetryDelays
 from tests.support import ManualClock
 
 _SHARES = st.floats(0, 1)
@@ -13,7 +13,7 @@
 _STEP_S = 0.5
 
 
-class ReturnTests(unittest.TestCase):
+class RetryDelayTests(unittest.TestCase):
     """Retry delays of refused callers."""
 
     @settings(derandomize=True)
@@ -56,18 +56,20 @@
     def test_overload_ends_in_a_calm(self) -> None:
         """Guards against an earlier overload that delays callers today."""
         clock = ManualClock()
-        schedule = ReturnSchedule(clock, ReturnParameters())
-        schedule.record_refusal()
-        fresh_s = schedule.compute_retry_after_s(0, 0, 1, 60)
+        retry_delays = RetryDelays(clock, RetryDelayParameters())
+        retry_delays.record_refusal()
+        fresh_s = retry_delays.compute_retry_after_s(0, 0, 1, 60)
         clock.advance(60)
-        schedule.record_refusal()
-        self.assertEqual(schedule.compute_retry_after_s(0, 0, 1, 60), fresh_s)
+        retry_delays.record_refusal()
+        self.assertEqual(
+            retry_delays.compute_retry_after_s(0, 0, 1, 60), fresh_s
+        )
 
 
-def _play_overload(refusals: int) -> ReturnSchedule:
+def _play_overload(refusals: int) -> RetryDelays:
     clock = ManualClock()
-    schedule = ReturnSchedule(clock, ReturnParameters())
+    retry_delays = RetryDelays(clock, RetryDelayParameters())
     for _ in range(refusals):
-        schedule.record_refusal()
+        retry_delays.record_refusal()
         clock.advance(_STEP_S)
-    return schedule
+    return retry_delays
