--- a/jacinthcart/overload/_bands.py
+++ b/jacinthcart/overload/_bands.py
@@ -1,7 +1,6 @@
-"""Fraction of the queries of each priority that is admitted at a delay."""
+"""Fraction of the queries of each rank that is admitted at a delay."""
 
 import dataclasses
-from collections.abc import Iterable
 
 from jacinthcart.catalogue import Route
 
@@ -13,8 +12,8 @@
     #: Seconds of the target that the network, the VM and the slowest of many
     #: shards take beside service and queueing.
     reserve_s: float = 0.02
-    #: Minimum fraction of a priority's queries that is admitted, relative to
-    #: the next more urgent priority, so that no priority starves.
+    #: Minimum fraction of a rank's queries that is admitted, relative to the
+    #: next more urgent rank, so that no rank starves.
     min_relative_fraction: float = 0.3
 
 
@@ -26,7 +25,7 @@
 
 
 class AdmissionBands:
-    """Bands of queueing delay, one for each priority.
+    """Bands of queueing delay, one for each rank of urgency.
 
     The routes of the bands share searchers, which work on requests in the
     order of arrival. A queue that persists therefore delays all of them and
@@ -38,39 +37,37 @@
     """
 
     def __init__(
-        self,
-        slack_s: float,
-        priorities: Iterable[int],
-        params: BandParameters,
+        self, slack_s: float, ranks: int, params: BandParameters
     ) -> None:
         """Create the bands.
 
-        `slack_s` is the smallest slack of the routes in seconds, `priorities`
-        their priorities; 0 is the most urgent.
+        `slack_s` is the smallest slack of the routes in seconds and `ranks`
+        the number of ranks of urgency.
         """
-        self._priorities = sorted(set(priorities))
+        self._slack_s = slack_s
+        self._ranks = ranks
         self._params = params
-        self._step_s = slack_s / (len(self._priorities) + 1)
+        self._step_s = slack_s / (ranks + 2)
 
-    def compute_fraction(self, priority: int, delay_s: float) -> float:
+    def compute_fraction(self, rank: int, delay_s: float) -> float:
         """Return the fraction of the queries to admit, from 0 to 1.
 
-        `priority` is one of the priorities of the bands and `delay_s` the
-        queueing delay in seconds that a query would have now.
+        `rank` is 0 for the most urgent queries and `delay_s` the queueing
+        delay in seconds that a query would have now.
         """
-        fraction = 1.0
-        for rank, other in enumerate(self._priorities):
-            least = fraction * self._params.min_relative_fraction if rank else 0
-            fraction = max(self._compute_own_fraction(rank, delay_s), least)
-            if other == priority:
-                break
+        fraction = self._compute_own_fraction(0, delay_s)
+        for other in range(1, rank + 1):
+            least = fraction * self._params.min_relative_fraction
+            fraction = max(self._compute_own_fraction(other, delay_s), least)
         return fraction
 
     def _compute_own_fraction(self, rank: int, delay_s: float) -> float:
-        # Each band is two steps wide and overlaps the next one by a step.
-        if delay_s <= 0:
+        # A delay of up to a step is left to all ranks, so that the searchers
+        # have work while the VMs learn of a change.
+        full_s = self._step_s * (self._ranks - rank)
+        none_s = full_s + self._step_s if rank else self._slack_s
+        if delay_s <= full_s:
             return 1.0
-        if self._step_s <= 0:
+        if delay_s >= none_s:
             return 0.0
-        none_s = self._step_s * (len(self._priorities) - rank + 1)
-        return min(1.0, max(0.0, (none_s - delay_s) / (2 * self._step_s)))
+        return (none_s - delay_s) / (none_s - full_s)
--- a/jacinthcart/overload/_control.py
+++ b/jacinthcart/overload/_control.py
@@ -5,21 +5,16 @@
 import random
 
 from jacinthcart.errors import RefusalCode, RefusalError
-from jacinthcart.overload._bands import (
-    AdmissionBands,
-    BandParameters,
-    compute_slack_s,
-)
+from jacinthcart.overload._bands import BandParameters
 from jacinthcart.overload._decision import OverloadDecision
 from jacinthcart.overload._demand import DemandTracker, QueryKind
+from jacinthcart.overload._policy import AdmissionPolicy
 from jacinthcart.overload._retry_delays import RetryDelayParameters, RetryDelays
 from jacinthcart.overload._waiting import WaitingQueries, WaitingQuery
 from jacinthcart.routing import SearcherClient
 from jacinthcart.telemetry import Logger, Metrics
 
 _MS_PER_S = 1000
-#: Service time assumed until one is known, as a fraction of the target.
-_DEFAULT_SERVICE_FRACTION = 0.25
 _METRIC = 'overload'
 
 
@@ -81,8 +76,9 @@
         self._params = params
         self._metrics = metrics
         self._logger = logger
+        self._policy = AdmissionPolicy(client.table.service_times, params.bands)
         self._demand = DemandTracker(client.clock)
-        self._waiting = WaitingQueries()
+        self._waiting = WaitingQueries(random_source)
         self._retry_delays = RetryDelays(client.clock, params.retry_delays)
 
     async def admit(self, query: QueryDemand) -> None:
@@ -105,20 +101,18 @@
     def describe(self, query: QueryDemand) -> OverloadDecision:
         """Return what would be decided on a query now; records nothing."""
         kind = query.kind
-        competing = self._demand.list_competing(kind.route.shards)
-        if kind not in competing:
-            competing.append(kind)
+        competing = self._list_competing(kind)
         delay_s, shard = self._find_decisive_shard(query)
         return OverloadDecision(
             mode=self._mode.value,
             competing=tuple(
                 (one.route.name, one.priority) for one in competing
             ),
-            slack_s=self._compute_slack_s(competing),
+            slack_s=self._policy.compute_slack_s(kind, competing),
             decisive_shard=shard,
             delay_s=delay_s,
-            admitted_fraction=self._compute_fraction_at(
-                delay_s, kind.priority, competing
+            admitted_fraction=self._policy.compute_fraction(
+                delay_s, kind, competing
             ),
             max_wait_s=max(
                 0.0, self._compute_wait_until(query) - self._client.clock()
@@ -128,61 +122,55 @@
     async def _wait(self, query: QueryDemand, fraction: float) -> None:
         shards = query.kind.route.shards
         started_at = self._client.clock()
-        wait_until = self._compute_wait_until(query)
-        waiting = WaitingQuery(query.kind.priority, query.answer_at)
+        rank, _ = self._policy.compute_rank(
+            query.kind, self._list_competing(query.kind)
+        )
+        waiting = WaitingQuery(rank, self._compute_latest_start(query))
         self._waiting.add(shards, waiting)
-        drawn = 0.0
+        is_sent = False
         try:
-            while True:
-                # A query draws once, and again only for what the fraction
-                # has risen by. If each decision counted, queries would be
-                # admitted several times as often as the fraction says.
-                increase = max(0.0, fraction - drawn)
-                self._waiting.draw(shards, query.kind.priority, increase)
-                drawn += increase
-                left_s = wait_until - self._client.clock()
-                if not waiting.is_admitted and left_s > 0:
-                    await waiting.wait(min(left_s, self._params.interval_s))
-                if waiting.is_admitted:
-                    break
-                fraction = self._compute_fraction(query)
-                if left_s <= 0:
-                    raise self._create_refusal(query, fraction)
+            await self._wait_for_admission(query, waiting, fraction)
+            is_sent = True
         finally:
             self._waiting.remove(shards, waiting)
+            if waiting.is_admitted and not is_sent:
+                # The caller left between the admission and now.
+                self._waiting.admit_first(shards, rank)
         self._count('admitted', query)
         self._metrics.record_seconds(
             (_METRIC, 'wait', query.kind.route.name),
             self._client.clock() - started_at,
         )
 
-    def _compute_fraction(self, query: QueryDemand) -> float:
-        return self._compute_fraction_at(
-            self._estimate_delay_s(query),
-            query.kind.priority,
-            self._demand.list_competing(query.kind.route.shards),
-        )
+    async def _wait_for_admission(
+        self, query: QueryDemand, waiting: WaitingQuery, fraction: float
+    ) -> None:
+        wait_until = self._compute_wait_until(query)
+        drawn = 0.0
+        while not waiting.is_admitted and fraction < 1:
+            # A query draws once, and again only for what the fraction has
+            # risen by. If each decision counted, queries would be admitted
+            # several times as often as the fraction says.
+            increase = max(0.0, fraction - drawn)
+            self._waiting.draw(query.kind.route.shards, waiting.rank, increase)
+            drawn += increase
+            left_s = wait_until - self._client.clock()
+            if not waiting.is_admitted and left_s <= 0:
+                raise self._create_refusal(query, fraction)
+            await waiting.wait(min(left_s, self._params.interval_s))
+            fraction = self._compute_fraction(query)
+
+    def _list_competing(self, kind: QueryKind) -> list[QueryKind]:
+        # The kind itself may have been recorded long ago.
+        competing = self._demand.list_competing(kind.route.shards)
+        return competing if kind in competing else [*competing, kind]
 
-    def _compute_fraction_at(
-        self, delay_s: float, priority: int, competing: list[QueryKind]
-    ) -> float:
+    def _compute_fraction(self, query: QueryDemand) -> float:
+        delay_s = self._estimate_delay_s(query)
         if delay_s <= 0:
             return 1.0
-        bands = AdmissionBands(
-            self._compute_slack_s(competing),
-            (kind.priority for kind in competing),
-            self._params.bands,
-        )
-        return bands.compute_fraction(priority, delay_s)
-
-    def _compute_slack_s(self, competing: list[QueryKind]) -> float:
-        return min(
-            compute_slack_s(
-                kind.route,
-                self._estimate_service_time_s(kind),
-                self._params.bands,
-            )
-            for kind in competing
+        return self._policy.compute_fraction(
+            delay_s, query.kind, self._list_competing(query.kind)
         )
 
     def _estimate_delay_s(self, query: QueryDemand) -> float:
@@ -198,18 +186,15 @@
         )
         return delays_s[len(delays_s) - 1 - query.kind.optional_parts]
 
-    def _estimate_service_time_s(self, kind: QueryKind) -> float:
-        return self._client.table.service_times.estimate_s(
-            kind.route.name,
-            kind.decisive_quantile,
-            kind.route.target_s * _DEFAULT_SERVICE_FRACTION,
-        )
+    def _compute_latest_start(self, query: QueryDemand) -> float:
+        service_time_s = self._policy.estimate_service_time_s(query.kind)
+        return min(query.answer_at, query.deadline) - service_time_s
 
     def _compute_wait_until(self, query: QueryDemand) -> float:
         max_wait_s = query.kind.route.target_s * self._params.max_wait_fraction
         return min(
             self._client.clock() + max_wait_s,
-            query.answer_at - self._estimate_service_time_s(query.kind),
+            self._compute_latest_start(query),
         )
 
     def _create_refusal(
--- a/jacinthcart/overload/_demand.py
+++ b/jacinthcart/overload/_demand.py
@@ -46,10 +46,10 @@
     def record(self, kind: QueryKind) -> None:
         """Record a query."""
         now = self._clock()
-        if kind.route.shards not in self._last_at_by_shards:
+        shards = kind.route.shards
+        if kind not in self._last_at_by_shards.get(shards, {}):
             self._remove_inactive(now)
-        last_at = self._last_at_by_shards.setdefault(kind.route.shards, {})
-        last_at[kind] = now
+        self._last_at_by_shards.setdefault(shards, {})[kind] = now
 
     def list_competing(self, shards: tuple[str, ...]) -> list[QueryKind]:
         """Return the kinds of the recent queries over the same shards."""
@@ -58,8 +58,10 @@
         return [kind for kind, at in last_at.items() if at >= oldest]
 
     def _remove_inactive(self, now: float) -> None:
-        self._last_at_by_shards = {
-            shards: last_at
-            for shards, last_at in self._last_at_by_shards.items()
-            if max(last_at.values()) >= now - _ACTIVE_S
-        }
+        oldest = now - _ACTIVE_S
+        for shards, last_at in list(self._last_at_by_shards.items()):
+            inactive = [kind for kind, at in last_at.items() if at < oldest]
+            for kind in inactive:
+                last_at.pop(kind)
+            if not last_at:
+                self._last_at_by_shards.pop(shards)
--- a/jacinthcart/overload/_retry_delays.py
+++ b/jacinthcart/overload/_retry_delays.py
@@ -54,4 +54,8 @@
         """
         lasted_s = self._clock() - self._started_at
         spread_s = max(self._params.min_spread_s, lasted_s * (1 - fraction))
-        return max(0.0, min(delay_s + spread_s * position, latest_s))
+        retry_after_s = delay_s + spread_s * position
+        if latest_s < delay_s:
+            # No return is of use. Returning at once would only add load.
+            return retry_after_s
+        return min(retry_after_s, latest_s)
--- a/jacinthcart/overload/_waiting.py
+++ b/jacinthcart/overload/_waiting.py
@@ -1,21 +1,22 @@
 """Queries that wait in this VM until they are admitted or refused."""
 
+import random
+
 import anyio
 
 
 class WaitingQuery:
     """A query that waits for admission."""
 
-    def __init__(self, priority: int, latest_start: float) -> None:
+    def __init__(self, rank: int, latest_start: float) -> None:
         """Create the query.
 
-        `latest_start` is the clock time in seconds by which it must be sent
-        to be answered in time.
+        `rank` is its rank of urgency and `latest_start` the clock time in
+        seconds by which it must be sent to be answered in time.
         """
         self.is_admitted = False
-        #: Order of admission: the more urgent priority first, then the query
-        #: with the least time left.
-        self.order = (priority, latest_start)
+        self.rank = rank
+        self.latest_start = latest_start
         self._event = anyio.Event()
 
     def admit(self) -> None:
@@ -32,10 +33,11 @@
 class WaitingQueries:
     """The waiting queries, by their sets of shards."""
 
-    def __init__(self) -> None:
+    def __init__(self, random_source: random.Random) -> None:
         """Create an empty collection."""
+        self._random = random_source
         self._queries_by_shards: dict[tuple[str, ...], set[WaitingQuery]] = {}
-        #: Admissions that are due, by shards and priority; less than one.
+        #: Admissions that are due, by shards and rank; less than one.
         self._credit_by_key: dict[tuple[tuple[str, ...], int], float] = {}
 
     def add(self, shards: tuple[str, ...], query: WaitingQuery) -> None:
@@ -46,29 +48,36 @@
         """Remove a query, admitted or not."""
         queries = self._queries_by_shards[shards]
         queries.discard(query)
-        if not queries:
-            self._queries_by_shards.pop(shards)
+        if queries:
+            return
+        self._queries_by_shards.pop(shards)
+        keys = [key for key in self._credit_by_key if key[0] == shards]
+        for key in keys:
+            self._credit_by_key.pop(key)
 
-    def draw(
-        self, shards: tuple[str, ...], priority: int, fraction: float
-    ) -> None:
-        """Admit a query with the given frequency.
+    def draw(self, shards: tuple[str, ...], rank: int, fraction: float) -> None:
+        """Admit a query of a rank with the given frequency.
 
-        Of many draws with one priority, `fraction` admit a query: the first
-        in order, whatever the priority of the draw.
+        Of many draws, `fraction` admit a query: the one with the least time
+        left.
         """
-        key = shards, priority
-        credit = self._credit_by_key.get(key, 0) + fraction
+        key = shards, rank
+        credit = self._credit_by_key.get(key)
+        if credit is None:
+            # Many VMs with few queries each must not all refuse the first.
+            credit = self._random.random()
+        credit += fraction
         if credit >= 1:
-            self._admit_first(shards)
+            self.admit_first(shards, rank)
             credit -= 1
         self._credit_by_key[key] = credit
 
-    def _admit_first(self, shards: tuple[str, ...]) -> None:
+    def admit_first(self, shards: tuple[str, ...], rank: int) -> None:
+        """Admit the waiting query of a rank with the least time left."""
         waiting = [
             query
             for query in self._queries_by_shards.get(shards, ())
-            if not query.is_admitted
+            if query.rank == rank and not query.is_admitted
         ]
         if waiting:
-            min(waiting, key=lambda query: query.order).admit()
+            min(waiting, key=lambda query: query.latest_start).admit()
--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -27,6 +27,7 @@
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
+from jacinthcart.routing._service_times import ServiceTimes
 from jacinthcart.routing._table import RoutingTable
 
 __all__ = [
@@ -56,5 +57,6 @@
     'SearcherPools',
     'SearcherResponse',
     'SelectionParameters',
+    'ServiceTimes',
     'estimate_cost_s',
 ]
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -391,6 +391,7 @@
         if load is not None and load.slowdown is not None:
             self.table.service_times.record(
                 route.name,
+                attempt.searcher.service,
                 latency_s / health.slowdown,
                 is_queued=load.waiting > 0,
             )
--- a/jacinthcart/routing/_queue_delays.py
+++ b/jacinthcart/routing/_queue_delays.py
@@ -9,6 +9,9 @@
 from jacinthcart.routing._health import HealthTracker
 from jacinthcart.routing._service_times import ServiceTimes
 
+#: Age in seconds up to which a load report is recent.
+_RECENT_S = 1.0
+
 
 class QueueDelays:
     """Estimates how long a new request to a service would be queued."""
@@ -32,19 +35,22 @@
         """Return the time in seconds until a new request gets a slot.
 
         The time is that of the searcher at which the request would end first.
-        It is 0 if no searcher of the service is available, because waiting
-        does not help.
+        Searchers without a recent report are left out unless there is no
+        other, because the VM rarely sends to them. The time is 0 if no searcher
+        of the service is available: waiting does not help then.
         """
+        service_time_s = self._service_times.get_mean_s(service)
+        if service_time_s <= 0:
+            return 0
         now = self._clock()
-        service_time_s = self._service_times.mean_s
-        best_end_s = math.inf
-        best_delay_s: float = 0
+        best = (True, math.inf, 0.0)
         for searcher in self._catalogue_state.list_searchers(service):
             health = self._health_tracker.get_or_create(searcher.process)
+            resume_at = self._availability.compute_earliest_send(searcher)
             is_failing = health.consecutive_failures and (
                 health.backoff_until > now
             )
-            if is_failing or not self._availability.may_send(searcher):
+            if is_failing or resume_at == math.inf:
                 continue
             delay_s = estimate_queue_delay_s(
                 health,
@@ -52,9 +58,9 @@
                 service_time_s=service_time_s,
                 slots=searcher.slots,
             )
+            delay_s = max(delay_s, resume_at - now)
             factor = health.compute_slowness(now) * health.compute_slowdown(now)
+            is_unknown = now - health.load_at > _RECENT_S
             end_s = delay_s + service_time_s * factor
-            if end_s < best_end_s:
-                best_end_s = end_s
-                best_delay_s = delay_s
-        return best_delay_s
+            best = min(best, (is_unknown, end_s, delay_s))
+        return best[-1]
--- a/jacinthcart/routing/_service_times.py
+++ b/jacinthcart/routing/_service_times.py
@@ -1,10 +1,9 @@
-"""How long searchers work on one request when it does not wait."""
+"""How long searchers work on a request that does not wait."""
 
 from jacinthcart.routing._quantiles import QuantileTracker
 
-#: Weight of a new sample in the mean service time of all routes. A query over
-#: many shards adds a sample for each of them.
-_MEAN_WEIGHT = 0.002
+#: Weight of a new sample in the mean service time of a service.
+_MEAN_WEIGHT = 0.05
 
 
 class ServiceTimes:
@@ -19,27 +18,30 @@
     def __init__(self) -> None:
         """Create an empty record."""
         self._quantiles = QuantileTracker()
-        self._mean_s: float | None = None
+        self._mean_s_by_service: dict[str, float] = {}
 
-    @property
-    def mean_s(self) -> float:
-        """Return the mean over recent responses of all routes, in seconds.
+    def get_mean_s(self, service: str) -> float:
+        """Return the mean over recent responses of a service, in seconds.
 
-        It is 0 before the first one.
+        It is 0 while unknown.
         """
-        return self._mean_s or 0
+        return self._mean_s_by_service.get(service, 0)
 
-    def record(self, route: str, latency_s: float, *, is_queued: bool) -> None:
+    def record(
+        self, route: str, service: str, latency_s: float, *, is_queued: bool
+    ) -> None:
         """Record the latency of a response without the machine's slowdown.
 
         `is_queued` states whether requests wait at the searcher.
         """
         if not is_queued:
             self._quantiles.add(route, latency_s)
-        service_time_s = self._quantiles.quantile_s(route, 0.5, latency_s)
-        if self._mean_s is None:
-            self._mean_s = service_time_s
-        self._mean_s += (service_time_s - self._mean_s) * _MEAN_WEIGHT
+        service_time_s = self._quantiles.quantile_s(route, 0.5, 0)
+        if service_time_s <= 0:
+            return
+        mean_s = self._mean_s_by_service.get(service, service_time_s)
+        mean_s += (service_time_s - mean_s) * _MEAN_WEIGHT
+        self._mean_s_by_service[service] = mean_s
 
     def estimate_s(
         self, route: str, quantile: float, default_s: float
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -95,7 +95,7 @@
                 self._create_candidate(searcher, connection_limit),
                 now=now,
                 service_time_s=service_time_s,
-                mean_service_time_s=self.service_times.mean_s,
+                mean_service_time_s=self.service_times.get_mean_s(service),
                 target_s=target_s,
                 params=self._params,
             )
@@ -125,7 +125,7 @@
         inputs = CostInputs(
             self._clock(),
             service_time_s,
-            self.service_times.mean_s,
+            self.service_times.get_mean_s(service),
             target_s,
             self._params,
         )
@@ -197,7 +197,7 @@
             self.get_health(searcher),
             now=self._clock(),
             service_time_s=service_time_s,
-            mean_service_time_s=self.service_times.mean_s,
+            mean_service_time_s=self.service_times.get_mean_s(searcher.service),
             slots=searcher.slots,
         )
 
--- a/jacinthcart/serving/_request_run.py
+++ b/jacinthcart/serving/_request_run.py
@@ -224,7 +224,7 @@
                 QueryDemand(
                     QueryKind(route, context.priority, policy.optional_parts),
                     policy.answer_at,
-                    context.request.deadline,
+                    context.deadline,
                 )
             )
         hold_policy = HoldPolicy(policy.optional_parts, policy.answer_at)
