--- a/tests/overload/test_description.py
+++ b/tests/overload/test_description.py
@@ -25,6 +25,7 @@
     client.clock = anyio.current_time
     client.table.queue_delays.estimate_s = _DELAY_S_BY_SHARD.__getitem__
     client.table.service_times.estimate_s.return_value = 0.02
+    client.table.service_times.get_mean_s.return_value = 0.02
     return OverloadControl(
         client,
         random.Random(1),
