--- a/tests/overload/test_played_overload.py
+++ b/tests/overload/test_played_overload.py
@@ -1,6 +1,7 @@
 """Tests of played overloads in virtual time."""
 
 import unittest
+from typing import Any
 
 from jacinthcart.overload import OverloadMode
 from tests.overload.support import (
@@ -21,13 +22,13 @@
 _GRANULARITY_S = 0.001
 
 
-def _create_scenario(demand: float, **changes: object) -> Scenario:
+def _create_scenario(demand: float, **changes: Any) -> Scenario:
     phases = (
         _LIGHT,
         Phase(len(_OVERLOAD), demand),
         Phase(3, _LIGHT.demand),
     )
-    return Scenario(phases, **changes)  # type: ignore[arg-type]
+    return Scenario(phases, **changes)
 
 
 _AT_CAPACITY = _create_scenario(1)
@@ -159,9 +160,9 @@
         self.assertEqual(*counts)
 
 
-def _create_short_scenario(demand: float, **changes: object) -> Scenario:
+def _create_short_scenario(demand: float, **changes: Any) -> Scenario:
     phases = (
         Phase(0.5, _LIGHT.demand),
         Phase(1, demand),
     )
-    return Scenario(phases, **changes)  # type: ignore[arg-type]
+    return Scenario(phases, **changes)
