--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -18,11 +18,16 @@
     SelectionParameters,
     estimate_cost_s,
 )
+from jacinthcart.routing._description import (
+    ChoiceDescription,
+    SearcherDescription,
+)
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
 from jacinthcart.routing._load_report import LoadReport
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
+from jacinthcart.routing._service_times import ServiceTimes
 from jacinthcart.routing._table import RoutingTable
 
 __all__ = [
@@ -33,6 +38,7 @@
     'CallContext',
     'CallerRequest',
     'Candidate',
+    'ChoiceDescription',
     'ColdStartLimiter',
     'ConnectionParameters',
     'ExtraSendBudget',
@@ -46,9 +52,11 @@
     'ResponseHead',
     'RoutingTable',
     'SearcherClient',
+    'SearcherDescription',
     'SearcherHealth',
     'SearcherPools',
     'SearcherResponse',
     'SelectionParameters',
+    'ServiceTimes',
     'estimate_cost_s',
 ]
