Explain requests without any searcher as refused

A request to one service without a searcher was explained as not refused, although it fails. The explanation now states the refusal.

An empty workspace name raised KeyError instead of InvalidMessageError. A shard that a route names twice was counted twice as unserved, which also changed the refusal of queries; it is counted once again. Tests of these three were seen failing before.

The description of a choice compared each searcher with all usable ones.

--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -121,7 +121,7 @@
         """
         cold_rate = self._get_cold_rate(service)
         connection_limit = self._compute_connection_limit(service)
-        usable = self._catalogue_state.list_searchers(service)
+        usable = frozenset(self._catalogue_state.list_searchers(service))
         inputs = CostInputs(
             self._clock(),
             service_time_s,
--- a/jacinthcart/serving/_admission.py
+++ b/jacinthcart/serving/_admission.py
@@ -104,7 +104,7 @@
         the workspace's rate.
         """
         catalogue, route = self._find_route(host, path)
-        if workspace and workspace not in catalogue.workspaces_by_name:
+        if workspace not in {None, *catalogue.workspaces_by_name}:
             raise InvalidMessageError(f'unknown workspace {workspace}')
         if not catalogue.needs_keys or route.is_public:
             workspace = None
--- a/jacinthcart/serving/_availability.py
+++ b/jacinthcart/serving/_availability.py
@@ -16,6 +16,6 @@
     )
     return [
         service
-        for service in route.shards
+        for service in dict.fromkeys(route.shards)
         if client.table.compute_available_at(service) > latest_send
     ]
--- a/jacinthcart/serving/_explanation.py
+++ b/jacinthcart/serving/_explanation.py
@@ -4,6 +4,7 @@
 
 from anyio.lowlevel import checkpoint
 
+from jacinthcart.catalogue import Route
 from jacinthcart.errors import RefusalCode, RefusalError
 from jacinthcart.overload import (
     OverloadControl,
@@ -81,8 +82,8 @@
         now = self._client.clock()
         try:
             admitted = self._admission.preview(host, path, workspace, now)
-        except RefusalError as refusal:
-            return RequestExplanation(str(refusal))
+        except RefusalError as error:
+            return RequestExplanation(str(error))
         if admitted.route.is_scattered:
             return await self._explain_query(admitted, now)
         services = tuple(
@@ -93,7 +94,20 @@
             )
             for share in admitted.route.shares
         )
-        return RequestExplanation(None, admitted, services)
+        refusal = None
+        if not self._is_served(admitted.route, now):
+            refusal = f'{RefusalCode.OVERLOADED}: no searcher'
+        return RequestExplanation(refusal, admitted, services)
+
+    def _is_served(self, route: Route, now: float) -> bool:
+        # A request waits until the target for a searcher, then it fails.
+        table = self._client.table
+        return any(
+            table.compute_earliest_send(share.service, ())
+            < now + route.target_s
+            for share in route.shares
+            if share.weight > 0
+        )
 
     async def _explain_query(
         self, admitted: Admitted, now: float
--- a/tests/node/test_explanation.py
+++ b/tests/node/test_explanation.py
@@ -62,8 +62,9 @@
             explanation = self._explain('/a/q', 'mill')
             self.assertEqual(explanation.admitted.priority, 4)
         self.assertEqual(self.node.describe_quotas(), tokens)
-        with self.assertRaises(InvalidMessageError):
-            self._explain('/a/q', 'unknown')
+        for workspace in ('unknown', ''):
+            with self.assertRaises(InvalidMessageError):
+                self._explain('/a/q', workspace)
 
     def test_each_shard_and_overload_control_are_explained(self) -> None:
         """Guards against an answer without the part that decides."""
@@ -80,6 +81,13 @@
         explanation = self._explain('/q/')
         self.assertEqual(explanation.unserved, _SHARDS)
         self.assertIn('no searcher', explanation.refusal)
+        self.assertIn('no searcher', self._explain('/a/').refusal)
+
+    def test_shard_named_twice_is_counted_once(self) -> None:
+        """Guards against refusing a query for one shard counted twice."""
+        route = create_route('d', shares=(), shards=('shard-0', 'shard-0'))
+        self.node.catalogue_state.update_catalogue(create_catalogue(route))
+        self.assertEqual(self._explain('/d/').unserved, ('shard-0',))
 
     def _explain(self, path: str, workspace: str | None = None) -> Any:
         return run_in_virtual_time(
