Bound the memory held for callers that read or write slowly

Cause: nothing limited what a process holds for its callers. 1,000 callers that sent large requests and read no answer, or that sent parts of bodies of 256 KiB or of header sections, made it hold them all. A caller that pipelined without reading had all its requests collected: 10 MB of them while its first answer waited. An `Expect: 100-continue` behind an unread answer ended the process: the reading task sent the interim response while the answer was being written (BusyResourceError). A header section that came in small parts never timed out, as each part started the time anew. An answer as a whole had to be taken within 10 s, also by a caller that read steadily.

Change: all connections share a `CallerMemory`. Answers go to the transport in parts of 32 KiB with a time limit each, at most eight requests wait behind the one in progress, interim responses are sent in order, and the time of a header section is counted from its start. What follows a refused request is read for 1 s, so that no reset destroys the refusal. The kernel's buffers of a connection are limited to 64 KiB (128 KiB as Linux counts).

--- a/jacinthcart/front/__init__.py
+++ b/jacinthcart/front/__init__.py
@@ -5,10 +5,13 @@
     RawRequest,
     RawResponse,
 )
+from jacinthcart.front._memory import CallerMemory, CallerMemoryParameters
 from jacinthcart.front._server import HttpServer
 
 __all__ = [
     'BaseRequestHandler',
+    'CallerMemory',
+    'CallerMemoryParameters',
     'HttpServer',
     'RawRequest',
     'RawResponse',
--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -13,18 +13,46 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from jacinthcart.catalogue import FrontLimits
+from jacinthcart.front._memory import (
+    BaseAccountHolder,
+    CallerMemory,
+    ConnectionAccount,
+)
 from jacinthcart.program import Clock
 from jacinthcart.streams import STREAM_FAILURES, is_readable
 from jacinthcart.telemetry import Logger
 
-_RECEIVE_BYTES = 65536
+#: As many bytes as the event loop reads at once. With fewer, the rest would
+#: remain in a queue of the stream.
+_RECEIVE_BYTES = 262144
+#: Bytes that are parsed at once. Requests in them may take many times their
+#: bytes, so reading pauses in between if enough requests wait.
+_PARSE_BYTES = 16384
+#: Bytes of an answer that are handed to the transport at once. It copies what
+#: the caller does not take.
+_SEND_BYTES = 32768
+#: Seconds in which a caller must take such a part of its answer.
 _SEND_TIMEOUT_S = 10.0
+#: Complete requests of a connection that may wait behind the one in progress.
+#: No more are read from a caller that does not wait for its answers.
+_MAX_WAITING_REQUESTS = 8
+#: Bytes of the objects that hold one header, in addition to its contents.
+_HEADER_OVERHEAD_BYTES = 160
+#: The same for a part of a body.
+_CHUNK_OVERHEAD_BYTES = 48
+#: The same for a request.
+_REQUEST_OVERHEAD_BYTES = 1024
+#: Seconds for which the rest of a refused request is received and dropped:
+#: closing with unread bytes would reset the connection, and the caller would
+#: lose the refusal.
+_DISCARD_TIMEOUT_S = 1.0
 _CONNECTION_FAILURES = (*STREAM_FAILURES, anyio.EndOfStream)
 _STATUS_BAD_REQUEST = 400
 _STATUS_TIMEOUT = 408
 _STATUS_BODY_TOO_LARGE = 413
 _STATUS_HEADERS_TOO_LARGE = 431
 _STATUS_INTERNAL_ERROR = 500
+_STATUS_NOT_RUN = 503
 _PHRASE_BY_STATUS = types.MappingProxyType(
     {one.value: one.phrase for one in http.HTTPStatus},
 )
@@ -49,6 +77,8 @@
     received_at: float
     #: Whether the client keeps the connection open for further requests.
     is_keep_alive: bool
+    #: Bytes that are held for the request until it is answered.
+    held_bytes: int = 0
 
     @property
     def path(self) -> str:
@@ -86,6 +116,10 @@
     def get_limits(self) -> FrontLimits:
         """Return the limits in force."""
 
+    def create_memory_refusal(self) -> RawResponse:
+        """Return the refusal of a request that there is no memory to read."""
+        return RawResponse(_STATUS_NOT_RUN)
+
 
 class _RequestParser:
     """Parses the bytes of a connection into complete requests."""
@@ -94,15 +128,22 @@
         self,
         clock: Clock,
         get_limits: Callable[[], FrontLimits],
+        account: ConnectionAccount,
     ) -> None:
         """Start without a request in progress."""
         #: Status that reports an exceeded limit; 0 if there is none.
         self.violation_status = 0
         self.completed: list[RawRequest] = []
         self.is_receiving = False
+        #: Clock time in seconds at which the request in progress began.
+        self._begun_at = 0.0
+        self._has_head = False
         self.header_bytes = 0
         self.body_bytes = 0
-        self.expects_continue = False
+        self._expects_continue = False
+        self._account = account
+        #: Bytes that are held but not yet in the account.
+        self._unrecorded_bytes = 0
         self._clock = clock
         self._get_limits = get_limits
         self._parser: Any = httptools.HttpRequestParser(self)
@@ -110,13 +151,47 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
 
+    @property
+    def has_enough(self) -> bool:
+        """Return whether no more is to be fed until a request is taken."""
+        return len(self.completed) >= _MAX_WAITING_REQUESTS
+
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise httptools.HttpParserError."""
         self._parser.feed_data(received)
+        self._record()
+
+    def stop(self, status: int) -> None:
+        """Drop the request in progress and all that follow."""
+        self.violation_status = status
+        self._target = b''
+        self._headers = []
+        self._chunks = []
+
+    def compute_wait_s(self) -> float:
+        """Return how long the client may take for what it sends next."""
+        limits = self._get_limits()
+        if not self.is_receiving:
+            return limits.idle_timeout_s
+        if self._has_head:
+            return limits.header_timeout_s
+        elapsed_s = self._clock() - self._begun_at
+        return max(0, limits.header_timeout_s - elapsed_s)
+
+    def take_expectation(self) -> bool:
+        """Return once whether the client waits before it sends a body."""
+        is_expected = self._expects_continue and self._has_head
+        if is_expected:
+            self._expects_continue = False
+        return is_expected
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self.is_receiving = True
+        self._begun_at = self._clock()
+        self._has_head = False
+        self._expects_continue = False
+        self._unrecorded_bytes += _REQUEST_OVERHEAD_BYTES
         self.header_bytes = 0
         self.body_bytes = 0
         self._target = b''
@@ -125,22 +200,37 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
+        if self.violation_status:
+            return
         self._target += url
         self.header_bytes += len(url)
+        self._unrecorded_bytes += len(url)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header and check the header limit."""
+        if self.violation_status:
+            return
         lowered = name.lower()
-        self.header_bytes += len(name) + len(content) + 4
+        size = len(name) + len(content)
+        self.header_bytes += size + 4
+        self._unrecorded_bytes += size + _HEADER_OVERHEAD_BYTES
         self._headers.append((lowered, content))
         if self.header_bytes > self._get_limits().max_header_bytes:
             self.violation_status = _STATUS_HEADERS_TOO_LARGE
         if lowered == b'expect' and content.lower() == b'100-continue':
-            self.expects_continue = True
+            self._expects_continue = True
+
+    def on_headers_complete(self) -> None:
+        """Refuse the request if there is no memory for it."""
+        self._has_head = True
+        self._record()
 
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body and check the body limit."""
+        if self.violation_status:
+            return
         self.body_bytes += len(chunk)
+        self._unrecorded_bytes += len(chunk) + _CHUNK_OVERHEAD_BYTES
         self._chunks.append(chunk)
         if self.body_bytes > self._get_limits().max_body_bytes:
             self.violation_status = _STATUS_BODY_TOO_LARGE
@@ -148,8 +238,12 @@
     def on_message_complete(self) -> None:
         """Add the request to `completed` unless it exceeded a limit."""
         self.is_receiving = False
+        self._expects_continue = False
+        self._record()
         if self.violation_status:
             return
+        held_bytes = self._account.incoming_bytes
+        self._account.complete_incoming()
         self.completed.append(
             RawRequest(
                 self._parser.get_method().decode(),
@@ -158,11 +252,50 @@
                 b''.join(self._chunks),
                 self._clock(),
                 self._parser.should_keep_alive(),
+                held_bytes,
             ),
         )
+        self._headers = []
+        self._chunks = []
+
+    def _record(self) -> None:
+        # The request may be refused meanwhile; then it holds nothing.
+        recorded_bytes = self._unrecorded_bytes
+        self._unrecorded_bytes = 0
+        if recorded_bytes and not self.violation_status:
+            self._account.receive(recorded_bytes)
+
+
+class _Writer:
+    """Writes messages to the client of a connection."""
+
+    def __init__(
+        self, stream: SocketStream, account: ConnectionAccount
+    ) -> None:
+        """Initialise with the stream and the account of the connection."""
+        self._stream = stream
+        self._account = account
+
+    async def write(self, message: bytes) -> bool:
+        """Return whether the client took the message in time."""
+        size = len(message)
+        # The part in progress is held twice more, here and by the transport.
+        self._account.start_answer(size + 2 * min(size, _SEND_BYTES))
+        try:
+            for start in range(0, size, _SEND_BYTES):
+                with anyio.fail_after(_SEND_TIMEOUT_S):
+                    await self._stream.send(
+                        message[start : start + _SEND_BYTES]
+                    )
+                self._account.record_progress()
+        except _CONNECTION_FAILURES:
+            return False
+        finally:
+            self._account.release_answer()
+        return True
 
 
-class ServerConnection:
+class ServerConnection(BaseAccountHolder):
     """Reads the requests of one client and writes the responses in order.
 
     A separate task reads while the handler runs, so that a disconnect is
@@ -175,6 +308,7 @@
         handler: BaseRequestHandler,
         clock: Clock,
         logger: Logger,
+        memory: CallerMemory,
     ) -> None:
         """Wrap an accepted stream."""
         self.is_busy = False
@@ -183,8 +317,13 @@
         self._socket = stream.extra(SocketAttribute.raw_socket)
         self._handler = handler
         self._logger = logger
-        self._parser = _RequestParser(clock, handler.get_limits)
+        self._account = memory.open(self)
+        self._writer = _Writer(stream, self._account)
+        self._parser = _RequestParser(clock, handler.get_limits, self._account)
         self._changed = anyio.Event()
+        #: Set when a request is taken, after which more may be read.
+        self._taken = anyio.Event()
+        self._read_ended = anyio.Event()
         self._is_disconnected = False
         #: Whether the connection was idle when it was last to be closed.
         self._was_idle = False
@@ -201,9 +340,21 @@
                     await self._serve()
                     tasks.cancel_scope.cancel()
         finally:
+            self._account.close()
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    def refuse_incoming(self) -> None:
+        """Drop the request in progress and refuse it as not run."""
+        self._parser.stop(_STATUS_NOT_RUN)
+        self._error_status = _STATUS_NOT_RUN
+        self._taken.set()
+        self._changed.set()
+
+    def abandon_answer(self) -> None:
+        """Close the connection, whose caller does not read its answer."""
+        self._scope.cancel()
+
     def close_if_idle(self) -> None:
         """Close the connection if it was idle at the previous call, too.
 
@@ -225,30 +376,49 @@
             self.is_busy = True
             self._was_idle = False
             keep_alive = await self._answer(request)
+            self._account.release_complete(request.held_bytes)
             self.is_busy = False
             if not keep_alive:
                 return
 
     async def _next_request(self) -> RawRequest | None:
-        limits = self._handler.get_limits()
-        idle_s = limits.idle_timeout_s
-        while not self._parser.completed:
+        parser = self._parser
+        while not parser.completed:
             if self._error_status:
-                await self._write(
-                    RawResponse(self._error_status), keep_alive=False
-                )
+                await self._refuse(self._error_status)
                 return None
             if self._is_disconnected:
                 return None
-            is_receiving = self._parser.is_receiving
-            wait_s = limits.header_timeout_s if is_receiving else idle_s
-            if not await self._wait_for_change(wait_s):
-                if is_receiving:
-                    await self._write(
-                        RawResponse(_STATUS_TIMEOUT), keep_alive=False
-                    )
+            if parser.take_expectation():
+                # Sent here, so that it follows the answers to earlier requests.
+                await self._writer.write(_CONTINUE)
+            if not await self._wait_for_change(parser.compute_wait_s()):
+                if parser.is_receiving:
+                    await self._refuse(_STATUS_TIMEOUT)
                 return None
-        return self._parser.completed.pop(0)
+        if parser.has_enough:
+            self._taken.set()
+            self._taken = anyio.Event()
+        return parser.completed.pop(0)
+
+    async def _refuse(self, status: int) -> None:
+        response = RawResponse(status)
+        if status == _STATUS_NOT_RUN:
+            response = self._handler.create_memory_refusal()
+        self._parser.stop(status)
+        self._account.drop_incoming()
+        await self._writer.write(encode_response(response, keep_alive=False))
+        if self._error_status and self._parser.is_receiving:
+            with anyio.move_on_after(_DISCARD_TIMEOUT_S):
+                await self._discard_rest()
+
+    async def _discard_rest(self) -> None:
+        await self._read_ended.wait()
+        try:
+            while True:
+                await self._stream.receive(_RECEIVE_BYTES)
+        except _CONNECTION_FAILURES:
+            return
 
     async def _wait_for_change(self, wait_s: float) -> bool:
         with anyio.move_on_after(wait_s):
@@ -269,12 +439,12 @@
             return False
         keep_alive = request.is_keep_alive and not self.is_draining
         keep_alive = keep_alive and not self._error_status
-        is_written = await self._write(
-            response,
-            keep_alive=keep_alive,
-            has_body=request.method != 'HEAD',
+        message = encode_response(
+            response, keep_alive=keep_alive, has_body=request.method != 'HEAD'
         )
-        return is_written and keep_alive
+        # The body is not held twice while the caller reads.
+        response = None
+        return await self._writer.write(message) and keep_alive
 
     async def _handle(self, request: RawRequest) -> RawResponse:
         try:
@@ -287,39 +457,36 @@
     async def _read(self) -> None:
         try:
             while not self._error_status:
-                received = await self._stream.receive(_RECEIVE_BYTES)
-                self._parser.feed(received)
-                self._error_status = self._parser.violation_status
-                if self._parser.expects_continue:
-                    self._parser.expects_continue = False
-                    await self._stream.send(_CONTINUE)
-                self._changed.set()
+                # No variable holds what was received during the next wait.
+                await self._parse(await self._stream.receive(_RECEIVE_BYTES))
         except httptools.HttpParserError:
             self._error_status = _STATUS_BAD_REQUEST
         except _CONNECTION_FAILURES:
             self._is_disconnected = True
             if self._handler_scope is not None:
                 self._handler_scope.cancel()
+        self._read_ended.set()
         self._changed.set()
 
-    async def _write(
-        self,
-        response: RawResponse,
-        *,
-        keep_alive: bool,
-        has_body: bool = True,
-    ) -> bool:
-        message = encode_response(
-            response, keep_alive=keep_alive, has_body=has_body
-        )
-        is_sent = False
-        try:
-            with anyio.move_on_after(_SEND_TIMEOUT_S):
-                await self._stream.send(message)
-                is_sent = True
-        except _CONNECTION_FAILURES:
-            return False
-        return is_sent
+    async def _parse(self, received: bytes) -> None:
+        parsed_bytes = 0
+        while parsed_bytes < len(received) and not self._error_status:
+            end = parsed_bytes + _PARSE_BYTES
+            self._parser.feed(received[parsed_bytes:end])
+            parsed_bytes = end
+            self._error_status = self._parser.violation_status
+            self._changed.set()
+            if self._parser.has_enough:
+                await self._wait_until_taken(len(received))
+
+    async def _wait_until_taken(self, held_bytes: int) -> None:
+        # What was received, but not parsed, gives way like a request that is
+        # not complete.
+        self._account.receive(held_bytes)
+        while self._parser.has_enough and not self._error_status:
+            await self._taken.wait()
+        if not self._error_status:
+            self._account.receive(-held_bytes)
 
 
 def encode_response(
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -1,17 +1,26 @@
 """HTTP server with graceful shutdown."""
 
+import contextlib
+import socket
 from typing import cast
 
 import anyio
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from jacinthcart.front._connection import BaseRequestHandler, ServerConnection
+from jacinthcart.front._memory import CallerMemory, CallerMemoryParameters
 from jacinthcart.network import Endpoint
 from jacinthcart.program import Clock
 from jacinthcart.streams import is_readable
-from jacinthcart.telemetry import Logger
+from jacinthcart.telemetry import Logger, Metrics
 
 _BACKLOG = 512
+#: Bytes that the kernel buffers of each connection, in either direction. It
+#: would hold megabytes for a caller that does not read.
+_SOCKET_BUFFER_BYTES = 65536
+_BUFFER_OPTIONS = (socket.SO_SNDBUF, socket.SO_RCVBUF)
+#: Bytes held for the connections of a server without a limit of its own.
+_DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024
 _CLOSE_CHECK_INTERVAL_S = 0.05
 #: Seconds to wait for a connection that was ready to be accepted. It may have
 #: been reset meanwhile.
@@ -32,12 +41,22 @@
         handler: BaseRequestHandler,
         clock: Clock,
         logger: Logger,
+        memory: CallerMemory | None = None,
     ) -> None:
-        """Initialise; `start` binds the address."""
+        """Initialise; `start` binds the address.
+
+        Servers may share `memory`; by default, the server has one of its own.
+        """
         self._endpoint = endpoint
         self._handler = handler
         self._clock = clock
         self._logger = logger
+        self._memory = memory or CallerMemory(
+            CallerMemoryParameters(_DEFAULT_MEMORY_BYTES),
+            clock,
+            Metrics(),
+            logger,
+        )
         self._connections: set[ServerConnection] = set()
         self._accepting: anyio.CancelScope | None = None
         self._listener_closed = anyio.Event()
@@ -50,6 +69,14 @@
             local_port=self._endpoint.port,
             backlog=_BACKLOG,
         )
+        raw_socket = listener.extra(SocketAttribute.raw_socket)
+        # Accepted connections have the options of the listener. Without them
+        # connections work as well.
+        with contextlib.suppress(OSError):
+            for option in _BUFFER_OPTIONS:
+                raw_socket.setsockopt(
+                    socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
+                )
         self._accepting = anyio.CancelScope()
         tasks.start_soon(
             self._accept,
@@ -122,6 +149,7 @@
             self._handler,
             self._clock,
             self._logger,
+            self._memory,
         )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
