Bound the requests that searchers read slowly; read responses meanwhile

Cause: a connection sent the whole request before it read anything. A searcher that responded before it had read a large request was not read from, so both sides waited; such a searcher cuts the response off. A searcher that did not read held the request until its deadline, and the transport kept a second copy of it. Nothing limited the bytes of unanswered requests at one searcher, which ends if they exceed its memory, nor in this process, where a query with a body has a copy of it for each shard.

Change: a request of more than 16 KiB is sent in parts, each within 3 s, while the response is read; the connection is closed if the response comes first. `RequestMemory` counts unanswered requests: this VM's share of 32 MiB for each searcher, where one request is always allowed, and a limit in all. A request beyond it isn't sent, goes to another searcher, and is refused as not run if none has room. It is counted (`searcher|request_memory`) and logged.

Small requests are sent as before: the kernel takes them at once, and hedge, retry and deadline already limit the wait for their response.

--- a/jacinthcart/errors/__init__.py
+++ b/jacinthcart/errors/__init__.py
@@ -9,6 +9,7 @@
     NotSentError,
     OutcomeUnknownError,
     RefusalError,
+    RequestMemoryError,
     SettingsError,
     WireError,
 )
@@ -23,6 +24,7 @@
     'Ran',
     'RefusalCode',
     'RefusalError',
+    'RequestMemoryError',
     'SettingsError',
     'WireError',
 ]
--- a/jacinthcart/errors/_tree.py
+++ b/jacinthcart/errors/_tree.py
@@ -39,6 +39,10 @@
     """The call failed before any byte of the request was sent."""
 
 
+class RequestMemoryError(NotSentError):
+    """A searcher, or this VM, holds too many bytes of unanswered requests."""
+
+
 class OutcomeUnknownError(WireError):
     """The call failed after bytes of the request may have been sent."""
 
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -11,6 +11,7 @@
     MalformedResponseError,
     NotSentError,
     OutcomeUnknownError,
+    RequestMemoryError,
 )
 from jacinthcart.program import Clock
 from jacinthcart.routing._codec import (
@@ -203,11 +204,17 @@
     async def _send(self, attempt: Attempt, context: CallContext) -> Outcome:
         searcher = attempt.searcher
         try:
+            # A connection is not opened for a request that can't be sent.
+            self._pools.request_memory.check(
+                searcher.process, len(context.request.body)
+            )
             connection = await self._pools.acquire(
                 searcher,
                 context.request.request_id,
                 at_most_once=not context.route.is_idempotent,
             )
+        except RequestMemoryError as error:
+            return self._create_withheld(searcher, error)
         except NotSentError as error:
             return Outcome(OutcomeKind.NOT_RUN, str(error), was_sent=False)
         idle_timeout_s = None
@@ -216,12 +223,7 @@
             idle_timeout_s = response.idle_timeout_s
         except NotSentError as error:
             connection.is_usable = True
-            return Outcome(
-                OutcomeKind.NOT_RUN,
-                str(error),
-                was_sent=False,
-                affects_health=False,
-            )
+            return self._create_withheld(searcher, error)
         except OutcomeUnknownError as error:
             reason = str(error)
             if isinstance(error, MalformedResponseError):
@@ -255,8 +257,32 @@
             remaining_s,
             context.workspace,
         )
-        attempt.started_at = self.clock()
-        return await connection.exchange(message, context.request.request_id)
+        process = attempt.searcher.process
+        with self._pools.request_memory.hold(process, len(message)):
+            attempt.started_at = self.clock()
+            return await connection.exchange(
+                message, context.request.request_id
+            )
+
+    def _create_withheld(
+        self, searcher: Searcher, error: NotSentError
+    ) -> Outcome:
+        """Return the outcome of a send that this VM decided against."""
+        if isinstance(error, RequestMemoryError):
+            self._metrics.count('searcher', 'request_memory')
+            self._logger.warning(
+                'request not sent',
+                limit_key='request_memory',
+                searcher=searcher.searcher_id,
+                held_bytes=self._pools.request_memory.held_bytes,
+                error=str(error),
+            )
+        return Outcome(
+            OutcomeKind.NOT_RUN,
+            str(error),
+            was_sent=False,
+            affects_health=False,
+        )
 
     def _log_malformed_response(
         self, searcher: Searcher, error: MalformedResponseError
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 connections to searchers."""
 
 import dataclasses
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -18,11 +19,17 @@
     ResponseHead,
     SearcherResponse,
 )
+from jacinthcart.routing._request_memory import RequestMemory
 from jacinthcart.routing._response_memory import ResponseMemory
 from jacinthcart.streams import STREAM_FAILURES, is_readable
 from jacinthcart.wire import ParsedHead, ResponseHeadParser
 
 _RECEIVE_BYTES = 65536
+#: Bytes of a request that are handed to the transport at once. It copies what
+#: the searcher does not take.
+_SEND_BYTES = 16384
+#: Seconds in which a searcher must take such a part of a large request.
+_SEND_TIMEOUT_S = 3.0
 #: Responses read for one request; those to other requests are skipped.
 _MAX_RESPONSES_READ = 4
 #: Failed requests that a connection remembers. It is closed after so many.
@@ -46,6 +53,8 @@
     at_most_once_idle_s: float = 0.4
     #: Bytes of all responses in progress together.
     max_held_bytes: int = 64 * 1024 * 1024
+    #: Bytes of all requests that are not answered yet.
+    max_request_bytes: int = 32 * 1024 * 1024
 
 
 class _ResponseParser:
@@ -139,6 +148,36 @@
         )
 
 
+class _RequestSender:
+    """Sends a large request in parts."""
+
+    def __init__(self, stream: SocketStream, message: bytes) -> None:
+        """Create the sender; `run` sends the request."""
+        self.is_finished = False
+        #: Set if the searcher does not read the request.
+        self.failure: OutcomeUnknownError | None = None
+        self._stream = stream
+        self._message = message
+
+    async def run(self, scope: anyio.CancelScope) -> None:
+        """Send the request; at a timeout, cancel `scope`."""
+        message = self._message
+        try:
+            for start in range(0, len(message), _SEND_BYTES):
+                with anyio.fail_after(_SEND_TIMEOUT_S):
+                    await self._stream.send(
+                        message[start : start + _SEND_BYTES]
+                    )
+        except TimeoutError:
+            self.failure = OutcomeUnknownError('send: timeout')
+            scope.cancel()
+        except STREAM_FAILURES:
+            # The response may have arrived; if not, receiving fails as well.
+            return
+        else:
+            self.is_finished = True
+
+
 class SearcherConnection:
     """A connection that carries one request at a time."""
 
@@ -183,7 +222,42 @@
         afterwards.
         """
         self.is_usable = False
+        if len(message) > _SEND_BYTES:
+            return await self._exchange_large(message, request_id)
         await self._send(message)
+        return await self._receive_response(request_id)
+
+    async def close(self) -> None:
+        """Close at once, which cancels a request in progress."""
+        self.is_usable = False
+        self._parser.release()
+        await anyio.aclose_forcefully(self._stream)
+
+    async def _exchange_large(
+        self, message: bytes, request_id: str
+    ) -> SearcherResponse:
+        """Receive while sending.
+
+        A searcher may respond before it has read the request, and it cuts off
+        a response that remains unread.
+        """
+        sender = _RequestSender(self._stream, message)
+        failure: OutcomeUnknownError | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(sender.run, tasks.cancel_scope)
+            try:
+                response = await self._receive_response(request_id)
+            except OutcomeUnknownError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        failure = sender.failure or failure
+        if failure is not None:
+            raise failure
+        # The searcher still expects the rest of a request that is cut short.
+        self.is_usable = self.is_usable and sender.is_finished
+        return response
+
+    async def _receive_response(self, request_id: str) -> SearcherResponse:
         for _ in range(_MAX_RESPONSES_READ):
             head, body = await self._receive()
             if self._codec.find_request_id(head) == request_id:
@@ -194,12 +268,6 @@
                 return response
         raise OutcomeUnknownError('received only responses to other requests')
 
-    async def close(self) -> None:
-        """Close at once, which cancels a request in progress."""
-        self.is_usable = False
-        self._parser.release()
-        await anyio.aclose_forcefully(self._stream)
-
     async def _send(self, message: bytes) -> None:
         try:
             await self._stream.send(message)
@@ -234,6 +302,10 @@
         return len(self._failed_ids) < _MAX_FAILED_IDS
 
 
+def _get_whole() -> float:
+    return 1
+
+
 class SearcherPools:
     """Pools of idle connections, one per searcher process."""
 
@@ -242,8 +314,15 @@
         codec: BaseSearcherCodec,
         clock: Clock,
         params: ConnectionParameters,
+        compute_share: Callable[[], float] = _get_whole,
     ) -> None:
-        """Create empty pools."""
+        """Create empty pools.
+
+        `compute_share` returns this VM's share of what a searcher holds.
+        """
+        self.request_memory = RequestMemory(
+            params.max_request_bytes, compute_share
+        )
         self._codec = codec
         self._clock = clock
         self._params = params
