Derive the bounds for callers and searchers from the VM's memory

Change: `node/_memory.py` divides the memory of a VM: 15 % for what callers' connections hold, shared by the callers' and the directory's server, 10 % for requests in progress to searchers and, as before, 20 % for responses. The platform's check of readiness, other VMs and operators don't share the callers' part, so that slow callers can't make a VM look dead. A refusal for lack of memory has the status for a request that has not run and a delay of 100 ms, as another VM may have room. `/v1/status` and `/metrics` show `caller_held_bytes`.

--- /dev/null
+++ b/jacinthcart/node/_memory.py
@@ -0,0 +1,37 @@
+"""Division of a VM's memory."""
+
+from jacinthcart.front import CallerMemory, CallerMemoryParameters
+from jacinthcart.program import Clock
+from jacinthcart.routing import ConnectionParameters
+from jacinthcart.telemetry import Logger, Metrics
+
+#: Fraction of the memory that requests and answers of callers may hold.
+_CALLER_FRACTION = 0.15
+#: Fraction of the memory that requests in progress to searchers may hold.
+_REQUEST_FRACTION = 0.1
+#: Fraction of the memory that responses in progress may hold.
+_RESPONSE_FRACTION = 0.2
+
+
+class MemoryBounds:
+    """Creates what bounds the memory held for callers and searchers."""
+
+    def __init__(self, memory_bytes: int) -> None:
+        """Divide `memory_bytes`, the memory available to the process."""
+        self._memory_bytes = memory_bytes
+
+    def create_caller_memory(
+        self, clock: Clock, metrics: Metrics, logger: Logger
+    ) -> CallerMemory:
+        """Return the limit of what is held for callers."""
+        limit_bytes = int(self._memory_bytes * _CALLER_FRACTION)
+        return CallerMemory(
+            CallerMemoryParameters(limit_bytes), clock, metrics, logger
+        )
+
+    def create_connection_parameters(self) -> ConnectionParameters:
+        """Return parameters with the limits of what is held for searchers."""
+        return ConnectionParameters(
+            max_held_bytes=int(self._memory_bytes * _RESPONSE_FRACTION),
+            max_request_bytes=int(self._memory_bytes * _REQUEST_FRACTION),
+        )
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -26,6 +26,7 @@
     compute_interval_factor,
 )
 from jacinthcart.network import DatagramEndpoint, Endpoint
+from jacinthcart.node._memory import MemoryBounds
 from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
 from jacinthcart.program import Clock, read_boot_clock
@@ -50,7 +51,6 @@
     BudgetParameters,
     CallerRequest,
     ColdStartLimiter,
-    ConnectionParameters,
     ExtraSendBudget,
     HealthTracker,
     QuantileTracker,
@@ -79,8 +79,6 @@
 #: route or key to be denied; with an older proof it may be a new one.
 _DENIAL_LEASE_FRACTION = 0.8
 _DIRECTORY_TTL_S = 2.0
-#: Fraction of the memory that responses in progress may hold.
-_RESPONSE_MEMORY_FRACTION = 0.2
 _EXPIRY_INTERVAL_S = 0.5
 
 
@@ -104,6 +102,10 @@
         self.clock = clock
         self.logger = create_logger(settings.vm_id)
         self.metrics = Metrics()
+        self._memory_bounds = MemoryBounds(settings.memory_bytes)
+        self.caller_memory = self._memory_bounds.create_caller_memory(
+            clock, self.metrics, self.logger
+        )
         self.table = ItemTable()
         self.lease = FreshnessLease(clock)
         self.catalogue_state = CatalogueState(clock, self.logger)
@@ -304,11 +306,8 @@
         self._pools = SearcherPools(
             codec,
             clock,
-            ConnectionParameters(
-                max_held_bytes=int(
-                    self.settings.memory_bytes * _RESPONSE_MEMORY_FRACTION
-                ),
-            ),
+            self._memory_bounds.create_connection_parameters(),
+            shares.compute_own_share,
         )
         self._searcher_client = SearcherClient(
             self._pools,
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -53,6 +53,7 @@
         'cold_searchers': node.list_cold_searchers(),
         'evacuated': sorted(node.catalogue_state.evacuated),
         'allotments': node.describe_quotas(),
+        'caller_held_bytes': node.caller_memory.held_bytes,
     }
 
 
@@ -85,7 +86,13 @@
     def _collect_gauges(self) -> Iterator[Any]:
         status = describe_node(self._node)
         gauge = self._core.GaugeMetricFamily
-        for name in ('proof_age_s', 'version', 'searchers', 'members_counted'):
+        for name in (
+            'proof_age_s',
+            'version',
+            'searchers',
+            'members_counted',
+            'caller_held_bytes',
+        ):
             status_value = status[name]
             yield gauge(
                 f'jacinthcart_{name}',
--- a/jacinthcart/platform/_handlers.py
+++ b/jacinthcart/platform/_handlers.py
@@ -3,7 +3,11 @@
 import random
 
 from jacinthcart.directory import choose_addresses
-from jacinthcart.errors import InvalidMessageError, RefusalError
+from jacinthcart.errors import (
+    InvalidMessageError,
+    RefusalCode,
+    RefusalError,
+)
 from jacinthcart.front import (
     RawRequest,
     RawResponse,
@@ -18,6 +22,9 @@
 
 _JSON = ((b'Content-Type', b'application/json'),)
 _NOT_FOUND = RawResponse(404)
+#: Retry delay in milliseconds if this VM has no memory to read a request.
+#: Other VMs may have some.
+_MEMORY_RETRY_MS = 100
 
 
 class CallerHandler(BaseNodeHandler):
@@ -36,6 +43,14 @@
             return encode_refusal(refusal)
         return encode_answer(decoded, answer)
 
+    def create_memory_refusal(self) -> RawResponse:
+        """Return a refusal as not run, with a retry delay."""
+        return encode_refusal(
+            RefusalError(
+                RefusalCode.OVERLOADED, retry_after_ms=_MEMORY_RETRY_MS
+            )
+        )
+
 
 class ReadinessHandler(BaseNodeHandler):
     """Tells the platform whether this VM accepts callers."""
--- a/jacinthcart/platform/assembly.py
+++ b/jacinthcart/platform/assembly.py
@@ -2,7 +2,8 @@
 
 import random
 
-from jacinthcart.front import HttpServer
+from jacinthcart.front import BaseRequestHandler, HttpServer
+from jacinthcart.network import Endpoint
 from jacinthcart.node import Node, NodeSettings
 from jacinthcart.platform._catalogue_updater import (
     OPERATOR_PREFIX,
@@ -26,13 +27,18 @@
         proof_prefix=OPERATOR_PREFIX,
     )
     CatalogueUpdater(node.table, node.catalogue_state, node.logger)
-    handlers = [
+    caller_handlers: list[tuple[Endpoint, BaseRequestHandler]] = [
         (settings.callers, CallerHandler(node)),
-        (settings.readiness, ReadinessHandler(node)),
         (settings.directory, DirectoryHandler(node, random.Random())),
     ]
     servers = [
-        HttpServer(endpoint, handler, node.clock, node.logger)
-        for endpoint, handler in handlers
+        HttpServer(
+            endpoint, handler, node.clock, node.logger, node.caller_memory
+        )
+        for endpoint, handler in caller_handlers
     ]
-    return node, servers
+    # Not limited by what callers hold: the platform must still get answers.
+    readiness = HttpServer(
+        settings.readiness, ReadinessHandler(node), node.clock, node.logger
+    )
+    return node, [*servers, readiness]
