Bound the memory of callers' connections themselves

Cause: an idle connection takes 20.7 kB (tracemalloc, 500 connections), so that the 4,100 to 8,192 that descriptors allow take 85 to 170 MB, more than a VM of 150 or 200 MB has beside the 37 MB of the program.

Change: connections take up to a quarter of the VM's memory. Beyond it, the connection without a request that was used least recently is closed for each new one. Those with a request stay. It is counted (`caller_memory|idle`) and logged.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -351,8 +351,8 @@
         self._taken.set()
         self._changed.set()
 
-    def abandon_answer(self) -> None:
-        """Close the connection, whose caller does not read its answer."""
+    def abort(self) -> None:
+        """Close the connection at once."""
         self._scope.cancel()
 
     def close_if_idle(self) -> None:
--- a/jacinthcart/front/_memory.py
+++ b/jacinthcart/front/_memory.py
@@ -7,12 +7,19 @@
 from jacinthcart.telemetry import Logger, Metrics
 
 
+#: Bytes of the objects of a connection without a request.
+_CONNECTION_BYTES = 20 * 1024
+
+
 @dataclasses.dataclass(frozen=True)
 class CallerMemoryParameters:
-    """The limit and who gives way before it is reached."""
+    """The limits and who gives way before they are reached."""
 
-    #: Bytes that are held for all connections together.
+    #: Bytes of the requests and answers of all connections together.
     limit_bytes: int
+    #: Bytes of the connections themselves above which those without a request
+    #: are closed.
+    connections_bytes: int
     #: Fraction of the limit above which no request is read. The rest is for
     #: the answers to the requests that were read.
     admission_fraction: float = 0.75
@@ -29,8 +36,8 @@
         """Drop the request in progress and refuse it as not run."""
 
     @abc.abstractmethod
-    def abandon_answer(self) -> None:
-        """Close the connection, whose caller does not read its answer."""
+    def abort(self) -> None:
+        """Close the connection at once."""
 
 
 class ConnectionAccount:
@@ -73,6 +80,8 @@
         """Release a request that has been answered."""
         self.complete_bytes -= released_bytes
         self._memory.held_bytes -= released_bytes
+        if not self.complete_bytes and not self.incoming_bytes:
+            self._memory.record_idle(self)
 
     def start_answer(self, answer_bytes: int) -> None:
         """Add an answer, for which other connections may have to give way."""
@@ -96,6 +105,7 @@
         self.drop_incoming()
         self.release_answer()
         self.release_complete(self.complete_bytes)
+        self._memory.remove(self)
 
 
 class CallerMemory:
@@ -105,6 +115,8 @@
     whose callers have not read for a while, then incomplete requests, the
     largest first, as none of them has run. Complete requests are kept: they
     are answered. At the limit, the answer that waits longest gives way.
+    Of too many connections, those without a request are closed, the one that
+    was used least recently first.
     """
 
     def __init__(
@@ -127,10 +139,31 @@
         #: The accounts with an answer, that without progress for longest
         #: first.
         self._answering: dict[ConnectionAccount, None] = {}
+        #: The accounts without a request, that least recently used first.
+        self._idle: dict[ConnectionAccount, None] = {}
+        self._connections = 0
 
     def open(self, holder: BaseAccountHolder) -> ConnectionAccount:
-        """Return the account of a connection."""
-        return ConnectionAccount(self, holder)
+        """Return the account of a connection; others may be closed."""
+        account = ConnectionAccount(self, holder)
+        self._connections += 1
+        max_connections = self._params.connections_bytes // _CONNECTION_BYTES
+        if self._connections > max_connections and self._idle:
+            longest = next(iter(self._idle))
+            self._idle.pop(longest)
+            self._report('idle')
+            longest.holder.abort()
+        self._idle[account] = None
+        return account
+
+    def remove(self, account: ConnectionAccount) -> None:
+        """Remove the account of a closed connection."""
+        self._connections -= 1
+        self._idle.pop(account, None)
+
+    def record_idle(self, account: ConnectionAccount) -> None:
+        """Record that a connection has no request."""
+        self._idle[account] = None
 
     def record_incoming(
         self, account: ConnectionAccount, change_bytes: int
@@ -141,6 +174,7 @@
             self._receiving.discard(account)
             return
         self._receiving.add(account)
+        self._idle.pop(account, None)
         self._make_room()
 
     def record_answer(
@@ -151,6 +185,7 @@
         self._answering.pop(account, None)
         if not account.answer_bytes:
             return
+        self._idle.pop(account, None)
         account.progress_at = self._clock()
         self._answering[account] = None
         self._make_room()
@@ -183,7 +218,7 @@
     def _abandon(self, account: ConnectionAccount) -> None:
         self._report('closed')
         account.release_answer()
-        account.holder.abandon_answer()
+        account.holder.abort()
 
     def _report(self, action: str) -> None:
         self._metrics.count('caller_memory', action)
@@ -193,6 +228,7 @@
             action=action,
             held_bytes=self.held_bytes,
             limit_bytes=self._params.limit_bytes,
+            connections=self._connections,
             receiving=len(self._receiving),
             answering=len(self._answering),
         )
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -19,7 +19,8 @@
 #: would hold megabytes for a caller that does not read.
 _SOCKET_BUFFER_BYTES = 65536
 _BUFFER_OPTIONS = (socket.SO_SNDBUF, socket.SO_RCVBUF)
-#: Bytes held for the connections of a server without a limit of its own.
+#: Bytes held for the connections of a server without a limit of its own, and
+#: bytes of these connections themselves.
 _DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024
 _CLOSE_CHECK_INTERVAL_S = 0.05
 #: Seconds to wait for a connection that was ready to be accepted. It may have
@@ -52,7 +53,9 @@
         self._clock = clock
         self._logger = logger
         self._memory = memory or CallerMemory(
-            CallerMemoryParameters(_DEFAULT_MEMORY_BYTES),
+            CallerMemoryParameters(
+                _DEFAULT_MEMORY_BYTES, _DEFAULT_MEMORY_BYTES
+            ),
             clock,
             Metrics(),
             logger,
--- a/jacinthcart/node/_memory.py
+++ b/jacinthcart/node/_memory.py
@@ -7,6 +7,8 @@
 
 #: Fraction of the memory that requests and answers of callers may hold.
 _CALLER_FRACTION = 0.15
+#: Fraction of the memory that callers' connections themselves may take.
+_CONNECTION_FRACTION = 0.25
 #: Fraction of the memory that requests in progress to searchers may hold.
 _REQUEST_FRACTION = 0.1
 #: Fraction of the memory that responses in progress may hold.
@@ -24,10 +26,11 @@
         self, clock: Clock, metrics: Metrics, logger: Logger
     ) -> CallerMemory:
         """Return the limit of what is held for callers."""
-        limit_bytes = int(self._memory_bytes * _CALLER_FRACTION)
-        return CallerMemory(
-            CallerMemoryParameters(limit_bytes), clock, metrics, logger
+        params = CallerMemoryParameters(
+            limit_bytes=int(self._memory_bytes * _CALLER_FRACTION),
+            connections_bytes=int(self._memory_bytes * _CONNECTION_FRACTION),
         )
+        return CallerMemory(params, clock, metrics, logger)
 
     def create_connection_parameters(self) -> ConnectionParameters:
         """Return parameters with the limits of what is held for searchers."""
--- a/tests/front/test_memory.py
+++ b/tests/front/test_memory.py
@@ -12,11 +12,14 @@
     """What costs callers least gives way; the load is slow callers."""
 
     def setUp(self) -> None:
-        """Create a limit of 100 bytes; requests are read up to 75."""
+        """Create a limit of 100 bytes and three connections.
+
+        Requests are read up to 75 bytes.
+        """
         self.clock = ManualClock()
         self.metrics = Metrics()
         self.memory = CallerMemory(
-            CallerMemoryParameters(100, 0.75, 2),
+            CallerMemoryParameters(100, 3 * 20 * 1024, 0.75, 2),
             self.clock,
             self.metrics,
             create_logger('test'),
@@ -29,7 +32,7 @@
         holder = mock.create_autospec(BaseAccountHolder, instance=True)
         record = self.given_way.append
         holder.refuse_incoming.side_effect = lambda: record((name, 'refused'))
-        holder.abandon_answer.side_effect = lambda: record((name, 'closed'))
+        holder.abort.side_effect = lambda: record((name, 'closed'))
         return self.memory.open(holder)
 
     def test_largest_incomplete_request_is_refused(self) -> None:
@@ -95,3 +98,24 @@
         self.assertEqual(self.memory.held_bytes, 0)
         self.open('b').receive(70)
         self.assertEqual(self.given_way, [])
+
+    def test_least_recently_used_connection_is_closed(self) -> None:
+        """Guards against a process that idle connections fill up."""
+        first, second, third = (self.open(name) for name in 'abc')
+        first.receive(10)
+        first.complete_incoming()
+        second.receive(10)
+        second.complete_incoming()
+        second.release_complete(10)
+        self.open('d')
+        self.assertEqual(self.given_way, [('c', 'closed')])
+        third.close()
+        self.open('e')
+        self.assertEqual(self.given_way[1:], [('b', 'closed')])
+
+    def test_connections_with_requests_are_kept(self) -> None:
+        """Guards against closing a connection whose request is running."""
+        for name in 'abc':
+            self.open(name).receive(10)
+        self.open('d')
+        self.assertEqual(self.given_way, [])
--- a/tests/front/test_slow_callers.py
+++ b/tests/front/test_slow_callers.py
@@ -31,6 +31,7 @@
 _LARGE_BYTES = 262_144
 _LIMIT_BYTES = 16_000_000
 _SLOW_CALLERS = 1_000
+_MANY_CONNECTIONS = 2_000
 _HEAD = b'%s /%s HTTP/1.1\r\nHost: h\r\n%s\r\n'
 _SMALL = _HEAD % (b'GET', b'small', b'')
 _LARGE = _HEAD % (b'GET', b'large', b'')
@@ -77,7 +78,7 @@
 
     def get_limits(self) -> FrontLimits:
         """Return limits with the largest bodies."""
-        return FrontLimits(16384, _LARGE_BYTES, self.header_timeout_s, 30)
+        return FrontLimits(16384, _LARGE_BYTES, self.header_timeout_s, 100)
 
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return a body of its own, as each searcher's is."""
@@ -89,8 +90,11 @@
 class _Server:
     """A server with a limited memory and the clock of the limit."""
 
-    def __init__(self) -> None:
-        """Create the server; `run` starts it."""
+    def __init__(self, connections: int) -> None:
+        """Create the server; `run` starts it.
+
+        It keeps no more than `connections` without a request.
+        """
         with socket.socket() as probe:
             probe.bind((_ADDRESS, 0))
             self.port = probe.getsockname()[1]
@@ -99,7 +103,7 @@
         self.metrics = Metrics()
         logger = create_logger('test')
         self.memory = _RecordingMemory(
-            CallerMemoryParameters(_LIMIT_BYTES),
+            CallerMemoryParameters(_LIMIT_BYTES, connections * 20 * 1024),
             self.clock,
             self.metrics,
             logger,
@@ -147,10 +151,13 @@
             await anyio.sleep(0.01)
 
 
-def _run(scenario: Callable[[_Server], Awaitable[None]]) -> None:
+def _run(
+    scenario: Callable[[_Server], Awaitable[None]],
+    connections: int = _MANY_CONNECTIONS,
+) -> None:
     # No answer may time out before the scenario ends.
     with mock.patch.object(_connection, '_SEND_TIMEOUT_S', 60):
-        anyio.run(functools.partial(_Server().run, scenario))
+        anyio.run(functools.partial(_Server(connections).run, scenario))
 
 
 class SlowCallerTests(TestCase):
@@ -177,6 +184,20 @@
 
         _run(scenario)
 
+    def test_idle_connections_are_bounded(self) -> None:
+        """Guards against a process that connections without requests fill."""
+
+        async def scenario(server: _Server) -> None:
+            used = await server.send(_SMALL)
+            await used.receive()
+            for _ in range(100):
+                await server.send(b'')
+                self.assertEqual(await server.ask(), 200)
+            with self.assertRaises(anyio.EndOfStream):
+                await used.receive()
+
+        _run(scenario, connections=50)
+
     def test_slow_request_bodies_are_bounded(self) -> None:
         """Guards against a process that incomplete requests fill up.
 
@@ -327,7 +348,10 @@
             clock,
             logger,
             CallerMemory(
-                CallerMemoryParameters(_LIMIT_BYTES), clock, Metrics(), logger
+                CallerMemoryParameters(_LIMIT_BYTES, _LIMIT_BYTES),
+                clock,
+                Metrics(),
+                logger,
             ),
         )
         with anyio.move_on_after(60):
