Answer the requests before one that can't be read

Cause: once a later request of the connection was malformed, too large or refused, the answer in progress was the last one. Complete requests that waited behind it were dropped without an answer.

Change: they are answered in order, and the refusal follows them.

The test was seen failing before (one of two answers).

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -438,7 +438,6 @@
         if response is None:
             return False
         keep_alive = request.is_keep_alive and not self.is_draining
-        keep_alive = keep_alive and not self._error_status
         message = encode_response(
             response, keep_alive=keep_alive, has_body=request.method != 'HEAD'
         )
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -113,6 +113,22 @@
 
         _run_scenario(scenario)
 
+    def test_requests_before_a_malformed_one_are_answered(self) -> None:
+        """Guards against dropping requests that were read completely."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            await stream.send(_GET + _GET + b'NONSENSE\r\n\r\n')
+            received = await _read_all(stream)
+            self.assertEqual(received.count(b' 200 '), 2)
+            self.assertEqual(received.count(b' 400 '), 1)
+
+        _run_scenario(scenario)
+
     def test_disconnect_cancels_the_request(self) -> None:
         """Searchers must not work for a caller that has disconnected."""
 
