--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -283,11 +283,16 @@
         self._account.start_answer(size + 2 * min(size, _SEND_BYTES))
         try:
             for start in range(0, size, _SEND_BYTES):
-                with anyio.fail_after(_SEND_TIMEOUT_S):
+                if start:
+                    self._account.record_progress()
+                is_taken = False
+                with anyio.move_on_after(_SEND_TIMEOUT_S):
                     await self._stream.send(
                         message[start : start + _SEND_BYTES]
                     )
-                self._account.record_progress()
+                    is_taken = True
+                if not is_taken:
+                    return False
         except _CONNECTION_FAILURES:
             return False
         finally:
--- a/jacinthcart/front/_memory.py
+++ b/jacinthcart/front/_memory.py
@@ -65,10 +65,10 @@
 
     def complete_incoming(self) -> None:
         """Count the incoming request as complete; it is answered."""
-        complete_bytes = self.incoming_bytes
-        self.drop_incoming()
-        self.complete_bytes += complete_bytes
-        self._memory.held_bytes += complete_bytes
+        self.complete_bytes += self.incoming_bytes
+        self.incoming_bytes = 0
+        # The sum does not change, and nothing gives way.
+        self._memory.record_incoming(self, 0)
 
     def drop_incoming(self) -> None:
         """Release the incoming request."""
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -122,7 +122,7 @@
             port: int,
         ) -> None:
             stream = await anyio.connect_tcp(_ADDRESS, port)
-            await stream.send(_GET + _GET + b'NONSENSE\r\n\r\n')
+            await stream.send(b''.join((_GET, _GET, b'NONSENSE\r\n\r\n')))
             received = await _read_all(stream)
             self.assertEqual(received.count(b' 200 '), 2)
             self.assertEqual(received.count(b' 400 '), 1)
