--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -52,6 +52,7 @@
 _STATUS_BODY_TOO_LARGE = 413
 _STATUS_HEADERS_TOO_LARGE = 431
 _STATUS_INTERNAL_ERROR = 500
+_STATUS_NOT_IMPLEMENTED = 501
 _STATUS_NOT_RUN = 503
 _PHRASE_BY_STATUS = types.MappingProxyType(
     {one.value: one.phrase for one in http.HTTPStatus},
@@ -99,7 +100,8 @@
     """A response to be written."""
 
     status: int
-    #: Headers, without `Content-Length` and `Connection`.
+    #: Headers, without `Connection`, and without `Content-Length` unless this
+    #: is the response to a HEAD request.
     headers: tuple[tuple[bytes, bytes], ...] = ()
     #: Complete body.
     body: bytes = b''
@@ -140,25 +142,28 @@
         self._has_head = False
         self.header_bytes = 0
         self.body_bytes = 0
+        #: Whether the client waits for an interim response before it sends the
+        #: body of the request in progress.
         self._expects_continue = False
-        self._account = account
+        self.account = account
         #: Bytes that are held but not yet in the account.
         self._unrecorded_bytes = 0
         self._clock = clock
         self._get_limits = get_limits
         self._parser: Any = httptools.HttpRequestParser(self)
+        #: Bytes received since the last complete part of a request.
+        self._pending_bytes = 0
+        #: How many of them are in the account.
+        self._recorded_pending_bytes = 0
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
 
-    @property
-    def has_enough(self) -> bool:
-        """Return whether no more is to be fed until a request is taken."""
-        return len(self.completed) >= _MAX_WAITING_REQUESTS
-
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise httptools.HttpParserError."""
-        self._parser.feed_data(received)
+        rest = received
+        while rest and not self.violation_status:
+            rest = self._parse(rest)
         self._record()
 
     def stop(self, status: int) -> None:
@@ -187,6 +192,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        self._pending_bytes = 0
         self.is_receiving = True
         self._begun_at = self._clock()
         self._has_head = False
@@ -202,21 +208,23 @@
         """Append a part of the target."""
         if self.violation_status:
             return
+        self._pending_bytes = 0
         self._target += url
         self.header_bytes += len(url)
         self._unrecorded_bytes += len(url)
+        self._check_header_limit(self.header_bytes)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header and check the header limit."""
         if self.violation_status:
             return
+        self._pending_bytes = 0
         lowered = name.lower()
         size = len(name) + len(content)
         self.header_bytes += size + 4
         self._unrecorded_bytes += size + _HEADER_OVERHEAD_BYTES
         self._headers.append((lowered, content))
-        if self.header_bytes > self._get_limits().max_header_bytes:
-            self.violation_status = _STATUS_HEADERS_TOO_LARGE
+        self._check_header_limit(self.header_bytes)
         if lowered == b'expect' and content.lower() == b'100-continue':
             self._expects_continue = True
 
@@ -229,6 +237,7 @@
         """Append a part of the body and check the body limit."""
         if self.violation_status:
             return
+        self._pending_bytes = 0
         self.body_bytes += len(chunk)
         self._unrecorded_bytes += len(chunk) + _CHUNK_OVERHEAD_BYTES
         self._chunks.append(chunk)
@@ -236,14 +245,19 @@
             self.violation_status = _STATUS_BODY_TOO_LARGE
 
     def on_message_complete(self) -> None:
-        """Add the request to `completed` unless it exceeded a limit."""
+        """Add the request to `completed` unless it exceeded a limit.
+
+        A request that asks for another protocol is completed later, as the
+        parser takes all bytes after its head for that protocol.
+        """
+        self._pending_bytes = 0
         self.is_receiving = False
         self._expects_continue = False
         self._record()
-        if self.violation_status:
+        if self.violation_status or self._parser.should_upgrade():
             return
-        held_bytes = self._account.incoming_bytes
-        self._account.complete_incoming()
+        held_bytes = self.account.incoming_bytes
+        self.account.complete_incoming()
         self.completed.append(
             RawRequest(
                 self._parser.get_method().decode(),
@@ -259,11 +273,57 @@
         self._chunks = []
 
     def _record(self) -> None:
-        # The request may be refused meanwhile; then it holds nothing.
-        recorded_bytes = self._unrecorded_bytes
+        # The parser holds the pending bytes only until it reports them.
+        change_bytes = self._unrecorded_bytes
+        change_bytes += self._pending_bytes - self._recorded_pending_bytes
         self._unrecorded_bytes = 0
-        if recorded_bytes and not self.violation_status:
-            self._account.receive(recorded_bytes)
+        self._recorded_pending_bytes = self._pending_bytes
+        # The request may be refused meanwhile; then it holds nothing.
+        if change_bytes and not self.violation_status:
+            self.account.receive(change_bytes)
+
+    def _parse(self, received: bytes) -> bytes:
+        """Parse bytes; return those that are still to be parsed."""
+        self._pending_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade()
+            return received[upgrade.args[0] :]
+        # The parser holds a header until it is complete.
+        self._check_header_limit(self._pending_bytes)
+        return b''
+
+    def _check_header_limit(self, held_bytes: int) -> None:
+        if held_bytes > self._get_limits().max_header_bytes:
+            self.violation_status = _STATUS_HEADERS_TOO_LARGE
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the last head again as if it did not ask for an upgrade.
+
+        A server may ignore `Upgrade` (RFC 9110, section 7.8). CONNECT is not
+        implemented.
+        """
+        if self.violation_status:
+            return
+        method = self._parser.get_method()
+        if method == b'CONNECT':
+            self.violation_status = _STATUS_NOT_IMPLEMENTED
+            return
+        version = self._parser.get_http_version().encode()
+        lines = [b'%b %b HTTP/%b' % (method, self._target, version)]
+        lines.extend(
+            b'%b: %b' % header
+            for header in self._headers
+            if header[0] != b'upgrade'
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b'%b\r\n\r\n' % b'\r\n'.join(lines))
+
+
+def _has_enough(waiting: list[RawRequest]) -> bool:
+    """Return whether no more is to be parsed until a request is taken."""
+    return len(waiting) >= _MAX_WAITING_REQUESTS
 
 
 class _Writer:
@@ -401,7 +461,7 @@
                 if parser.is_receiving:
                     await self._refuse(_STATUS_TIMEOUT)
                 return None
-        if parser.has_enough:
+        if _has_enough(parser.completed):
             self._taken.set()
             self._taken = anyio.Event()
         return parser.completed.pop(0)
@@ -480,14 +540,14 @@
             parsed_bytes = end
             self._error_status = self._parser.violation_status
             self._changed.set()
-            if self._parser.has_enough:
+            if _has_enough(self._parser.completed):
                 await self._wait_until_taken(len(received))
 
     async def _wait_until_taken(self, held_bytes: int) -> None:
         # What was received, but not parsed, gives way like a request that is
         # not complete.
         self._account.receive(held_bytes)
-        while self._parser.has_enough and not self._error_status:
+        while _has_enough(self._parser.completed) and not self._error_status:
             await self._taken.wait()
         if not self._error_status:
             self._account.receive(-held_bytes)
@@ -499,16 +559,21 @@
     keep_alive: bool,
     has_body: bool = True,
 ) -> bytes:
-    """Return the response in wire form, with the length of its body."""
+    """Return the response in wire form, with the length of its body.
+
+    Without `has_body` it is the response to a HEAD request. Its length would
+    have to be that of the response to GET, which only the handler may know.
+    """
+    has_body = has_body and response.status not in _BODYLESS_STATUSES
     phrase = _PHRASE_BY_STATUS.get(response.status, 'Status')
     lines = [f'HTTP/1.1 {response.status} {phrase}\r\n'.encode()]
     for name, content in response.headers:
         lines.append(b'%s: %s\r\n' % (name, content))
-    if response.status not in _BODYLESS_STATUSES:
+    if has_body:
         lines.append(b'Content-Length: %d\r\n' % len(response.body))
     if not keep_alive:
         lines.append(b'Connection: close\r\n')
     lines.append(b'\r\n')
-    if has_body and response.status not in _BODYLESS_STATUSES:
+    if has_body:
         lines.append(response.body)
     return b''.join(lines)
--- a/jacinthcart/platform/_headers.py
+++ b/jacinthcart/platform/_headers.py
@@ -1,5 +1,6 @@
 """Translates HTTP headers and statuses of callers and searchers."""
 
+import math
 import types
 
 from jacinthcart.errors import (
@@ -32,7 +33,12 @@
 #: have, so it is accepted in both forms.
 _LEAVING_NAMES = (b'server-leaving', b'x-jacinthcart-server-leaving')
 _RETRY_AFTER = b'retry-after'
+_CONTENT_LENGTH = b'content-length'
+_STATUS_NO_CONTENT = 204
 _STATUS_MISDIRECTED = 421
+#: Statuses that promise callers that the request has not run. In a response
+#: of a searcher, 421 alone states this without `_NOT_EXECUTED`.
+_NOT_RUN_STATUSES = frozenset((408, _STATUS_MISDIRECTED, 429, 503))
 _DEFAULT_DEADLINE_S = 30.0
 #: Hop-by-hop headers, which are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -46,7 +52,8 @@
         b'trailer',
         b'transfer-encoding',
         b'upgrade',
-        b'content-length',
+        b'http2-settings',
+        _CONTENT_LENGTH,
         b'expect',
     ),
 )
@@ -93,11 +100,7 @@
 ) -> CallerRequest:
     target = raw.target.decode('ascii')
     key = first_by_name.get(_CREDENTIAL)
-    dropped = (
-        _HOP_BY_HOP_HEADERS
-        | _OWN_HEADERS
-        | _parse_connection_names(first_by_name)
-    )
+    dropped = _HOP_BY_HOP_HEADERS | _OWN_HEADERS | _parse_connection_names(raw)
     return CallerRequest(
         request_id=first_by_name[_REQUEST_ID].decode('ascii'),
         method=raw.method,
@@ -113,15 +116,22 @@
     )
 
 
-def _parse_connection_names(first_by_name: dict[bytes, bytes]) -> set[bytes]:
-    listed = first_by_name.get(b'connection', b'').split(b',')
-    return {token.strip().lower() for token in listed}
+def _parse_connection_names(raw: RawRequest) -> set[bytes]:
+    return {
+        token.strip().lower()
+        for name, content in raw.headers
+        if name == b'connection'
+        for token in content.split(b',')
+    }
 
 
 def _decode_deadline_s(content: bytes | None) -> float:
     if content is None:
         return _DEFAULT_DEADLINE_S
-    return max(0, float(content) / _MS_PER_S)
+    limit_s = float(content) / _MS_PER_S
+    if not math.isfinite(limit_s):
+        raise InvalidMessageError('the deadline is not a finite number')
+    return max(0, limit_s)
 
 
 def encode_answer(
@@ -131,11 +141,10 @@
     """Encode the answer to a served request."""
     if isinstance(answer, ServedAnswer):
         head = answer.response.head
-        headers = tuple(
-            (name, content)
-            for name, content in head.headers
-            if name not in _HOP_BY_HOP_HEADERS
-        )
+        dropped = set(_HOP_BY_HOP_HEADERS)
+        if request.method == 'HEAD' and head.status != _STATUS_NO_CONTENT:
+            dropped.remove(_CONTENT_LENGTH)
+        headers = tuple(one for one in head.headers if one[0] not in dropped)
         return RawResponse(head.status, headers, answer.response.body)
     return RawResponse(
         200,
@@ -216,6 +225,7 @@
                 for name in _LEAVING_NAMES
             ),
             retry_after_s=_decode_retry_after_s(head.status, by_name),
+            has_not_run_status=head.status in _NOT_RUN_STATUSES,
         )
 
 
