Close a connection whose request was cut short also on cancellation

Cause: when a searcher responded before it had read a large request and the attempt was cancelled before the sending task had ended, the connection had already been marked usable. It returned to its pool, and the next request went where the rest of the body was due. A send timeout in the same moment had the same effect and discarded the response.

Change: the connection is unusable from the response until the sending task has ended with the whole request sent. A response that has arrived is returned.

--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -263,19 +263,23 @@
         a response that remains unread.
         """
         sender = _RequestSender(self._stream, message)
+        response: SearcherResponse | None = None
         failure: OutcomeUnknownError | None = None
+        is_reusable = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(sender.run, tasks.cancel_scope)
             try:
                 response = await self._receive_response(request_id)
             except OutcomeUnknownError as error:
                 failure = error
+            # The searcher still expects the rest of a request that is cut
+            # short, also if this attempt is cancelled during the next wait.
+            is_reusable = self.is_usable
+            self.is_usable = False
             tasks.cancel_scope.cancel()
-        failure = sender.failure or failure
-        if failure is not None:
-            raise failure
-        # The searcher still expects the rest of a request that is cut short.
-        self.is_usable = self.is_usable and sender.is_finished
+        if response is None:
+            raise sender.failure or failure or OutcomeUnknownError('cancelled')
+        self.is_usable = is_reusable and sender.is_finished
         return response
 
     async def _receive_response(self, request_id: str) -> SearcherResponse:
--- a/tests/routing/test_slow_searchers.py
+++ b/tests/routing/test_slow_searchers.py
@@ -73,6 +73,22 @@
         return b''
 
 
+class _EarlyStream(_SilentStream):
+    """A stream whose peer responds at once and never reads."""
+
+    def __init__(self) -> None:
+        """Create the stream; `scope` is cancelled as the response arrives."""
+        self.scope = anyio.CancelScope()
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Return a response after the start of the request is sent."""
+        await anyio.sleep(1)
+        self.scope.cancel()
+        return _RESPONSE[:-_RESPONSE_BYTES].replace(
+            b'%d' % _RESPONSE_BYTES, b'0'
+        )
+
+
 class SlowSearcherTests(TestCase):
     """A searcher that does not read holds up neither VM nor response."""
 
@@ -103,6 +119,23 @@
         with self.assertRaisesRegex(OutcomeUnknownError, 'send: timeout'):
             run_in_virtual_time(self._send_large)
 
+    def test_cancelled_request_is_not_followed_by_another(self) -> None:
+        """Guards against other bytes where the rest of a body is due.
+
+        The attempt was cancelled between the response and the end of sending.
+        """
+        connection = run_in_virtual_time(self._cancel_at_response)
+        self.assertFalse(connection.is_usable)
+
+    async def _cancel_at_response(self) -> SearcherConnection:
+        stream: Any = _EarlyStream()
+        connection = SearcherConnection(
+            stream, PlatformSearcherCodec(), ResponseMemory(1_000_000), 0
+        )
+        with stream.scope:
+            await connection.exchange(bytes(_LARGE_BYTES), 'a')
+        return connection
+
     async def _send_large(self) -> None:
         stream: Any = _SilentStream()
         codec = mock.create_autospec(BaseSearcherCodec, instance=True)
