Leave the sizes of callers' kernel buffers to the system

Cause: listeners set SO_SNDBUF and SO_RCVBUF for all connections. The effect on memory and on ordinary callers was not measured, and fixed sizes end the kernel's own adjustment.

Change: the options are removed.

--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -1,7 +1,5 @@
 """HTTP server with graceful shutdown."""
 
-import contextlib
-import socket
 from typing import cast
 
 import anyio
@@ -15,10 +13,6 @@
 from jacinthcart.telemetry import Logger, Metrics
 
 _BACKLOG = 512
-#: Bytes that the kernel buffers of each connection, in either direction. It
-#: would hold megabytes for a caller that does not read.
-_SOCKET_BUFFER_BYTES = 65536
-_BUFFER_OPTIONS = (socket.SO_SNDBUF, socket.SO_RCVBUF)
 #: Bytes held for the connections of a server without a limit of its own, and
 #: bytes of these connections themselves.
 _DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024
@@ -72,14 +66,6 @@
             local_port=self._endpoint.port,
             backlog=_BACKLOG,
         )
-        raw_socket = listener.extra(SocketAttribute.raw_socket)
-        # Accepted connections have the options of the listener. Without them
-        # connections work as well.
-        with contextlib.suppress(OSError):
-            for option in _BUFFER_OPTIONS:
-                raw_socket.setsockopt(
-                    socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
-                )
         self._accepting = anyio.CancelScope()
         tasks.start_soon(
             self._accept,
