Notice a disconnect behind many waiting requests

Cause: with eight complete requests waiting, a connection isn't read, so a caller's disconnect wasn't noticed. The request in progress ran to its end, and further ones were started until a response could not be written.

Change: while such a connection waits and a handler runs, the socket is asked every 250 ms whether the peer has closed.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -19,7 +19,7 @@
     ConnectionAccount,
 )
 from jacinthcart.program import Clock
-from jacinthcart.streams import STREAM_FAILURES, is_readable
+from jacinthcart.streams import STREAM_FAILURES, is_closed_by_peer, is_readable
 from jacinthcart.telemetry import Logger
 
 #: As many bytes as the event loop reads at once. With fewer, the rest would
@@ -36,6 +36,8 @@
 #: Complete requests of a connection that may wait behind the one in progress.
 #: No more are read from a caller that does not wait for its answers.
 _MAX_WAITING_REQUESTS = 8
+#: Seconds between checks for a disconnect while they wait and nothing is read.
+_DISCONNECT_CHECK_S = 0.25
 #: Bytes of the objects that hold one header, in addition to its contents.
 _HEADER_OVERHEAD_BYTES = 160
 #: The same for a part of a body.
@@ -548,7 +550,11 @@
         # not complete.
         self._account.receive(held_bytes)
         while _has_enough(self._parser.completed) and not self._error_status:
-            await self._taken.wait()
+            with anyio.move_on_after(_DISCONNECT_CHECK_S):
+                await self._taken.wait()
+                continue
+            if self._handler_scope and is_closed_by_peer(self._socket):
+                raise anyio.EndOfStream
         if not self._error_status:
             self._account.receive(-held_bytes)
 
--- a/jacinthcart/streams/__init__.py
+++ b/jacinthcart/streams/__init__.py
@@ -1,5 +1,9 @@
 """Detects stream connections that failed or must not be reused."""
 
-from jacinthcart.streams._idle import STREAM_FAILURES, is_readable
+from jacinthcart.streams._idle import (
+    STREAM_FAILURES,
+    is_closed_by_peer,
+    is_readable,
+)
 
-__all__ = ['STREAM_FAILURES', 'is_readable']
+__all__ = ['STREAM_FAILURES', 'is_closed_by_peer', 'is_readable']
--- a/jacinthcart/streams/_idle.py
+++ b/jacinthcart/streams/_idle.py
@@ -26,3 +26,14 @@
     poller = select.poll()
     poller.register(descriptor, select.POLLIN)
     return bool(poller.poll(0))
+
+
+def is_closed_by_peer(raw_socket: socket.socket) -> bool:
+    """Return whether the peer has closed, also behind data that is unread."""
+    descriptor = raw_socket.fileno()
+    if descriptor < 0:
+        return True
+    poller = select.poll()
+    # Reset and failed connections are always reported.
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
--- a/tests/front/test_slow_callers.py
+++ b/tests/front/test_slow_callers.py
@@ -34,11 +34,12 @@
 _MANY_CONNECTIONS = 2_000
 _HEAD = b'%s /%s HTTP/1.1\r\nHost: h\r\n%s\r\n'
 _SMALL = _HEAD % (b'GET', b'small', b'')
+_SLOW = _HEAD % (b'GET', b'slow', b'')
 _LARGE = _HEAD % (b'GET', b'large', b'')
 #: A request whose answer does not fit the buffers of the kernel.
 _HUGE = _HEAD % (b'GET', b'huge', b'')
 _BYTES_BY_TARGET = types.MappingProxyType(
-    {b'/small': 1, b'/large': _LARGE_BYTES, b'/huge': 8_000_000}
+    {b'/small': 1, b'/slow': 1, b'/large': _LARGE_BYTES, b'/huge': 8_000_000}
 )
 _CREATE_LISTENER = anyio.create_tcp_listener
 _POST = _HEAD % (b'POST', b'small', b'Content-Length: %d\r\n' % _LARGE_BYTES)
@@ -76,6 +77,8 @@
             collections.Counter()
         )
         self.header_timeout_s = 30.0
+        self.slow_s = 30.0
+        self.finished_slow = 0
 
     def get_limits(self) -> FrontLimits:
         """Return limits with the largest bodies."""
@@ -84,6 +87,9 @@
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return a body of its own, as each searcher's is."""
         self.handled_by_target[request.target] += 1
+        if request.target == b'/slow':
+            await anyio.sleep(self.slow_s)
+            self.finished_slow += 1
         length = _BYTES_BY_TARGET[request.target]
         return RawResponse(200, (), b'a' * length)
 
@@ -265,6 +271,23 @@
 
         _run(scenario)
 
+    def test_disconnect_behind_many_requests_is_noticed(self) -> None:
+        """Guards against work for a caller that has left.
+
+        With many requests waiting, nothing was read and none was cancelled.
+        """
+
+        async def scenario(server: _Server) -> None:
+            handled = server.handler.handled_by_target
+            stream = await server.send(_SLOW * 20)
+            await server.wait_until(lambda: bool(handled[b'/slow']))
+            await stream.aclose()
+            await server.wait_until(lambda: not server.memory.held_bytes)
+            self.assertEqual(handled[b'/slow'], 1)
+            self.assertEqual(server.handler.finished_slow, 0)
+
+        _run(scenario)
+
     def test_expectation_behind_an_unread_answer_is_harmless(self) -> None:
         """Guards against the end of the process.
 
