--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -28,7 +28,7 @@
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
 from jacinthcart.routing._service_times import ServiceTimes
-from jacinthcart.routing._table import RoutingTable
+from jacinthcart.routing._table import RoutingTable, create_routing_table
 
 __all__ = [
     'INTERNAL_ERROR',
@@ -58,5 +58,6 @@
     'SearcherResponse',
     'SelectionParameters',
     'ServiceTimes',
+    'create_routing_table',
     'estimate_cost_s',
 ]
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -11,6 +11,7 @@
     MalformedResponseError,
     NotSentError,
     OutcomeUnknownError,
+    RequestMemoryError,
 )
 from jacinthcart.program import Clock
 from jacinthcart.routing._codec import (
@@ -22,6 +23,7 @@
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
+from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.telemetry import Logger, Metrics
 
@@ -139,6 +141,7 @@
         self._codec = codec
         self._metrics = metrics
         self._logger = logger
+        self._log = SearcherLog(metrics, logger)
         self._tasks: TaskGroup | None = None
         self._attempts = 0
 
@@ -259,11 +262,17 @@
     async def _send(self, attempt: Attempt, context: CallContext) -> Outcome:
         searcher = attempt.searcher
         try:
+            # A connection is not opened for a request that can't be sent.
+            self._pools.request_memory.check(
+                searcher.process, len(context.request.body)
+            )
             connection = await self._pools.acquire(
                 searcher,
                 context.request.request_id,
                 at_most_once=not context.route.is_idempotent,
             )
+        except RequestMemoryError as error:
+            return self._create_withheld(searcher, error)
         except NotSentError as error:
             return Outcome(OutcomeKind.NOT_RUN, str(error), was_sent=False)
         idle_timeout_s = None
@@ -272,16 +281,11 @@
             idle_timeout_s = response.idle_timeout_s
         except NotSentError as error:
             connection.is_usable = True
-            return Outcome(
-                OutcomeKind.NOT_RUN,
-                str(error),
-                was_sent=False,
-                affects_health=False,
-            )
+            return self._create_withheld(searcher, error)
         except OutcomeUnknownError as error:
             reason = str(error)
             if isinstance(error, MalformedResponseError):
-                self._log_malformed_response(searcher, error)
+                self._log.log_malformed_response(searcher, error)
                 reason = f'malformed response: {error}'
             return Outcome(OutcomeKind.UNKNOWN, reason)
         finally:
@@ -311,25 +315,29 @@
             remaining_s,
             context.workspace,
         )
-        attempt.started_at = self.clock()
-        # Nothing may be awaited between this and the send.
-        attempt.begin_sending()
-        return await connection.exchange(
-            message,
-            context.request.request_id,
-            expects_body=context.request.method != 'HEAD',
-        )
+        process = attempt.searcher.process
+        with self._pools.request_memory.hold(process, len(message)):
+            attempt.started_at = self.clock()
+            # Once cancelled after this, the attempt counts as sent.
+            attempt.begin_sending()
+            return await connection.exchange(
+                message,
+                context.request.request_id,
+                expects_body=context.request.method != 'HEAD',
+            )
 
-    def _log_malformed_response(
-        self, searcher: Searcher, error: MalformedResponseError
-    ) -> None:
-        self._metrics.count('searcher', 'malformed_response')
-        self._logger.warning(
-            'malformed response',
-            limit_key='malformed_response',
-            searcher=searcher.searcher_id,
-            born=searcher.born,
-            error=str(error),
+    def _create_withheld(
+        self, searcher: Searcher, error: NotSentError
+    ) -> Outcome:
+        """Return the outcome of a send that this VM decided against."""
+        if isinstance(error, RequestMemoryError):
+            held_bytes = self._pools.request_memory.held_bytes
+            self._log.log_withheld(searcher, held_bytes, error)
+        return Outcome(
+            OutcomeKind.NOT_RUN,
+            str(error),
+            was_sent=False,
+            affects_health=False,
         )
 
     def _record_statements(
@@ -337,13 +345,7 @@
     ) -> None:
         availability = self.table.availability
         if response.is_leaving and availability.record_leaving(searcher):
-            self._metrics.count('searcher', 'leaving')
-            self._logger.info(
-                'searcher leaves',
-                limit_key='searcher_leaving',
-                searcher=searcher.searcher_id,
-                born=searcher.born,
-            )
+            self._log.log_leaving(searcher)
         if response.retry_after_s is not None:
             self._metrics.count('searcher', 'retry_after')
             availability.record_retry_after(searcher, response.retry_after_s)
@@ -362,13 +364,7 @@
             return
         self._record_statements(attempt.searcher, response)
         if response.has_malformed_load:
-            self._metrics.count('searcher', 'malformed_load')
-            self._logger.warning(
-                'malformed load report',
-                limit_key='malformed_load',
-                searcher=attempt.searcher.searcher_id,
-                born=attempt.searcher.born,
-            )
+            self._log.log_malformed_load(attempt.searcher)
         if response.load is not None:
             self._health_tracker.record_load(health, response.load)
         if outcome.kind is OutcomeKind.NOT_RUN:
--- /dev/null
+++ b/jacinthcart/routing/_searcher_log.py
@@ -0,0 +1,62 @@
+"""Log lines and counters about single searchers."""
+
+from jacinthcart.catalogue import Searcher
+from jacinthcart.errors import MalformedResponseError, RequestMemoryError
+from jacinthcart.telemetry import Logger, Metrics
+
+_METRIC = 'searcher'
+
+
+class SearcherLog:
+    """Counts and logs what a searcher does beside answering requests."""
+
+    def __init__(self, metrics: Metrics, logger: Logger) -> None:
+        """Create the log."""
+        self._metrics = metrics
+        self._logger = logger
+
+    def log_malformed_response(
+        self, searcher: Searcher, error: MalformedResponseError
+    ) -> None:
+        """Log bytes that are no response."""
+        self._metrics.count(_METRIC, 'malformed_response')
+        self._logger.warning(
+            'malformed response',
+            limit_key='malformed_response',
+            searcher=searcher.searcher_id,
+            born=searcher.born,
+            error=str(error),
+        )
+
+    def log_malformed_load(self, searcher: Searcher) -> None:
+        """Log a load report with an unusable figure."""
+        self._metrics.count(_METRIC, 'malformed_load')
+        self._logger.warning(
+            'malformed load report',
+            limit_key='malformed_load',
+            searcher=searcher.searcher_id,
+            born=searcher.born,
+        )
+
+    def log_leaving(self, searcher: Searcher) -> None:
+        """Log that a searcher process wants no further requests."""
+        self._metrics.count(_METRIC, 'leaving')
+        self._logger.info(
+            'searcher leaves',
+            limit_key='searcher_leaving',
+            searcher=searcher.searcher_id,
+            born=searcher.born,
+        )
+
+    def log_withheld(
+        self, searcher: Searcher, held_bytes: int, error: RequestMemoryError
+    ) -> None:
+        """Log a request that was not sent for lack of memory."""
+        self._metrics.count(_METRIC, 'request_memory')
+        self._logger.warning(
+            'request not sent',
+            limit_key='request_memory',
+            searcher=searcher.searcher_id,
+            held_bytes=held_bytes,
+            error=str(error),
+        )
--- a/jacinthcart/routing/_table.py
+++ b/jacinthcart/routing/_table.py
@@ -8,7 +8,7 @@
 from jacinthcart.fleet import MemberTable
 from jacinthcart.program import Clock
 from jacinthcart.routing._availability import AvailabilityTracker
-from jacinthcart.routing._cold import ColdStartLimiter
+from jacinthcart.routing._cold import ColdStartLimiter, RankSenders
 from jacinthcart.routing._cost import (
     COST_JITTER,
     Candidate,
@@ -245,3 +245,30 @@
             self._cold_start_limiter.update(searcher)
         self._cold_start_limiter.retain_only(processes)
         self._health_tracker.retain_only(processes)
+
+
+def create_routing_table(
+    catalogue_state: CatalogueState,
+    members: MemberTable,
+    health_tracker: HealthTracker,
+    clock: Clock,
+    random_source: random.Random,
+    rank_senders: RankSenders,
+    compute_share: Callable[[], float],
+) -> RoutingTable:
+    """Return a routing table with the default parameters.
+
+    `rank_senders` ranks the VMs that may send to a cold searcher, and
+    `compute_share` returns this VM's share of fleet-wide limits, in the range
+    (0, 1].
+    """
+    return RoutingTable(
+        catalogue_state,
+        members,
+        health_tracker,
+        ColdStartLimiter(members.own.address, rank_senders, clock),
+        clock,
+        random_source,
+        compute_share,
+        SelectionParameters(),
+    )
--- a/tests/routing/test_call.py
+++ b/tests/routing/test_call.py
@@ -21,6 +21,7 @@
     SearcherPools,
     SearcherResponse,
 )
+from jacinthcart.routing._request_memory import RequestMemory
 from jacinthcart.routing._service_times import ServiceTimes
 from jacinthcart.telemetry import Metrics
 from tests.support import (
@@ -42,6 +43,7 @@
         self.on_end = mock.Mock()
         self.pools = mock.create_autospec(SearcherPools, instance=True)
         self.pools.acquire.return_value = self.connection
+        self.pools.request_memory = RequestMemory(1_000_000, lambda: 1.0)
         health_tracker = HealthTracker(clock)
         table = mock.create_autospec(RoutingTable, instance=True)
         table.get_health.return_value = health_tracker.get_or_create(('s', 1))
