--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -388,7 +388,8 @@
             self.table.service_times.record(
                 route.name,
                 attempt.searcher.service,
-                latency_s / health.slowdown,
+                # A false figure below 1 would make all searchers seem slow.
+                latency_s / max(1, health.slowdown),
                 is_queued=load.waiting > 0,
             )
         if attempt.predicted_s is not None:
--- a/jacinthcart/routing/_queue_delays.py
+++ b/jacinthcart/routing/_queue_delays.py
@@ -11,6 +11,8 @@
 
 #: Age in seconds up to which a load report is recent.
 _RECENT_S = 1.0
+#: Queueing delay of a searcher without a recent report, in service times.
+_UNKNOWN_DELAY_FRACTION = 0.5
 
 
 class QueueDelays:
@@ -35,15 +37,17 @@
         """Return the time in seconds until a new request gets a slot.
 
         The time is that of the searcher at which the request would end first.
-        Searchers without a recent report are left out unless there is no
-        other, because the VM rarely sends to them. The time is 0 if no searcher
-        of the service is available: waiting does not help then.
+        A searcher without a recent report is taken to have a short queue
+        while another one has a queue. The time is 0 if no searcher of the
+        service is available: waiting does not help then.
         """
         service_time_s = self._service_times.get_mean_s(service)
         if service_time_s <= 0:
             return 0
         now = self._clock()
-        best = (True, math.inf, 0.0)
+        unknown_s = service_time_s * _UNKNOWN_DELAY_FRACTION
+        best = (math.inf, 0.0)
+        has_recent = False
         for searcher in self._catalogue_state.list_searchers(service):
             health = self._health_tracker.get_or_create(searcher.process)
             resume_at = self._availability.compute_earliest_send(searcher)
@@ -60,7 +64,9 @@
             )
             delay_s = max(delay_s, resume_at - now)
             factor = health.compute_slowness(now) * health.compute_slowdown(now)
-            is_unknown = now - health.load_at > _RECENT_S
-            end_s = delay_s + service_time_s * factor
-            best = min(best, (is_unknown, end_s, delay_s))
-        return best[-1]
+            if now - health.load_at > _RECENT_S:
+                delay_s = max(delay_s, unknown_s)
+            else:
+                has_recent = True
+            best = min(best, (delay_s + service_time_s * factor, delay_s))
+        return best[1] if has_recent else 0
