Assume a service time until one is known

A VM that saw no responses without a queue, for example because it had started during an overload, took every queueing delay for 0.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -390,6 +390,7 @@
                 attempt.searcher.service,
                 # A false figure below 1 would make all searchers seem slow.
                 latency_s / max(1, health.slowdown),
+                route.target_s * _DEFAULT_MEDIAN_FRACTION,
                 is_queued=load.waiting > 0,
             )
         if attempt.predicted_s is not None:
--- a/jacinthcart/routing/_service_times.py
+++ b/jacinthcart/routing/_service_times.py
@@ -1,9 +1,11 @@
 """How long searchers work on a request that does not wait."""
 
-from jacinthcart.routing._quantiles import QuantileTracker
+from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
 
 #: Weight of a new sample in the mean service time of a service.
 _MEAN_WEIGHT = 0.05
+#: A VM that starts during an overload sees few responses without a queue.
+_QUANTILES = QuantileParameters(min_count=3, refresh_count=5)
 
 
 class ServiceTimes:
@@ -17,7 +19,7 @@
 
     def __init__(self) -> None:
         """Create an empty record."""
-        self._quantiles = QuantileTracker()
+        self._quantiles = QuantileTracker(_QUANTILES)
         self._mean_s_by_service: dict[str, float] = {}
 
     def get_mean_s(self, service: str) -> float:
@@ -28,17 +30,22 @@
         return self._mean_s_by_service.get(service, 0)
 
     def record(
-        self, route: str, service: str, latency_s: float, *, is_queued: bool
+        self,
+        route: str,
+        service: str,
+        latency_s: float,
+        default_s: float,
+        *,
+        is_queued: bool,
     ) -> None:
         """Record the latency of a response without the machine's slowdown.
 
-        `is_queued` states whether requests wait at the searcher.
+        `is_queued` states whether requests wait at the searcher, and
+        `default_s` is the service time assumed while the route's is unknown.
         """
         if not is_queued:
             self._quantiles.add(route, latency_s)
-        service_time_s = self._quantiles.quantile_s(route, 0.5, 0)
-        if service_time_s <= 0:
-            return
+        service_time_s = self._quantiles.quantile_s(route, 0.5, default_s)
         mean_s = self._mean_s_by_service.get(service, service_time_s)
         mean_s += (service_time_s - mean_s) * _MEAN_WEIGHT
         self._mean_s_by_service[service] = mean_s
