--- a/tests/routing/test_service_times.py
+++ b/tests/routing/test_service_times.py
@@ -24,6 +24,11 @@
         self.assertAlmostEqual(self._estimate_s(), _SERVICE_TIME_S)
         self.assertAlmostEqual(self.times.get_mean_s(_SERVICE), _SERVICE_TIME_S)
 
+    def test_service_time_is_assumed_until_it_is_known(self) -> None:
+        """Guards against a VM that ignores queues as it starts in overload."""
+        self._record(0.5, is_queued=True)
+        self.assertAlmostEqual(self.times.get_mean_s(_SERVICE), _DEFAULT_S)
+
     def test_other_routes_keep_their_times(self) -> None:
         """Guards against heavy queries that make light ones seem slow."""
         self._record(_SERVICE_TIME_S)
@@ -34,7 +39,9 @@
         self, latency_s: float, route: str = 'a', *, is_queued: bool = False
     ) -> None:
         for _ in range(_SAMPLES):
-            self.times.record(route, _SERVICE, latency_s, is_queued=is_queued)
+            self.times.record(
+                route, _SERVICE, latency_s, _DEFAULT_S, is_queued=is_queued
+            )
 
     def _estimate_s(self) -> float:
         return self.times.estimate_s('a', 0.9, _DEFAULT_S)
