--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -26,8 +26,10 @@
     compute_interval_factor,
 )
 from jacinthcart.network import DatagramEndpoint, Endpoint
+from jacinthcart.node._memory import MemoryBounds
 from jacinthcart.node._request_log import RequestLog
 from jacinthcart.node._settings import NodeSettings
+from jacinthcart.overload import create_overload_control
 from jacinthcart.program import Clock, read_boot_clock
 from jacinthcart.quota import (
     QUOTA_KINDS,
@@ -49,15 +51,12 @@
     BaseSearcherCodec,
     BudgetParameters,
     CallerRequest,
-    ColdStartLimiter,
-    ConnectionParameters,
     ExtraSendBudget,
     HealthTracker,
     QuantileTracker,
-    RoutingTable,
     SearcherClient,
     SearcherPools,
-    SelectionParameters,
+    create_routing_table,
 )
 from jacinthcart.serving import (
     Admission,
@@ -79,8 +78,6 @@
 #: route or key to be denied; with an older proof it may be a new one.
 _DENIAL_LEASE_FRACTION = 0.8
 _DIRECTORY_TTL_S = 2.0
-#: Fraction of the memory that responses in progress may hold.
-_RESPONSE_MEMORY_FRACTION = 0.2
 _EXPIRY_INTERVAL_S = 0.5
 
 
@@ -104,16 +101,20 @@
         self.clock = clock
         self.logger = create_logger(settings.vm_id)
         self.metrics = Metrics()
+        self._memory_bounds = MemoryBounds(settings.memory_bytes)
+        self.caller_memory = self._memory_bounds.create_caller_memory(
+            clock, self.metrics, self.logger
+        )
         self.table = ItemTable()
         self.lease = FreshnessLease(clock)
         self.catalogue_state = CatalogueState(clock, self.logger)
         self.lease.listeners.append(self.catalogue_state.record_proof)
-        self.incarnation = time.time_ns() // 1_000_000
+        incarnation = time.time_ns() // 1_000_000
         self.members = MemberTable(
             MemberRecord(
                 address=settings.address,
                 data_centre=settings.data_centre,
-                incarnation=self.incarnation,
+                incarnation=incarnation,
                 state=MemberState.ALIVE,
                 capacity=estimate_capacity(
                     settings.cores,
@@ -304,25 +305,19 @@
         self._pools = SearcherPools(
             codec,
             clock,
-            ConnectionParameters(
-                max_held_bytes=int(
-                    self.settings.memory_bytes * _RESPONSE_MEMORY_FRACTION
-                ),
-            ),
+            self._memory_bounds.create_connection_parameters(),
+            shares.compute_own_share,
         )
         self._searcher_client = SearcherClient(
             self._pools,
-            RoutingTable(
+            create_routing_table(
                 self.catalogue_state,
                 self.members,
                 health_tracker,
-                ColdStartLimiter(
-                    self.members.own.address, shares.rank_advertised, clock
-                ),
                 clock,
                 source,
+                shares.rank_advertised,
                 shares.compute_own_share,
-                SelectionParameters(),
             ),
             health_tracker,
             latencies,
@@ -346,7 +341,15 @@
             self._shutdown,
             source,
             ServingParameters(),
+            create_overload_control(
+                self._searcher_client,
+                source,
+                self.settings.overload_mode,
+                self.metrics,
+                self.logger,
+            ),
         )
+        self.explainer = self._server.explainer
 
     async def _handle_datagram(
         self,
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -1,4 +1,4 @@
-"""The operators' HTTP API: status and metrics."""
+"""The operators' HTTP API: status, metrics and explanations."""
 
 import importlib
 import math
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from jacinthcart.errors import InvalidMessageError
 from jacinthcart.front import (
     RawRequest,
     RawResponse,
@@ -18,10 +19,14 @@
 _JSON = ((b'Content-Type', b'application/json'),)
 _TEXT = ((b'Content-Type', b'text/plain; version=0.0.4'),)
 _QUANTILES = types.MappingProxyType({'0.5': 0.5, '0.9': 0.9, '0.99': 0.99})
+#: Predictions may be too high as well as too low.
+_RATIO_QUANTILES = types.MappingProxyType(
+    {'0.01': 0.01, '0.1': 0.1, **_QUANTILES}
+)
 
 
 class OperatorHandler(BaseNodeHandler):
-    """Serves `/v1/status` as JSON and `/metrics` as text."""
+    """Serves `/v1/status` and `/v1/explain` as JSON, `/metrics` as text."""
 
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return the requested document."""
@@ -30,9 +35,28 @@
             return RawResponse(200, _JSON, encode_json(status))
         if request.path == '/metrics':
             return RawResponse(200, _TEXT, encode_metrics(self._node))
+        if request.path == '/v1/explain':
+            return await _explain(self._node, request.query)
         return RawResponse(404)
 
 
+async def _explain(node: Node, query: dict[str, str]) -> RawResponse:
+    try:
+        explanation = await node.explainer.explain(
+            query.get('host', ''),
+            query.get('path', '/'),
+            query.get('workspace'),
+        )
+    except InvalidMessageError as error:
+        return RawResponse(400, _JSON, encode_json({'error': str(error)}))
+    answer = {
+        'vm': node.settings.vm_id,
+        'method': query.get('method', 'GET'),
+        'explanation': explanation,
+    }
+    return RawResponse(200, _JSON, encode_json(answer))
+
+
 def describe_node(node: Node) -> dict[str, Any]:
     """Return the current state of this VM."""
     catalogue = node.catalogue_state.catalogue
@@ -53,6 +77,7 @@
         'cold_searchers': node.list_cold_searchers(),
         'evacuated': sorted(node.catalogue_state.evacuated),
         'allotments': node.describe_quotas(),
+        'caller_held_bytes': node.caller_memory.held_bytes,
     }
 
 
@@ -81,11 +106,18 @@
         yield from self._collect_gauges()
         yield self._collect_counters(self._node.metrics)
         yield self._collect_latencies(self._node.metrics)
+        yield self._collect_ratios(self._node.metrics)
 
     def _collect_gauges(self) -> Iterator[Any]:
         status = describe_node(self._node)
         gauge = self._core.GaugeMetricFamily
-        for name in ('proof_age_s', 'version', 'searchers', 'members_counted'):
+        for name in (
+            'proof_age_s',
+            'version',
+            'searchers',
+            'members_counted',
+            'caller_held_bytes',
+        ):
             status_value = status[name]
             yield gauge(
                 f'jacinthcart_{name}',
@@ -125,3 +157,15 @@
                 if seconds is not None:
                     family.add_metric([kind, workspace, route, label], seconds)
         return family
+
+    def _collect_ratios(self, metrics: Metrics) -> Any:
+        family = self._core.GaugeMetricFamily(
+            'jacinthcart_latency_ratio',
+            'quantiles of measured to predicted latency of sends, by route',
+            labels=['kind', 'route', 'quantile'],
+        )
+        for key in metrics.list_ratio_keys():
+            for label, quantile in _RATIO_QUANTILES.items():
+                ratio = metrics.quantile_ratio(key, quantile)
+                family.add_metric([*key, label], ratio)
+        return family
--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -18,11 +18,17 @@
     SelectionParameters,
     estimate_cost_s,
 )
+from jacinthcart.routing._description import (
+    ChoiceDescription,
+    SearcherDescription,
+)
 from jacinthcart.routing._health import HealthTracker, SearcherHealth
+from jacinthcart.routing._load_report import LoadReport
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
-from jacinthcart.routing._table import RoutingTable
+from jacinthcart.routing._service_times import ServiceTimes
+from jacinthcart.routing._table import RoutingTable, create_routing_table
 
 __all__ = [
     'INTERNAL_ERROR',
@@ -32,10 +38,12 @@
     'CallContext',
     'CallerRequest',
     'Candidate',
+    'ChoiceDescription',
     'ColdStartLimiter',
     'ConnectionParameters',
     'ExtraSendBudget',
     'HealthTracker',
+    'LoadReport',
     'Outcome',
     'OutcomeKind',
     'QuantileParameters',
@@ -44,9 +52,12 @@
     'ResponseHead',
     'RoutingTable',
     'SearcherClient',
+    'SearcherDescription',
     'SearcherHealth',
     'SearcherPools',
     'SearcherResponse',
     'SelectionParameters',
+    'ServiceTimes',
+    'create_routing_table',
     'estimate_cost_s',
 ]
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -11,6 +11,7 @@
     MalformedResponseError,
     NotSentError,
     OutcomeUnknownError,
+    RequestMemoryError,
 )
 from jacinthcart.program import Clock
 from jacinthcart.routing._codec import (
@@ -22,6 +23,7 @@
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
+from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.telemetry import Logger, Metrics
 
@@ -32,6 +34,10 @@
 #: route's target latency.
 _DEFAULT_MEDIAN_FRACTION = 0.25
 _STATUS_MISDIRECTED = 421
+#: Shortest latency in seconds that a measured one is compared with.
+_MIN_PREDICTED_S = 0.001
+#: Number of attempts of which one is compared with its prediction.
+_PREDICTION_INTERVAL = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +75,9 @@
         self.number = number
         self.searcher = searcher
         self.started_at = 0.0
+        #: Latency in seconds that was expected when the attempt started; None
+        #: if it was not computed.
+        self.predicted_s: float | None = None
         self.outcome: Outcome | None = None
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
@@ -132,6 +141,7 @@
         self._codec = codec
         self._metrics = metrics
         self._logger = logger
+        self._log = SearcherLog(metrics, logger)
         self._tasks: TaskGroup | None = None
         self._attempts = 0
 
@@ -152,6 +162,16 @@
         default_s = route.target_s * _DEFAULT_MEDIAN_FRACTION
         return self.latencies.quantile_s(route.name, 0.5, default_s)
 
+    def estimate_service_time_s(self, route: Route) -> float:
+        """Return how long a searcher without a queue takes on `route`.
+
+        It is the median latency in seconds if searchers do not report the
+        slowdown of their machines.
+        """
+        return self.table.service_times.estimate_s(
+            route.name, 0.5, self.estimate_median_s(route)
+        )
+
     def start(
         self,
         context: CallContext,
@@ -165,6 +185,10 @@
         self._attempts += 1
         attempt = Attempt(self._attempts, searcher, on_end)
         attempt.started_at = self.clock()
+        if attempt.number % _PREDICTION_INTERVAL == 0:
+            attempt.predicted_s = self.table.estimate_latency_s(
+                searcher, self.estimate_service_time_s(context.route)
+            )
         health = self.table.get_health(searcher)
         health.started_at_by_attempt[attempt.number] = attempt.started_at
         if self._tasks is None:
@@ -184,13 +208,11 @@
         attempt.detach_listener()
         elapsed_s = self.clock() - attempt.started_at
         health = self.table.get_health(attempt.searcher)
-        if elapsed_s > self.estimate_median_s(route):
+        median_s = self.estimate_median_s(route)
+        # Within the slowdown, the time so far says nothing about slowness.
+        if elapsed_s > median_s * health.compute_slowdown(self.clock()):
             attempt.is_latency_recorded = True
-            self._health_tracker.record_latency(
-                health,
-                elapsed_s,
-                self.estimate_median_s(route),
-            )
+            self._health_tracker.record_latency(health, elapsed_s, median_s)
         attempt.scope.deadline = anyio.current_time() + _ABANDONED_TIMEOUT_S
 
     def cancel(self, attempt: Attempt) -> None:
@@ -240,11 +262,17 @@
     async def _send(self, attempt: Attempt, context: CallContext) -> Outcome:
         searcher = attempt.searcher
         try:
+            # A connection is not opened for a request that can't be sent.
+            self._pools.request_memory.check(
+                searcher.process, len(context.request.body)
+            )
             connection = await self._pools.acquire(
                 searcher,
                 context.request.request_id,
                 at_most_once=not context.route.is_idempotent,
             )
+        except RequestMemoryError as error:
+            return self._create_withheld(searcher, error)
         except NotSentError as error:
             return Outcome(OutcomeKind.NOT_RUN, str(error), was_sent=False)
         idle_timeout_s = None
@@ -253,16 +281,11 @@
             idle_timeout_s = response.idle_timeout_s
         except NotSentError as error:
             connection.is_usable = True
-            return Outcome(
-                OutcomeKind.NOT_RUN,
-                str(error),
-                was_sent=False,
-                affects_health=False,
-            )
+            return self._create_withheld(searcher, error)
         except OutcomeUnknownError as error:
             reason = str(error)
             if isinstance(error, MalformedResponseError):
-                self._log_malformed_response(searcher, error)
+                self._log.log_malformed_response(searcher, error)
                 reason = f'malformed response: {error}'
             return Outcome(OutcomeKind.UNKNOWN, reason)
         finally:
@@ -292,25 +315,29 @@
             remaining_s,
             context.workspace,
         )
-        attempt.started_at = self.clock()
-        # Nothing may be awaited between this and the send.
-        attempt.begin_sending()
-        return await connection.exchange(
-            message,
-            context.request.request_id,
-            expects_body=context.request.method != 'HEAD',
-        )
+        process = attempt.searcher.process
+        with self._pools.request_memory.hold(process, len(message)):
+            attempt.started_at = self.clock()
+            # Once cancelled after this, the attempt counts as sent.
+            attempt.begin_sending()
+            return await connection.exchange(
+                message,
+                context.request.request_id,
+                expects_body=context.request.method != 'HEAD',
+            )
 
-    def _log_malformed_response(
-        self, searcher: Searcher, error: MalformedResponseError
-    ) -> None:
-        self._metrics.count('searcher', 'malformed_response')
-        self._logger.warning(
-            'malformed response',
-            limit_key='malformed_response',
-            searcher=searcher.searcher_id,
-            born=searcher.born,
-            error=str(error),
+    def _create_withheld(
+        self, searcher: Searcher, error: NotSentError
+    ) -> Outcome:
+        """Return the outcome of a send that this VM decided against."""
+        if isinstance(error, RequestMemoryError):
+            held_bytes = self._pools.request_memory.held_bytes
+            self._log.log_withheld(searcher, held_bytes, error)
+        return Outcome(
+            OutcomeKind.NOT_RUN,
+            str(error),
+            was_sent=False,
+            affects_health=False,
         )
 
     def _record_statements(
@@ -318,13 +345,7 @@
     ) -> None:
         availability = self.table.availability
         if response.is_leaving and availability.record_leaving(searcher):
-            self._metrics.count('searcher', 'leaving')
-            self._logger.info(
-                'searcher leaves',
-                limit_key='searcher_leaving',
-                searcher=searcher.searcher_id,
-                born=searcher.born,
-            )
+            self._log.log_leaving(searcher)
         if response.retry_after_s is not None:
             self._metrics.count('searcher', 'retry_after')
             availability.record_retry_after(searcher, response.retry_after_s)
@@ -342,6 +363,8 @@
                 self._health_tracker.record_failure(health)
             return
         self._record_statements(attempt.searcher, response)
+        if response.has_malformed_load:
+            self._log.log_malformed_load(attempt.searcher)
         if response.load is not None:
             self._health_tracker.record_load(health, response.load)
         if outcome.kind is OutcomeKind.NOT_RUN:
@@ -360,3 +383,18 @@
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
+        load = response.load
+        if load is not None and load.slowdown is not None:
+            self.table.service_times.record(
+                route.name,
+                attempt.searcher.service,
+                # A false figure below 1 would make all searchers seem slow.
+                latency_s / max(1, health.slowdown),
+                route.target_s * _DEFAULT_MEDIAN_FRACTION,
+                is_queued=load.waiting > 0,
+            )
+        if attempt.predicted_s is not None:
+            self._metrics.record_ratio(
+                ('prediction', route.name),
+                latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
+            )
--- a/tests/front/test_parser.py
+++ b/tests/front/test_parser.py
@@ -1,9 +1,12 @@
 """Tests of the parser of requests."""
 
-import unittest
+from unittest import TestCase, mock
 
 from jacinthcart.catalogue import FrontLimits
+from jacinthcart.front import CallerMemory, CallerMemoryParameters
 from jacinthcart.front._connection import _RequestParser
+from jacinthcart.front._memory import BaseAccountHolder
+from jacinthcart.telemetry import Metrics, create_logger
 
 _LIMIT_BYTES = 1024
 _PIECE = b'x' * 64
@@ -20,7 +23,7 @@
 )
 
 
-class RequestParserTests(unittest.TestCase):
+class RequestParserTests(TestCase):
     """The parser holds no more of a request than the limits allow."""
 
     def test_head_or_trailer_without_an_end_is_refused(self) -> None:
@@ -45,7 +48,22 @@
             self.assertEqual(parser.violation_status, 0)
             self.assertEqual(len(parser.completed), 2)
 
+    def test_bytes_of_an_incomplete_header_are_counted(self) -> None:
+        """Guards against memory that callers hold and no one counts."""
+        parser = _create_parser()
+        parser.feed(b'%bX: ' % _START)
+        counted = parser.account.incoming_bytes
+        parser.feed(_PIECE)
+        self.assertEqual(parser.account.incoming_bytes, counted + len(_PIECE))
+
 
 def _create_parser() -> _RequestParser:
     limits = FrontLimits(_LIMIT_BYTES, 2048, 0.3, 5)
-    return _RequestParser(float, lambda: limits)
+    memory = CallerMemory(
+        CallerMemoryParameters(10_000_000, 10_000_000),
+        float,
+        Metrics(),
+        create_logger('test'),
+    )
+    holder = mock.create_autospec(BaseAccountHolder, instance=True)
+    return _RequestParser(float, lambda: limits, memory.open(holder))
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -153,6 +153,22 @@
 
         _run_scenario(scenario)
 
+    def test_requests_before_a_malformed_one_are_answered(self) -> None:
+        """Guards against dropping requests that were read completely."""
+
+        async def scenario(
+            handler: FakeHandler,
+            server: HttpServer,
+            port: int,
+        ) -> None:
+            stream = await anyio.connect_tcp(_ADDRESS, port)
+            await stream.send(b''.join((_GET, _GET, b'NONSENSE\r\n\r\n')))
+            received = await _read_all(stream)
+            self.assertEqual(received.count(b' 200 '), 2)
+            self.assertEqual(received.count(b' 400 '), 1)
+
+        _run_scenario(scenario)
+
     def test_connection_is_usable_after_a_head_request(self) -> None:
         """Guards against a body that is taken for the next answer."""
 
--- a/tests/routing/test_call.py
+++ b/tests/routing/test_call.py
@@ -21,6 +21,8 @@
     SearcherPools,
     SearcherResponse,
 )
+from jacinthcart.routing._request_memory import RequestMemory
+from jacinthcart.routing._service_times import ServiceTimes
 from jacinthcart.telemetry import Metrics
 from tests.support import (
     create_request,
@@ -41,10 +43,12 @@
         self.on_end = mock.Mock()
         self.pools = mock.create_autospec(SearcherPools, instance=True)
         self.pools.acquire.return_value = self.connection
+        self.pools.request_memory = RequestMemory(1_000_000, lambda: 1.0)
         health_tracker = HealthTracker(clock)
         table = mock.create_autospec(RoutingTable, instance=True)
         table.get_health.return_value = health_tracker.get_or_create(('s', 1))
         table.availability = mock.Mock()
+        table.service_times = mock.create_autospec(ServiceTimes)
         self.client = SearcherClient(
             self.pools,
             table,
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -3,15 +3,15 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 from unittest import mock
 
 import anyio
 
-from jacinthcart.catalogue import CatalogueState, Route, Searcher
+from jacinthcart.catalogue import Catalogue, CatalogueState, Route, Searcher
 from jacinthcart.errors import Ran, RefusalError
-from jacinthcart.fleet import MemberParameters, MemberTable
+from jacinthcart.fleet import MemberParameters, MemberRecord, MemberTable
 from jacinthcart.routing import (
     BaseSearcherCodec,
     BudgetParameters,
@@ -19,6 +19,7 @@
     ConnectionParameters,
     ExtraSendBudget,
     HealthTracker,
+    LoadReport,
     QuantileTracker,
     ResponseHead,
     RoutingTable,
@@ -73,12 +74,17 @@
         source: random.Random,
         queue: int = 12,
         refused_fraction: float = 0,
+        compute_slowdown: Callable[[], float] | None = None,
+        *,
+        reports_slowdown: bool = False,
     ) -> None:
         """Create an idle searcher.
 
         `service_time_s` is the median service time of a request, `queue` the
         maximum number of waiting requests and `refused_fraction` the fraction
         of requests that are refused regardless of the load.
+        `compute_slowdown` returns how many times as long as usual work takes
+        on the searcher's machine at present.
         """
         self.searcher = searcher
         self.service_time_s = service_time_s
@@ -86,12 +92,20 @@
         self._random = source
         self._queue = queue
         self._refused_fraction = refused_fraction
+        self._compute_slowdown = compute_slowdown or (lambda: 1.0)
+        self._reports_slowdown = reports_slowdown
         self._running = 0
         self._waiting = 0
         self._slots = anyio.Semaphore(searcher.slots)
 
-    async def answer(self) -> SearcherResponse:
-        """Wait for a slot and process a request."""
+    async def answer(
+        self, service_time_s: float | None = None
+    ) -> SearcherResponse:
+        """Wait for a slot and process a request.
+
+        `service_time_s` is the median service time of the request, that of
+        the searcher if not given.
+        """
         self.arrivals += 1
         is_refused = self._random.random() < self._refused_fraction
         if is_refused or self._waiting >= self._queue:
@@ -103,22 +117,28 @@
             self._waiting -= 1
         self._running += 1
         try:
-            service_time_s = self.service_time_s * self._random.lognormvariate(
-                0, _SERVICE_TIME_SIGMA
-            )
-            await anyio.sleep(service_time_s)
+            await self._process(service_time_s or self.service_time_s)
             return self._respond(200)
         finally:
             self._running -= 1
             self._slots.release()
 
+    async def _process(self, service_time_s: float) -> None:
+        noise = self._random.lognormvariate(0, _SERVICE_TIME_SIGMA)
+        await anyio.sleep(service_time_s * noise * self._compute_slowdown())
+
     def _respond(self, status: int, **statements: Any) -> SearcherResponse:
         return SearcherResponse(
             head=ResponseHead(status, ()),
             body=b'r' * 16,
             stamp=f'{self.searcher.searcher_id}.{self.arrivals}',
             is_not_run=status == _STATUS_FULL,
-            load=(self._running, self._waiting, self.searcher.slots),
+            load=LoadReport(
+                self._running,
+                self._waiting,
+                self.searcher.slots,
+                self._compute_slowdown() if self._reports_slowdown else None,
+            ),
             idle_timeout_s=None,
             closes_connection=False,
             **statements,
@@ -171,6 +191,46 @@
         """Discard the connection."""
 
 
+def create_client(
+    pools: SearcherPools,
+    searchers: list[Searcher],
+    catalogue: Catalogue,
+    member: MemberRecord,
+    source: random.Random,
+    metrics: Metrics,
+) -> SearcherClient:
+    """Return the client of the VM `member`; requires a running event loop."""
+    clock = anyio.current_time
+    logger = create_logger('test')
+    catalogue_state = CatalogueState(clock, logger)
+    catalogue_state.update_catalogue(catalogue)
+    health_tracker = HealthTracker(clock)
+    members = MemberTable(member, clock, logger, MemberParameters())
+    client = SearcherClient(
+        pools,
+        RoutingTable(
+            catalogue_state,
+            members,
+            health_tracker,
+            ColdStartLimiter(members.own.address, members.rank, clock),
+            clock,
+            source,
+            lambda: 1.0,
+            SelectionParameters(),
+        ),
+        health_tracker,
+        QuantileTracker(),
+        mock.create_autospec(BaseSearcherCodec, instance=True),
+        clock,
+        metrics,
+        logger,
+    )
+    catalogue_state.apply_searcher_changes(
+        {one.searcher_id: one for one in searchers}
+    )
+    return client
+
+
 @dataclasses.dataclass
 class Results:
     """Results of a simulated load."""
@@ -215,60 +275,37 @@
         searchers: list[QueuedSearcher],
         budget: ExtraSendBudget | None = None,
         cold_rate: float = 0,
+        arrival_source: random.Random | None = None,
         connect_s: float = 0,
     ) -> None:
         """Create the request server; requires a running event loop.
 
         `cold_rate` is the limit of requests per second to a cold searcher, 0
-        for no limit. Each send first waits `connect_s` for its connection.
+        for no limit. With an `arrival_source`, requests arrive at the same
+        times whatever the choice of searchers draws. Each send first waits
+        `connect_s` for its connection.
         """
         clock = anyio.current_time
-        logger = create_logger('test')
         source = random.Random(3)
         self.results = Results()
+        self.metrics = Metrics()
         self._started_at = clock()
         self._route = route
-        self._random = source
-        catalogue_state = CatalogueState(clock, logger)
-        catalogue_state.update_catalogue(
-            create_catalogue(route, cold_rate=cold_rate)
-        )
-        health_tracker = HealthTracker(clock)
-        members = MemberTable(
-            create_member('10.0.0.1'),
-            clock,
-            logger,
-            MemberParameters(),
-        )
+        self._random = arrival_source or source
         by_id = {one.searcher.searcher_id: one for one in searchers}
-        latencies = QuantileTracker()
-        self._client = SearcherClient(
+        self._client = create_client(
             _Pools(by_id, clock, connect_s),
-            RoutingTable(
-                catalogue_state,
-                members,
-                health_tracker,
-                ColdStartLimiter(members.own.address, members.rank, clock),
-                clock,
-                source,
-                lambda: 1.0,
-                SelectionParameters(),
-            ),
-            health_tracker,
-            latencies,
-            mock.create_autospec(BaseSearcherCodec, instance=True),
-            clock,
-            Metrics(),
-            logger,
-        )
-        catalogue_state.apply_searcher_changes(
-            {one.searcher.searcher_id: one.searcher for one in searchers},
+            [one.searcher for one in searchers],
+            create_catalogue(route, cold_rate=cold_rate),
+            create_member('10.0.0.1'),
+            source,
+            self.metrics,
         )
         self._server = RequestServer(
             self._client,
             budget or ExtraSendBudget(_BUDGET, lambda: 1.0, clock),
             mock.create_autospec(Admission, instance=True),
-            Shutdown(clock, latencies),
+            Shutdown(clock, self._client.latencies),
             source,
             ServingParameters(),
         )
