--- a/tests/overload/test_played_overload.py
+++ b/tests/overload/test_played_overload.py
@@ -50,6 +50,16 @@
         answered_at_twice = play(_AT_TWICE).count_in_time(_OVERLOAD)
         self.assertGreaterEqual(answered_at_twice, 0.85 * answered)
 
+    def test_twice_the_load_keeps_the_answers_with_many_vms(self) -> None:
+        """Guards against control that needs many queries in each VM."""
+        answered, answered_at_twice = (
+            play(Scenario((_LIGHT, Phase(2, demand)), vms=18)).count_in_time(
+                _OVERLOAD
+            )
+            for demand in (1, 2)
+        )
+        self.assertGreaterEqual(answered_at_twice, 0.85 * answered)
+
     def test_more_in_time_than_without_control(self) -> None:
         """Guards against control that serves callers worse than none."""
         first_second = range(1, 2)
