Switch overload control on by the template only

What is new acts only where a deployment's settings ask for it, but the default of the setting was on.

--- a/jacinthcart/node/_settings.py
+++ b/jacinthcart/node/_settings.py
@@ -62,4 +62,4 @@
     #: Bounds of the deployment.
     bounds: NodeBounds
     #: What to do with queries while searchers lack capacity.
-    overload_mode: OverloadMode = OverloadMode.ON
+    overload_mode: OverloadMode = OverloadMode.OFF
--- a/jacinthcart/platform/settings_file.py
+++ b/jacinthcart/platform/settings_file.py
@@ -71,7 +71,7 @@
     #: Port for metrics; None to disable it.
     metrics_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
     #: What to do with queries while searchers lack capacity.
-    overload_control: OverloadMode = OverloadMode.ON
+    overload_control: OverloadMode = OverloadMode.OFF
     platform_fields: _PlatformFields
 
 
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from jacinthcart.errors import SettingsError
+from jacinthcart.overload import OverloadMode
 from jacinthcart.platform.settings_file import decode_settings
 
 
@@ -36,6 +37,16 @@
         self.assertEqual(settings.seeds, ('10.1.0.17', '10.2.0.28'))
         self.assertEqual(settings.peer_port, 7740)
 
+    def test_overload_control_acts_only_if_it_is_set(self) -> None:
+        """Guards against refusals that no deployment has asked for."""
+        fields = create_fields()
+        self.assertIs(decode_settings(fields).overload_mode, OverloadMode.OFF)
+        fields['overload_control'] = 'on'
+        self.assertIs(decode_settings(fields).overload_mode, OverloadMode.ON)
+        fields['overload_control'] = 'sometimes'
+        with self.assertRaises(SettingsError):
+            decode_settings(fields)
+
     def test_error_names_path_and_value(self) -> None:
         """Operators need to know which value to change."""
         with self.assertRaises(SettingsError) as caught:
