--- a/jacinthcart/overload/_control.py
+++ b/jacinthcart/overload/_control.py
@@ -23,7 +23,7 @@
 
     #: Nothing.
     OFF = 'off'
-    #: Decides, counts and logs, but lets every query pass.
+    #: Decides and counts, but lets every query pass.
     OBSERVE = 'observe'
     #: Holds and refuses queries.
     ON = 'on'
@@ -38,14 +38,17 @@
     max_wait_fraction: float = 0.1
     #: Seconds between two decisions on a waiting query.
     interval_s: float = 0.02
+    #: Parameters of the admitted fractions.
     bands: BandParameters = BandParameters()
+    #: Parameters of the retry delays after refusals.
     retry_delays: RetryDelayParameters = RetryDelayParameters()
 
 
 @dataclasses.dataclass(frozen=True)
 class QueryDemand:
-    """What a query asks for."""
+    """A query that asks for admission."""
 
+    #: Route, priority and optional parts.
     kind: QueryKind
     #: Clock time in seconds at which an answer in time is sent.
     answer_at: float
@@ -134,7 +137,7 @@
         finally:
             self._waiting.remove(shards, waiting)
             if waiting.is_admitted and not is_sent:
-                # The caller left between the admission and now.
+                # The caller left after the admission, so another one gets it.
                 self._waiting.admit_first(shards, rank)
         self._count('admitted', query)
         self._metrics.record_seconds(
