End an assumed service time with the first known one

The assumption stayed in the moving mean for some 50 responses, so a VM that had just started overestimated every queueing delay. The new test failed before (6.97 s instead of 0.02 s).

--- a/jacinthcart/routing/_service_times.py
+++ b/jacinthcart/routing/_service_times.py
@@ -21,6 +21,8 @@
         """Create an empty record."""
         self._quantiles = QuantileTracker(_QUANTILES)
         self._mean_s_by_service: dict[str, float] = {}
+        #: Services whose mean is an assumption.
+        self._assumed: set[str] = set()
 
     def get_mean_s(self, service: str) -> float:
         """Return the mean over recent responses of a service, in seconds.
@@ -45,7 +47,16 @@
         """
         if not is_queued:
             self._quantiles.add(route, latency_s)
-        service_time_s = self._quantiles.quantile_s(route, 0.5, default_s)
+        service_time_s = self._quantiles.quantile_s(route, 0.5, 0)
+        if service_time_s <= 0:
+            if service not in self._mean_s_by_service:
+                self._mean_s_by_service[service] = default_s
+                self._assumed.add(service)
+            return
+        if service in self._assumed:
+            # The assumption must not linger in the mean.
+            self._assumed.discard(service)
+            self._mean_s_by_service.pop(service)
         mean_s = self._mean_s_by_service.get(service, service_time_s)
         mean_s += (service_time_s - mean_s) * _MEAN_WEIGHT
         self._mean_s_by_service[service] = mean_s
--- a/tests/routing/test_service_times.py
+++ b/tests/routing/test_service_times.py
@@ -29,6 +29,12 @@
         self._record(0.5, is_queued=True)
         self.assertAlmostEqual(self.times.get_mean_s(_SERVICE), _DEFAULT_S)
 
+    def test_assumption_ends_with_the_first_known_time(self) -> None:
+        """Guards against an assumed time that lingers in the mean."""
+        for _ in range(10):
+            self.times.record('a', _SERVICE, 0.02, _DEFAULT_S, is_queued=False)
+        self.assertAlmostEqual(self.times.get_mean_s(_SERVICE), 0.02)
+
     def test_other_routes_keep_their_times(self) -> None:
         """Guards against heavy queries that make light ones seem slow."""
         self._record(_SERVICE_TIME_S)
