--- a/jacinthcart/overload/_control.py
+++ b/jacinthcart/overload/_control.py
@@ -130,15 +130,10 @@
         )
         waiting = WaitingQuery(rank, self._compute_latest_start(query))
         self._waiting.add(shards, waiting)
-        is_sent = False
         try:
             await self._wait_for_admission(query, waiting, fraction)
-            is_sent = True
         finally:
             self._waiting.remove(shards, waiting)
-            if waiting.is_admitted and not is_sent:
-                # The caller left after the admission, so another one gets it.
-                self._waiting.admit_first(shards, rank)
         self._count('admitted', query)
         self._metrics.record_seconds(
             (_METRIC, 'wait', query.kind.route.name),
--- a/jacinthcart/overload/_waiting.py
+++ b/jacinthcart/overload/_waiting.py
@@ -68,12 +68,11 @@
             credit = self._random.random()
         credit += fraction
         if credit >= 1:
-            self.admit_first(shards, rank)
+            self._admit_first(shards, rank)
             credit -= 1
         self._credit_by_key[key] = credit
 
-    def admit_first(self, shards: tuple[str, ...], rank: int) -> None:
-        """Admit the waiting query of a rank with the least time left."""
+    def _admit_first(self, shards: tuple[str, ...], rank: int) -> None:
         waiting = [
             query
             for query in self._queries_by_shards.get(shards, ())
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -388,8 +388,7 @@
             self.table.service_times.record(
                 route.name,
                 attempt.searcher.service,
-                # A false figure below 1 would make all searchers seem slow.
-                latency_s / max(1, health.slowdown),
+                latency_s / health.slowdown,
                 route.target_s * _DEFAULT_MEDIAN_FRACTION,
                 is_queued=load.waiting > 0,
             )
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -14,8 +14,6 @@
 COST_JITTER = 0.1
 #: Half-life in seconds of a reported queueing delay.
 _DELAY_HALF_LIFE_S = 0.3
-#: Shortest queueing delay in seconds that counts.
-_MIN_DELAY_S = 0.001
 #: Longest queueing delay in seconds, so that a false report does not take a
 #: searcher out of use for longer than a failure does.
 _MAX_DELAY_S = 3.0
@@ -117,8 +115,7 @@
     # Other VMs refill the queue while the searcher works on it, so the delay
     # is taken to persist for a while.
     weight = math.exp2(-(now - health.load_at) / _DELAY_HALF_LIFE_S)
-    delay_s = min(delay_s, _MAX_DELAY_S) * weight
-    return delay_s if delay_s >= _MIN_DELAY_S else 0
+    return min(delay_s, _MAX_DELAY_S) * weight
 
 
 def estimate_cost_s(
