--- a/jacinthcart/overload/__init__.py
+++ b/jacinthcart/overload/__init__.py
@@ -18,6 +18,7 @@
 )
 from jacinthcart.overload._decision import OverloadDecision
 from jacinthcart.overload._demand import DemandTracker, QueryKind
+from jacinthcart.overload._policy import AdmissionPolicy
 from jacinthcart.overload._retry_delays import (
     RetryDelayParameters,
     RetryDelays,
@@ -26,6 +27,7 @@
 
 __all__ = [
     'AdmissionBands',
+    'AdmissionPolicy',
     'BandParameters',
     'DemandTracker',
     'OverloadControl',
--- a/jacinthcart/overload/_bands.py
+++ b/jacinthcart/overload/_bands.py
@@ -9,8 +9,8 @@
 class BandParameters:
     """Parameters of the bands."""
 
-    #: Seconds of the target that the network, the VM and the slowest of many
-    #: shards take beside service and queueing.
+    #: Seconds of the target that the network and the VM take beside service
+    #: and queueing.
     reserve_s: float = 0.02
     #: Minimum fraction of a rank's queries that is admitted, relative to the
     #: next more urgent rank, so that no rank starves.
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -15,8 +15,8 @@
 #: Half-life in seconds of a reported slowdown. The load of the other users of
 #: a machine lasts for some hundred milliseconds.
 _SLOWDOWN_HALF_LIFE_S = 0.5
-#: Bounds of a reported slowdown, so that a false report multiplies the expected
-#: service time by no more and no less.
+#: Bounds of a reported slowdown. They limit the factor by which a false report
+#: changes the expected service time.
 _MIN_SLOWDOWN = 0.2
 _MAX_SLOWDOWN = 20.0
 #: Weight of a new result in the moving average of the failure rate.
--- a/tests/overload/test_retry_delays.py
+++ b/tests/overload/test_retry_delays.py
@@ -11,6 +11,7 @@
 _SHARES = st.floats(0, 1)
 _DELAYS_S = st.floats(0, 5)
 _STEP_S = 0.5
+_MIN_SPREAD_S = RetryDelayParameters().min_spread_s
 
 
 class RetryDelayTests(unittest.TestCase):
@@ -46,6 +47,8 @@
         if latest_s < delay_s:
             # No return is of use, and one at once would only add load.
             self.assertGreaterEqual(delays_s[0], delay_s)
+            spread_s = max(_MIN_SPREAD_S, (earlier + later) * _STEP_S)
+            self.assertLessEqual(delays_s[1], delay_s + spread_s)
         else:
             self.assertLessEqual(delays_s[1], latest_s)
 
