Ignore load reports that contradict latencies

Cause: a searcher that reports nonsense claims a long queue or a high slowdown in most of its reports. Others are then preferred for seconds, so its shard lacks a third of its capacity, and overload control refuses queries that would have been in time.

Change: each response is compared with the latency that its own report implies and with the usual service time. A counter and a log line name it.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -23,6 +23,7 @@
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
+from jacinthcart.routing._report_checks import ReportChecks
 from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.telemetry import Logger, Metrics
@@ -142,6 +143,7 @@
         self._metrics = metrics
         self._logger = logger
         self._log = SearcherLog(metrics, logger)
+        self._report_checks = ReportChecks(table, self._log)
         self._tasks: TaskGroup | None = None
         self._attempts = 0
 
@@ -380,6 +382,13 @@
         route = context.route
         median_s = self.estimate_median_s(route)
         self._health_tracker.record_success(health)
+        # Before the latency is recorded, because that uses the slowdown.
+        self._report_checks.check(
+            attempt.searcher,
+            response.load,
+            latency_s,
+            self.estimate_service_time_s(route),
+        )
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
@@ -388,9 +397,11 @@
             self.table.service_times.record(
                 route.name,
                 attempt.searcher.service,
-                latency_s / health.slowdown,
+                latency_s / health.compute_slowdown(self.clock()),
                 route.target_s * _DEFAULT_MEDIAN_FRACTION,
-                is_queued=load.waiting > 0,
+                is_queued=(
+                    load.waiting > 0 or not health.report_accuracy.is_credible
+                ),
             )
         if attempt.predicted_s is not None:
             self._metrics.record_ratio(
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -4,6 +4,7 @@
 import math
 
 from jacinthcart.routing._health import SearcherHealth
+from jacinthcart.routing._load_report import LoadReport
 
 #: Added cost in seconds of a searcher that is backed off or has reached its
 #: connection limit. It is far above usual latencies, so that such a searcher
@@ -101,11 +102,14 @@
     """Return the time in seconds until a new request gets a slot.
 
     It is 0 unless the searcher reports the slowdown of its machine: without
-    it, the number of waiting requests does not tell how long they take.
+    it, the number of waiting requests does not tell how long they take. It is
+    also 0 if its reports have contradicted its latencies.
     """
     load = health.load
     if load is None or not health.reports_slowdown:
         return 0
+    if not health.report_accuracy.is_credible:
+        return 0
     added = health.in_flight - health.in_flight_at_report
     queue_length = load.running + load.waiting + 1 - load.slots + added
     if queue_length <= 0:
@@ -118,6 +122,23 @@
     return min(delay_s, _MAX_DELAY_S) * weight
 
 
+def estimate_reported_latency_s(
+    health: SearcherHealth,
+    load: LoadReport,
+    *,
+    service_time_s: float,
+    mean_service_time_s: float,
+    slots: int,
+) -> float:
+    """Return the latency in seconds that a report implies by itself.
+
+    Whether the reports of the searcher are credible does not matter.
+    """
+    slowdown = health.slowdown
+    delay_s = mean_service_time_s * slowdown * load.queue_length / slots
+    return service_time_s * slowdown + min(delay_s, _MAX_DELAY_S)
+
+
 def estimate_cost_s(
     candidate: Candidate,
     *,
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -5,6 +5,7 @@
 
 from jacinthcart.program import Clock
 from jacinthcart.routing._load_report import LoadReport
+from jacinthcart.routing._report_accuracy import ReportAccuracy
 
 #: Weight of a new latency in the exponentially weighted moving average.
 _LATENCY_WEIGHT = 0.3
@@ -65,6 +66,10 @@
     slowdown: float = 1.0
     #: Time at which a slowdown was last reported.
     slowdown_at: float = -math.inf
+    #: How well reports with a slowdown agree with latencies.
+    report_accuracy: ReportAccuracy = dataclasses.field(
+        default_factory=ReportAccuracy
+    )
     #: Start times of this VM's unanswered sends, by attempt number.
     started_at_by_attempt: dict[int, float] = dataclasses.field(
         default_factory=dict,
@@ -95,9 +100,9 @@
     def compute_slowdown(self, now: float) -> float:
         """Return the slowdown, decayed by the age of its report.
 
-        It is exactly 1 if none has been reported.
+        It is exactly 1 if none has been reported, or none that is credible.
         """
-        if self.slowdown == 1:
+        if self.slowdown == 1 or not self.report_accuracy.is_credible:
             return 1
         age_s = now - self.slowdown_at
         weight = math.exp2(-age_s / _SLOWDOWN_HALF_LIFE_S)
--- a/jacinthcart/routing/_queue_delays.py
+++ b/jacinthcart/routing/_queue_delays.py
@@ -37,8 +37,8 @@
         """Return the time in seconds until a new request gets a slot.
 
         The time is that of the searcher at which the request would end first.
-        A searcher without a recent report is taken to have a short queue
-        while another one has a queue. The time is 0 if no searcher of the
+        A searcher without a recent and credible report is taken to have a
+        short queue while another one has a queue. The time is 0 if no searcher of the
         service is available: waiting does not help then.
         """
         service_time_s = self._service_times.get_mean_s(service)
@@ -64,7 +64,8 @@
             )
             delay_s = max(delay_s, resume_at - now)
             factor = health.compute_slowness(now) * health.compute_slowdown(now)
-            if now - health.load_at > _RECENT_S:
+            is_recent = now - health.load_at <= _RECENT_S
+            if not is_recent or not health.report_accuracy.is_credible:
                 delay_s = max(delay_s, unknown_s)
             else:
                 has_recent = True
--- a/jacinthcart/routing/_searcher_log.py
+++ b/jacinthcart/routing/_searcher_log.py
@@ -38,6 +38,16 @@
             born=searcher.born,
         )
 
+    def log_unreliable_load(self, searcher: Searcher) -> None:
+        """Log that a searcher's load reports are no longer used."""
+        self._metrics.count(_METRIC, 'unreliable_load')
+        self._logger.warning(
+            'load reports contradict latencies',
+            limit_key='unreliable_load',
+            searcher=searcher.searcher_id,
+            born=searcher.born,
+        )
+
     def log_leaving(self, searcher: Searcher) -> None:
         """Log that a searcher process wants no further requests."""
         self._metrics.count(_METRIC, 'leaving')
