Let reported queues fade slowly; lower the floor of less urgent queries

Cause: a queue lasts as long as the overload, but its report faded with a half-life of 0.3 s. Less urgent queries were admitted at 0.3 of the urgent fraction at any delay.

Change: half-life 0.6 s; floor 0.25, the share below which a kind counts as starved.

--- a/jacinthcart/overload/_bands.py
+++ b/jacinthcart/overload/_bands.py
@@ -14,7 +14,7 @@
     reserve_s: float = 0.02
     #: Minimum fraction of a rank's queries that is admitted, relative to the
     #: next more urgent rank, so that no rank starves.
-    min_relative_fraction: float = 0.3
+    min_relative_fraction: float = 0.25
 
 
 def compute_slack_s(
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -14,7 +14,7 @@
 #: with equal costs share the load.
 COST_JITTER = 0.1
 #: Half-life in seconds of a reported queueing delay.
-_DELAY_HALF_LIFE_S = 0.3
+_DELAY_HALF_LIFE_S = 0.6
 #: Longest queueing delay in seconds, so that a false report does not take a
 #: searcher out of use for longer than a failure does.
 _MAX_DELAY_S = 3.0
--- a/tests/overload/test_played_overload.py
+++ b/tests/overload/test_played_overload.py
@@ -73,11 +73,13 @@
 
     def test_urgent_queries_are_in_time_at_capacity(self) -> None:
         """Guards against urgent queries that share the fate of the others."""
-        outcomes = play(_AT_CAPACITY).outcomes[URGENT.name]
-        share = outcomes.count_in_time(_OVERLOAD) / outcomes.count_all(
-            _OVERLOAD
-        )
-        self.assertGreaterEqual(share, 0.95)
+        for seed in (1, 2, 3):
+            load = play(_create_scenario(1, seed=seed))
+            outcomes = load.outcomes[URGENT.name]
+            share = outcomes.count_in_time(_OVERLOAD) / outcomes.count_all(
+                _OVERLOAD
+            )
+            self.assertGreaterEqual(share, 0.95)
 
     def test_refusals_come_within_a_tenth_of_the_target(self) -> None:
         """Guards against callers held until their time has run out."""
