Estimate queueing delays from three figures where queries are urgent

Change: if the configuration lets urgent queries (priority 0) share shards with less urgent ones, the reports of these shards count as reports with the usual slowdown.

--- a/jacinthcart/catalogue/_types.py
+++ b/jacinthcart/catalogue/_types.py
@@ -1,9 +1,15 @@
 """Data types of the configuration and of searchers."""
 
+import collections
 import dataclasses
 import enum
+import functools
+import itertools
 from collections.abc import Mapping
 
+#: Priority of the most urgent routes.
+_MOST_URGENT = 0
+
 
 class SearcherState(enum.StrEnum):
     """State of a searcher in its last published entry."""
@@ -149,6 +155,28 @@
         """Return whether routes that are not public need a key."""
         return bool(self.workspaces_by_name)
 
+    @functools.cached_property
+    def contended_services(self) -> frozenset[str]:
+        """Return the shards that urgent queries share with other queries.
+
+        These are the shards of a query route of the highest priority and of a
+        route of another one.
+        """
+        priorities_by_shards: dict[tuple[str, ...], set[int]] = (
+            collections.defaultdict(set)
+        )
+        for route in itertools.chain.from_iterable(
+            self.routes_by_host.values()
+        ):
+            priorities_by_shards[route.shards].add(route.priority)
+        return frozenset(
+            itertools.chain.from_iterable(
+                shards
+                for shards, priorities in priorities_by_shards.items()
+                if _MOST_URGENT in priorities and len(priorities) > 1
+            )
+        )
+
 
 def find_route(catalogue: Catalogue, host: str, path: str) -> Route | None:
     """Return the route with the longest prefix that matches `path`.
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -367,8 +367,10 @@
         self._record_statements(attempt.searcher, response)
         if response.has_malformed_load:
             self._log.log_malformed_load(attempt.searcher)
-        if response.load is not None:
-            self._health_tracker.record_load(health, response.load)
+        load = response.load
+        if load is not None:
+            load = self._report_checks.complete(attempt.searcher, load)
+            self._health_tracker.record_load(health, load)
         if outcome.kind is OutcomeKind.NOT_RUN:
             if response.head.status == _STATUS_MISDIRECTED:
                 self._health_tracker.record_failure(health)
@@ -385,14 +387,13 @@
         # Before the latency is recorded, because that uses the slowdown.
         self._report_checks.check(
             attempt.searcher,
-            response.load,
+            load,
             latency_s,
             self.estimate_service_time_s(route),
         )
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
-        load = response.load
         if load is not None and load.slowdown is not None:
             self.table.service_times.record(
                 route.name,
--- a/jacinthcart/routing/_queue_delays.py
+++ b/jacinthcart/routing/_queue_delays.py
@@ -33,6 +33,15 @@
         self._service_times = service_times
         self._clock = clock
 
+    def needs_estimates(self, service: str) -> bool:
+        """Return whether delays matter even if no slowdown is reported.
+
+        They do for urgent queries that share searchers with others: a queue
+        delays them by less urgent work.
+        """
+        catalogue = self._catalogue_state.catalogue
+        return catalogue is not None and service in catalogue.contended_services
+
     def estimate_s(self, service: str) -> float:
         """Return the time in seconds until a new request gets a slot.
 
--- a/jacinthcart/routing/_report_checks.py
+++ b/jacinthcart/routing/_report_checks.py
@@ -1,5 +1,7 @@
 """Comparison of the load reports of searchers with their latencies."""
 
+import dataclasses
+
 from jacinthcart.catalogue import Searcher
 from jacinthcart.routing._cost import estimate_reported_latency_s
 from jacinthcart.routing._load_report import LoadReport
@@ -8,13 +10,25 @@
 
 
 class ReportChecks:
-    """Finds searchers whose reports contradict their latencies."""
+    """Completes reports and finds those that contradict latencies."""
 
     def __init__(self, table: RoutingTable, log: SearcherLog) -> None:
         """Create the checks."""
         self._table = table
         self._log = log
 
+    def complete(self, searcher: Searcher, load: LoadReport) -> LoadReport:
+        """Return the report as predictions use it.
+
+        The slowdown counts as usual if queueing delays matter and it is not
+        reported. The searcher's slowness then includes that of its machine.
+        """
+        if load.slowdown is not None:
+            return load
+        if not self._table.queue_delays.needs_estimates(searcher.service):
+            return load
+        return dataclasses.replace(load, slowdown=1.0)
+
     def check(
         self,
         searcher: Searcher,
