Keep a step of delay between urgent queries and the others

Cause: the band of the most urgent rank began where that of the next one ended. A queue reacts late to fewer admissions, so at twice the capacity the delay often reached the urgent band although the urgent demand alone fits.

Change: a step of delay lies between the two.

The new test of the bands fails without the step.

--- a/jacinthcart/overload/_bands.py
+++ b/jacinthcart/overload/_bands.py
@@ -63,8 +63,12 @@
 
     def _compute_own_fraction(self, rank: int, delay_s: float) -> float:
         # A delay of up to a step is left to all ranks, so that the searchers
-        # have work while the VMs learn of a change.
+        # have work while the VMs learn of a change. A step lies between the
+        # band of the most urgent rank and the next one: the delay must not
+        # reach it each time the others' queries take a moment to become few.
         full_s = self._step_s * (self._ranks - rank)
+        if self._ranks > 1 and not rank:
+            full_s += self._step_s
         none_s = full_s + self._step_s if rank else self._slack_s
         if delay_s <= full_s:
             return 1.0
--- a/tests/overload/test_bands.py
+++ b/tests/overload/test_bands.py
@@ -74,6 +74,17 @@
             if more_urgent < 1:
                 self.assertEqual(less_urgent, more_urgent * floor)
 
+    @settings(derandomize=True)
+    @given(st.floats(0.01, 3), st.integers(2, 5))
+    def test_others_are_at_their_floor_before_the_most_urgent_wait(
+        self, slack_s: float, ranks: int
+    ) -> None:
+        """Guards against urgent queries refused while a queue is levelled."""
+        delay_s = slack_s * ranks / (ranks + 1)
+        fractions = _list_fractions(slack_s, ranks, delay_s)
+        floor = BandParameters().min_relative_fraction
+        self.assertEqual(fractions[:2], [1, floor])
+
     @settings(derandomize=True)
     @given(_SLACKS_S, _RANKS, st.floats(-1, 0))
     def test_everything_is_admitted_without_a_delay(
