Choose searchers as before where slowdowns are not reported; bound delays

Cause: overload control had let reports with three figures count as reports with the usual slowdown, which changed the choice of searchers as well.

Change: queueing delays are estimated from three figures only for overload control; the choice of searchers uses the former prediction. A reported delay counts for at most 1.5 s instead of 3 s.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -23,7 +23,7 @@
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
-from jacinthcart.routing._report_checks import ReportChecks
+from jacinthcart.routing._report_recorder import ReportRecorder
 from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.telemetry import Logger, Metrics
@@ -143,7 +143,7 @@
         self._metrics = metrics
         self._logger = logger
         self._log = SearcherLog(metrics, logger)
-        self._report_checks = ReportChecks(table, self._log)
+        self._reports = ReportRecorder(table, self._log)
         self._tasks: TaskGroup | None = None
         self._attempts = 0
 
@@ -170,9 +170,10 @@
         It is the median latency in seconds if searchers do not report the
         slowdown of their machines.
         """
-        return self.table.service_times.estimate_s(
-            route.name, 0.5, self.estimate_median_s(route)
-        )
+        median_s = self.estimate_median_s(route)
+        if route.name not in self._reports.routes_with_slowdown:
+            return median_s
+        return self.table.service_times.estimate_s(route.name, 0.5, median_s)
 
     def start(
         self,
@@ -369,7 +370,6 @@
             self._log.log_malformed_load(attempt.searcher)
         load = response.load
         if load is not None:
-            load = self._report_checks.complete(attempt.searcher, load)
             self._health_tracker.record_load(health, load)
         if outcome.kind is OutcomeKind.NOT_RUN:
             if response.head.status == _STATUS_MISDIRECTED:
@@ -385,7 +385,7 @@
         median_s = self.estimate_median_s(route)
         self._health_tracker.record_success(health)
         # Before the latency is recorded, because that uses the slowdown.
-        self._report_checks.check(
+        self._reports.check(
             attempt.searcher,
             load,
             latency_s,
@@ -394,15 +394,9 @@
         if not attempt.is_latency_recorded:
             self._health_tracker.record_latency(health, latency_s, median_s)
         self.latencies.add(route.name, latency_s)
-        if load is not None and load.slowdown is not None:
-            self.table.service_times.record(
-                route.name,
-                attempt.searcher.service,
-                latency_s / health.compute_slowdown(self.clock()),
-                route.target_s * _DEFAULT_MEDIAN_FRACTION,
-                is_queued=(
-                    load.waiting > 0 or not health.report_accuracy.is_credible
-                ),
+        if load is not None:
+            self._reports.record_service_time(
+                attempt.searcher, route, load, latency_s
             )
         if attempt.predicted_s is not None:
             self._metrics.record_ratio(
--- a/jacinthcart/routing/_cost.py
+++ b/jacinthcart/routing/_cost.py
@@ -17,7 +17,7 @@
 _DELAY_HALF_LIFE_S = 0.6
 #: Longest queueing delay in seconds, so that a false report does not take a
 #: searcher out of use for longer than a failure does.
-_MAX_DELAY_S = 3.0
+_MAX_DELAY_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,15 +98,17 @@
     now: float,
     service_time_s: float,
     slots: int,
+    needs_slowdown: bool = True,
 ) -> float:
     """Return the time in seconds until a new request gets a slot.
 
-    It is 0 unless the searcher reports the slowdown of its machine: without
-    it, the number of waiting requests does not tell how long they take. It is
-    also 0 if its reports have contradicted its latencies.
+    It is 0 if the searcher's reports have contradicted its latencies and,
+    with `needs_slowdown`, unless it reports the slowdown of its machine:
+    without that, the number of waiting requests tells less exactly how long
+    they take.
     """
     load = health.load
-    if load is None or not health.reports_slowdown:
+    if load is None or (needs_slowdown and not health.reports_slowdown):
         return 0
     if not health.report_accuracy.is_credible:
         return 0
--- a/jacinthcart/routing/_queue_delays.py
+++ b/jacinthcart/routing/_queue_delays.py
@@ -70,6 +70,7 @@
                 now=now,
                 service_time_s=service_time_s,
                 slots=searcher.slots,
+                needs_slowdown=not self.needs_estimates(service),
             )
             delay_s = max(delay_s, resume_at - now)
             factor = health.compute_slowness(now) * health.compute_slowdown(now)
--- a/jacinthcart/routing/_report_checks.py
+++ b/jacinthcart/routing/_report_recorder.py
@@ -1,33 +1,24 @@
-"""Comparison of the load reports of searchers with their latencies."""
+"""What load reports and the latencies beside them tell."""
 
-import dataclasses
-
-from jacinthcart.catalogue import Searcher
+from jacinthcart.catalogue import Route, Searcher
 from jacinthcart.routing._cost import estimate_reported_latency_s
 from jacinthcart.routing._load_report import LoadReport
 from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 
+#: Service time assumed until one is known, as a fraction of the target.
+_DEFAULT_SERVICE_FRACTION = 0.25
+
 
-class ReportChecks:
-    """Completes reports and finds those that contradict latencies."""
+class ReportRecorder:
+    """Learns service times, and whose reports contradict their latencies."""
 
     def __init__(self, table: RoutingTable, log: SearcherLog) -> None:
-        """Create the checks."""
+        """Create the recorder."""
         self._table = table
         self._log = log
-
-    def complete(self, searcher: Searcher, load: LoadReport) -> LoadReport:
-        """Return the report as predictions use it.
-
-        The slowdown counts as usual if queueing delays matter and it is not
-        reported. The searcher's slowness then includes that of its machine.
-        """
-        if load.slowdown is not None:
-            return load
-        if not self._table.queue_delays.needs_estimates(searcher.service):
-            return load
-        return dataclasses.replace(load, slowdown=1.0)
+        #: Names of the routes of which a response has reported a slowdown.
+        self.routes_with_slowdown: set[str] = set()
 
     def check(
         self,
@@ -60,3 +51,28 @@
         )
         if was_credible and not health.report_accuracy.is_credible:
             self._log.log_unreliable_load(searcher)
+
+    def record_service_time(
+        self,
+        searcher: Searcher,
+        route: Route,
+        load: LoadReport,
+        latency_s: float,
+    ) -> None:
+        """Record the latency of a response if queueing delays are predicted.
+
+        They are where the slowdown is reported and where queries are urgent.
+        """
+        if load.slowdown is not None:
+            self.routes_with_slowdown.add(route.name)
+        elif not self._table.queue_delays.needs_estimates(searcher.service):
+            return
+        health = self._table.get_health(searcher)
+        is_credible = health.report_accuracy.is_credible
+        self._table.service_times.record(
+            route.name,
+            searcher.service,
+            latency_s / health.compute_slowdown(health.load_at),
+            route.target_s * _DEFAULT_SERVICE_FRACTION,
+            is_queued=load.waiting > 0 or not is_credible,
+        )
