Admit by the delay that each competing kind of query has itself

Cause: a query was admitted by the queue at its own decisive shard and the smallest slack of the kinds that compete.

Change: each kind's own decisive delay is compared with its own slack; the kind that is nearest to being late decides. With equal numbers of optional parts the decisions are the former ones. The new test failed before: the fraction was 0.25 in both of its cases.

--- a/jacinthcart/overload/_control.py
+++ b/jacinthcart/overload/_control.py
@@ -105,17 +105,17 @@
         """Return what would be decided on a query now; records nothing."""
         kind = query.kind
         competing = self._list_competing(kind)
-        delay_s, shard = self._find_decisive_shard(query)
+        delay_s, slack_s, shard = self._find_decisive_delay(kind)
         return OverloadDecision(
             mode=self._mode.value,
             competing=tuple(
                 (one.route.name, one.priority) for one in competing
             ),
-            slack_s=self._policy.compute_slack_s(kind, competing),
+            slack_s=slack_s,
             decisive_shard=shard,
             delay_s=delay_s,
             admitted_fraction=self._policy.compute_fraction(
-                delay_s, kind, competing
+                delay_s, slack_s, kind, competing
             ),
             max_wait_s=max(
                 0.0, self._compute_wait_until(query) - self._client.clock()
@@ -164,25 +164,34 @@
         return competing if kind in competing else [*competing, kind]
 
     def _compute_fraction(self, query: QueryDemand) -> float:
-        delay_s = self._estimate_delay_s(query)
+        delay_s, slack_s, _ = self._find_decisive_delay(query.kind)
         if delay_s <= 0:
             return 1.0
         return self._policy.compute_fraction(
-            delay_s, query.kind, self._list_competing(query.kind)
+            delay_s, slack_s, query.kind, self._list_competing(query.kind)
         )
 
-    def _estimate_delay_s(self, query: QueryDemand) -> float:
-        return self._find_decisive_shard(query)[0]
+    def _find_decisive_delay(self, kind: QueryKind) -> tuple[float, float, str]:
+        """Return delay, slack and shard of the competing kind nearest to late.
 
-    def _find_decisive_shard(self, query: QueryDemand) -> tuple[float, str]:
-        # An answer needs all shards but the optional ones, so the slowest of
-        # the required shards decides.
+        An answer needs all shards but the optional ones, so the slowest of the
+        required shards decides whether a kind is in time. A queue at a shard
+        that a kind can lack does not delay it.
+        """
         queue_delays = self._client.table.queue_delays
         delays_s = sorted(
             (queue_delays.estimate_s(shard), shard)
-            for shard in query.kind.route.shards
+            for shard in kind.route.shards
+        )
+        slack_s_by_kind = self._policy.compute_slacks_s(
+            kind, self._list_competing(kind)
         )
-        return delays_s[len(delays_s) - 1 - query.kind.optional_parts]
+        decisive = [
+            (*delays_s[len(delays_s) - 1 - one.optional_parts], slack_s)
+            for one, slack_s in slack_s_by_kind.items()
+        ]
+        delay_s, shard, slack_s = max(decisive, key=lambda one: one[0] / one[2])
+        return delay_s, slack_s, shard
 
     def _compute_latest_start(self, query: QueryDemand) -> float:
         service_time_s = self._policy.estimate_service_time_s(query.kind)
@@ -199,7 +208,7 @@
         self, query: QueryDemand, fraction: float
     ) -> RefusalError:
         self._retry_delays.record_refusal()
-        delay_s = self._estimate_delay_s(query)
+        delay_s, _, _ = self._find_decisive_delay(query.kind)
         now = self._client.clock()
         retry_after_s = self._retry_delays.compute_retry_after_s(
             delay_s,
--- a/jacinthcart/overload/_policy.py
+++ b/jacinthcart/overload/_policy.py
@@ -30,17 +30,20 @@
         self._params = params
 
     def compute_fraction(
-        self, delay_s: float, kind: QueryKind, competing: list[QueryKind]
+        self,
+        delay_s: float,
+        slack_s: float,
+        kind: QueryKind,
+        competing: list[QueryKind],
     ) -> float:
         """Return the fraction of the queries of a kind to admit.
 
-        `delay_s` is the queueing delay in seconds and `competing` contains all
-        kinds that compete, `kind` included.
+        `delay_s` is the queueing delay in seconds that comes closest to making
+        one of the kinds late, `slack_s` the delay with which that kind is in
+        time and `competing` contains all kinds that compete, `kind` included.
         """
         rank, ranks = self.compute_rank(kind, competing)
-        bands = AdmissionBands(
-            self.compute_slack_s(kind, competing), ranks, self._params
-        )
+        bands = AdmissionBands(slack_s, ranks, self._params)
         return bands.compute_fraction(rank, delay_s)
 
     def compute_rank(
@@ -65,25 +68,28 @@
         urgencies = sorted(set(urgency_by_kind.values()))
         return urgencies.index(urgency_by_kind[kind]), len(urgencies)
 
-    def compute_slack_s(
+    def compute_slacks_s(
         self, kind: QueryKind, competing: list[QueryKind]
-    ) -> float:
-        """Return the queueing delay in seconds with which all are in time.
+    ) -> dict[QueryKind, float]:
+        """Return the queueing delays in seconds with which kinds are in time.
 
         Queries that would be late with any queue can't be protected and do not
-        keep others out.
+        keep others out. If there are no others, a fraction of the target
+        stands for the slack of `kind`.
         """
         least_s = self._service_times.get_mean_s(kind.route.shards[0])
-        slacks_s = [
-            compute_slack_s(
+        slack_s_by_kind = {
+            one: compute_slack_s(
                 one.route, self.estimate_service_time_s(one), self._params
             )
             for one in competing
-        ]
-        return min(
-            (slack_s for slack_s in slacks_s if slack_s > least_s),
-            default=kind.route.target_s * _MIN_SLACK_FRACTION,
-        )
+        }
+        protected = {
+            one: slack_s
+            for one, slack_s in slack_s_by_kind.items()
+            if slack_s > least_s
+        }
+        return protected or {kind: kind.route.target_s * _MIN_SLACK_FRACTION}
 
     def estimate_service_time_s(self, kind: QueryKind) -> float:
         """Return the time in seconds of the part that completes an answer."""
--- a/tests/overload/test_control.py
+++ b/tests/overload/test_control.py
@@ -22,6 +22,7 @@
 
 _SHARDS = ('shard-0', 'shard-1')
 _ROUTE = create_route('a', target_s=0.3, shards=_SHARDS, shares=())
+_TIGHT_ROUTE = create_route('tight', target_s=0.15, shards=_SHARDS, shares=())
 _SERVICE_TIME_S = 0.05
 #: A queueing delay with which no query is in time.
 _HOPELESS_S = 5.0
@@ -61,6 +62,11 @@
             return refusal
         return None
 
+    def set_delays(self, *delays_s: float) -> None:
+        """Set the queueing delay in seconds of each shard."""
+        by_shard = dict(zip(_SHARDS, delays_s, strict=True))
+        self._queue_delays.estimate_s.side_effect = by_shard.__getitem__
+
     def relieve(self) -> None:
         """End the queueing delay."""
         self._queue_delays.estimate_s.return_value = 0
@@ -117,6 +123,30 @@
         self.assertEqual(control.count('refused'), 1)
 
 
+class ShardTests(TestCase):
+    """A queue at one of two shards."""
+
+    def test_queue_at_a_shard_that_others_can_lack(self) -> None:
+        """Guards against refusals that protect queries no queue delays."""
+        run_in_virtual_time(self._check_optional_shard)
+
+    async def _check_optional_shard(self) -> None:
+        control = _Control(OverloadMode.ON, 0)
+        fractions = []
+        for optional_parts in (1, 0):
+            tight = QueryKind(_TIGHT_ROUTE, 0, optional_parts)
+            control.set_delays(0, 0)
+            now = anyio.current_time()
+            await control.control.admit(QueryDemand(tight, now + 0.1, now + 1))
+            control.set_delays(0, 0.05)
+            query = QueryDemand(QueryKind(_ROUTE, 1, 0), now + 0.3, now + 1)
+            decision = control.control.describe(query)
+            fractions.append(decision.admitted_fraction)
+            self.assertEqual(decision.decisive_shard, _SHARDS[1])
+        self.assertEqual(fractions[0], 1)
+        self.assertLess(fractions[1], 0.5)
+
+
 class WaitingTests(TestCase):
     """Queries of which half are admitted."""
 
--- a/tests/overload/test_policy.py
+++ b/tests/overload/test_policy.py
@@ -45,9 +45,12 @@
         light, heavy = _create_kind('light'), _create_kind('heavy')
         self.assertEqual(self._list_ranks(heavy, light), [1, 0])
         delay_s = 0.11
+        competing = [light, heavy]
         fractions = [
-            self.policy.compute_fraction(delay_s, kind, [light, heavy])
-            for kind in (light, heavy)
+            self.policy.compute_fraction(
+                delay_s, self._get_slack_s(kind, competing), kind, competing
+            )
+            for kind in competing
         ]
         self.assertGreater(*fractions)
 
@@ -65,7 +68,7 @@
         tight = _create_kind('tight', target_s=0.1)
         wide = _create_kind('wide', target_s=0.5)
         self.assertAlmostEqual(
-            self.policy.compute_slack_s(wide, [tight, wide]),
+            self._get_slack_s(wide, [tight, wide]),
             compute_slack_s(tight.route, 0.01, _PARAMS),
         )
 
@@ -76,11 +79,17 @@
         hopeless = _create_kind('hopeless', target_s=0.03)
         wide = _create_kind('wide', target_s=0.5)
         competing = [hopeless, wide]
-        self.assertGreater(self.policy.compute_slack_s(wide, competing), 0.3)
+        slack_s = self._get_slack_s(wide, competing)
+        self.assertGreater(slack_s, 0.3)
         self.assertEqual(
-            self.policy.compute_fraction(0.005, wide, competing), 1
+            self.policy.compute_fraction(0.005, slack_s, wide, competing), 1
         )
-        self.assertGreater(self.policy.compute_slack_s(hopeless, [hopeless]), 0)
+        self.assertGreater(self._get_slack_s(hopeless, [hopeless]), 0)
+
+    def _get_slack_s(
+        self, kind: QueryKind, competing: list[QueryKind]
+    ) -> float:
+        return min(self.policy.compute_slacks_s(kind, competing).values())
 
     def _record(self, route: str, service_time_s: float) -> None:
         for _ in range(10):
