Compare false reports and deaf VMs with the better of two baselines

Cause: let the tests that stand for 'without reports' play searchers that report nothing.

Change: the bound is that of the better baseline.

--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -66,7 +66,7 @@
     slowdown: float = 1.0
     #: Time at which a slowdown was last reported.
     slowdown_at: float = -math.inf
-    #: How well reports with a slowdown agree with latencies.
+    #: How well reports agree with latencies, where delays are predicted.
     report_accuracy: ReportAccuracy = dataclasses.field(
         default_factory=ReportAccuracy
     )
--- a/tests/overload/test_played_overload.py
+++ b/tests/overload/test_played_overload.py
@@ -147,31 +147,22 @@
     def test_nonsense_reports_do_little_harm(self) -> None:
         """Guards against reports that one in seven searchers makes up."""
         for seed in (1, 2):
-            nonsense, without_slowdown, without = (
-                play(
+            without = _count_in_time_without_control(1, shards=7, seed=seed)
+            for reports in (
+                Reports.PARTLY_NONSENSE,
+                Reports.NONSENSE_WITHOUT_SLOWDOWN,
+            ):
+                nonsense = play(
                     _create_short_scenario(
                         1, reports=reports, shards=7, seed=seed
                     )
                 ).count_in_time()
-                for reports in (
-                    Reports.PARTLY_NONSENSE,
-                    Reports.NONSENSE_WITHOUT_SLOWDOWN,
-                    Reports.NONE,
-                )
-            )
-            self.assertGreaterEqual(nonsense, 0.95 * without)
-            self.assertGreaterEqual(without_slowdown, 0.95 * without)
+                self.assertGreaterEqual(nonsense, 0.95 * without)
 
     def test_vms_without_reports_do_not_end_the_control(self) -> None:
         """Guards against VMs that fill the queues that others relieve."""
-        partly, without = (
-            play(_create_short_scenario(1.5, **changes))
-            for changes in (
-                {'deaf_vms': 3},
-                {'reports': Reports.NONE},
-            )
-        )
-        self.assertGreaterEqual(partly.count_in_time(), without.count_in_time())
+        partly = play(_create_short_scenario(1.5, deaf_vms=3)).count_in_time()
+        self.assertGreaterEqual(partly, _count_in_time_without_control(1.5))
 
     def test_stop_of_a_vm_ends_its_waiting_queries(self) -> None:
         """Guards against queries that hang in a VM that stops."""
@@ -201,3 +192,17 @@
         Phase(1, demand),
     )
     return Scenario(phases, **changes)
+
+
+def _count_in_time_without_control(demand: float, **changes: Any) -> int:
+    """Return the better count, without any reports or without control."""
+    baselines: tuple[dict[str, Any], ...] = (
+        {'reports': Reports.NONE},
+        {'reports': Reports.WITHOUT_SLOWDOWN, 'mode': OverloadMode.OFF},
+    )
+    return max(
+        play(
+            _create_short_scenario(demand, **baseline, **changes)
+        ).count_in_time()
+        for baseline in baselines
+    )
