--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -105,7 +105,7 @@
         self.caller_memory = self._memory_bounds.create_caller_memory(
             clock, self.metrics, self.logger
         )
-        self.table = ItemTable()
+        self.table = ItemTable(proof_prefix)
         self.lease = FreshnessLease(clock)
         self.catalogue_state = CatalogueState(clock, self.logger)
         self.lease.listeners.append(self.catalogue_state.record_proof)
--- a/jacinthcart/readings/_table.py
+++ b/jacinthcart/readings/_table.py
@@ -27,11 +27,16 @@
     is complete up to a revision needs only the items after it.
     """
 
-    def __init__(self) -> None:
-        """Start without items."""
+    def __init__(self, proof_prefix: str = '') -> None:
+        """Start without items.
+
+        Operators write the keys with `proof_prefix`, which a freshness proof
+        must cover.
+        """
         #: Revision up to which this table has every change.
         self.complete_to = 0
         self.listeners: list[ItemListener] = []
+        self._proof_prefix = proof_prefix
         self._newest_revision = 0
         self._item_by_key: dict[str, Item] = {}
 
@@ -44,6 +49,21 @@
         """
         return max(self.complete_to, self._newest_revision)
 
+    @property
+    def operator_revision(self) -> int:
+        """The highest revision of the keys that a proof must cover, or 0.
+
+        Removed keys count, too.
+        """
+        return max(
+            (
+                item.revision
+                for key, item in self._item_by_key.items()
+                if key.startswith(self._proof_prefix)
+            ),
+            default=0,
+        )
+
     def mark_complete_to(self, revision: int) -> None:
         """Record that this table has every change up to a revision."""
         self.complete_to = max(self.complete_to, revision)
--- a/tests/node/test_operator_api.py
+++ b/tests/node/test_operator_api.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from jacinthcart.node._operator_api import encode_metrics
+from jacinthcart.node._operator_api import describe_node, encode_metrics
 from jacinthcart.platform.assembly import create_node
 from jacinthcart.platform.settings_file import decode_settings
+from jacinthcart.readings import Item
 from tests.platform.test_settings_file import create_fields
 
 
@@ -30,3 +31,21 @@
                 and 'prediction' in line
             ]
         )
+
+    def test_revisions_of_the_copy_are_shown(self) -> None:
+        """Guards against copies that differ while their proofs agree."""
+        node = create_node(decode_settings(create_fields()))[0]
+        node.table.merge([Item('op/evacuate/a', 4, None)])
+        node.table.merge([Item('servers/a', 9, b'{}')])
+        node.table.mark_complete_to(6)
+        expected = {
+            'operator_revision': 4,
+            'newest_revision': 9,
+            'complete_to': 6,
+        }
+        status = describe_node(node)
+        lines = encode_metrics(node).decode().splitlines()
+        for name, revision in expected.items():
+            with self.subTest(name):
+                self.assertEqual(status.get(name), revision)
+                self.assertIn(f'jacinthcart_{name} {revision}.0', lines)
