Log the revision of the configuration in force

The lines 'configuration in force', 'older configuration ignored' and those about requests did not tell from which revision of the store a VM works, so an older copy with higher revisions looked like a copy that lags. The first two now have the revision of the item, the others the highest of the copy.

--- a/jacinthcart/catalogue/_state.py
+++ b/jacinthcart/catalogue/_state.py
@@ -65,8 +65,13 @@
             self._coverage_by_host[host] = self._compute_coverage(routes)
         return self._coverage_by_host[host]
 
-    def update_catalogue(self, catalogue: Catalogue) -> None:
-        """Put a configuration in force unless a newer one is in force."""
+    def update_catalogue(
+        self, catalogue: Catalogue, revision: int | None = None
+    ) -> None:
+        """Put a configuration in force unless a newer one is in force.
+
+        `revision` is that of its item in the store, for the log.
+        """
         current = self.catalogue
         if current is not None and catalogue.version < current.version:
             self._logger.warning(
@@ -74,6 +79,7 @@
                 limit_key='old_configuration',
                 version=catalogue.version,
                 in_force=current.version,
+                revision=revision,
             )
             return
         self.catalogue = catalogue
@@ -81,6 +87,7 @@
             'configuration in force',
             version=catalogue.version,
             former=current.version if current else None,
+            revision=revision,
         )
         self._notify()
 
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -131,6 +131,7 @@
         self.table_server = TableServer(self.table, self.lease)
         self._request_log = RequestLog(
             self.catalogue_state,
+            self.table,
             self.lease,
             clock,
             self.logger,
--- a/jacinthcart/node/_request_log.py
+++ b/jacinthcart/node/_request_log.py
@@ -6,7 +6,7 @@
 from jacinthcart.errors import RefusalError
 from jacinthcart.node._log_line_limiter import LogLineLimiter
 from jacinthcart.program import Clock
-from jacinthcart.readings import FreshnessLease
+from jacinthcart.readings import FreshnessLease, ItemTable
 from jacinthcart.routing import CallerRequest
 from jacinthcart.serving import Admitted, MergedAnswer, ServedAnswer
 from jacinthcart.telemetry import Logger, Metrics
@@ -27,6 +27,7 @@
     def __init__(
         self,
         catalogue_state: CatalogueState,
+        table: ItemTable,
         lease: FreshnessLease,
         clock: Clock,
         logger: Logger,
@@ -34,6 +35,7 @@
     ) -> None:
         """Initialise with the sources of the logged fields."""
         self._catalogue_state = catalogue_state
+        self._table = table
         self._lease = lease
         self._clock = clock
         self._logger = logger
@@ -113,6 +115,7 @@
         return {
             'request_id': request.request_id,
             'version': catalogue.version if catalogue else None,
+            'revision': self._table.revision,
             'proof_age_s': round(self._lease.age_s, 3),
             'elapsed_ms': round((now - request.received_at) * _MS_PER_S, 1),
             'time_left_ms': round((request.deadline - now) * _MS_PER_S),
--- a/jacinthcart/platform/_catalogue_updater.py
+++ b/jacinthcart/platform/_catalogue_updater.py
@@ -66,7 +66,7 @@
                 error=str(error),
             )
             return
-        self._catalogue_state.update_catalogue(catalogue)
+        self._catalogue_state.update_catalogue(catalogue, item.revision)
 
     def _decode(self, searcher_id: str, item: Item) -> Searcher | None:
         if item.content is None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,6 +3,8 @@
 import unittest
 from typing import Any
 
+import logbook
+
 from jacinthcart.catalogue import CatalogueState, find_route
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.platform._catalogue_updater import CatalogueUpdater
@@ -175,6 +177,23 @@
         assert self.state.catalogue is not None
         self.assertEqual(self.state.catalogue.version, 4)
 
+    def test_configuration_is_logged_with_its_revision(self) -> None:
+        """Guards against an old configuration whose cause no line shows."""
+        newest = encode_json(create_document())
+        older = encode_json(create_document(version=3))
+        with logbook.TestHandler() as handler:
+            self.table.merge([Item('op/config', 5, newest)])
+            self.table.merge([Item('op/config', 8, older)])
+        logged = {
+            record.message: record.extra['fields'].get('revision')
+            for record in handler.records
+        }
+        expected = {
+            'configuration in force': 5,
+            'older configuration ignored': 8,
+        }
+        self.assertEqual(logged, expected)
+
     def test_evacuation_ends_when_its_key_is_removed(self) -> None:
         """An evacuation lasts as long as its key exists."""
         self.table.merge([Item('op/evacuate/a', 5, b'{}')])
