Log a store whose revision goes back

A reader took an answer with a lower revision than an earlier one without a trace. It now counts store|revision_went_back and logs 'store revision went back' with the former and the current revision, and with the era if the answer has the header Store-Era. A read is compared with the highest revision known when it was sent, as answers of concurrent calls may overtake each other; a watch is compared with the revision that it started from. The era is only logged.

Seen failing without the comparison and without the era: test_return_of_the_store_is_logged_once ([]), test_each_return_is_counted ('0 != 2'), test_watch_that_went_back_is_counted ('0 != 1') and test_era_is_read ([None, None]). Without the rule on overtaken answers and the checks of the era, test_answer_that_was_overtaken_leaves_no_trace ('1 != 0') and test_invalid_era_is_ignored. With a comparison that accepts equal revisions, test_rising_revision_leaves_no_trace.

--- a/jacinthcart/platform/_store.py
+++ b/jacinthcart/platform/_store.py
@@ -18,6 +18,10 @@
 )
 from jacinthcart.wire import ConnectionPool, HttpResponse, decode_json
 
+_ERA = b'store-era'
+#: Maximum of an era, the highest whole number that all JSON readers keep.
+_MAX_ERA = 1 << 53
+_MAX_ERA_DIGITS = 16
 _STATUS_HISTORY_LOST = 410
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 0.5
@@ -66,6 +70,7 @@
         """Return all items with `prefix`; see the base class."""
         items: list[Item] = []
         revision: int | None = None
+        era: int | None = None
         has_more = True
         after = ''
         while has_more:
@@ -73,10 +78,12 @@
             response = await self._get('kv-range', query, timeout_s)
             page = _decode(_RangeBody, response)
             items.extend(_decode_item(item) for item in page.items)
-            revision = page.at if revision is None else revision
+            if revision is None:
+                revision = page.at
+                era = _decode_era(response)
             has_more = page.has_more and bool(page.items)
             after = page.items[-1].key if page.items else ''
-        return ReadResult(tuple(items), revision or 0)
+        return ReadResult(tuple(items), revision or 0, era)
 
     async def watch(self, after: int, wait_s: float) -> WatchResult:
         """Return the changes after a revision; see the base class."""
@@ -90,6 +97,7 @@
         return WatchResult(
             tuple(_decode_item(event) for event in changes.events),
             changes.at,
+            _decode_era(response),
         )
 
     async def close(self) -> None:
@@ -124,6 +132,14 @@
         raise StoreError(f'malformed answer of the store: {error}') from error
 
 
+def _decode_era(response: HttpResponse) -> int | None:
+    text = response.headers.get(_ERA, b'')
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        return None
+    era = int(text)
+    return era if era <= _MAX_ERA else None
+
+
 def _decode_item(body: _ItemBody) -> Item:
     if body.removed or body.value is None:
         return Item(body.key, body.revision, None)
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -13,6 +13,7 @@
     StoreError,
     StoreHistoryLostError,
 )
+from jacinthcart.readings._store_log import StoreLog
 from jacinthcart.readings._table import ItemTable
 from jacinthcart.telemetry import Logger, Metrics
 
@@ -91,6 +92,7 @@
         self._logger = logger
         self._metrics = metrics
         self._merge_log = MergeLog(table, logger, metrics)
+        self._store_log = StoreLog(logger, metrics)
         self._random = random.Random()
         #: Revision after which the next watch starts; None if all items must
         #: be read first: at the start, after a time without the reader role
@@ -155,6 +157,7 @@
 
     async def _renew_proof(self) -> bool:
         prefix = self._params.proof_prefix
+        former = self._store_log.newest_revision
         sent_at = self._lease.clock()
         try:
             result = await self._store.read(prefix, self._params.read_timeout_s)
@@ -162,6 +165,7 @@
             self._record_failure(error)
             return False
         self._record_success()
+        self._store_log.record(result, former)
         self._merge_log.record_read(result.items, result.revision)
         self._table.replace_prefix(prefix, result.items, result.revision)
         # The copy is not current before all items have been read: until then,
@@ -185,9 +189,11 @@
         return True
 
     async def _read_all(self) -> None:
+        former = self._store_log.newest_revision
         sent_at = self._lease.clock()
         result = await self._store.read(_ALL, self._params.read_timeout_s)
         self._record_success()
+        self._store_log.record(result, former)
         self._merge_log.record_read(result.items, result.revision)
         self._table.replace_prefix(_ALL, result.items, result.revision)
         self._table.mark_complete_to(result.revision)
@@ -200,6 +206,7 @@
             return
         watched = await self._store.watch(after, self._params.watch_s)
         self._record_success()
+        self._store_log.record(watched, after)
         self._merge_log.record_read(watched.items, watched.revision)
         self._table.merge(watched.items)
         self._watched_from = max(after, watched.revision)
--- a/jacinthcart/readings/_source.py
+++ b/jacinthcart/readings/_source.py
@@ -26,6 +26,9 @@
     #: Revision of the store when the first page was read; `items` may lack
     #: later changes.
     revision: int
+    #: Number that the store raises when it comes back from an older copy;
+    #: None if the answer states none. It is only logged.
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +39,9 @@
     items: tuple[Item, ...]
     #: Revision to continue from.
     revision: int
+    #: Number that the store raises when it comes back from an older copy;
+    #: None if the answer states none. It is only logged.
+    era: int | None = None
 
 
 class StoreError(WireError):
