--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -105,7 +105,7 @@
         self.caller_memory = self._memory_bounds.create_caller_memory(
             clock, self.metrics, self.logger
         )
-        self.table = ItemTable()
+        self.table = ItemTable(proof_prefix)
         self.lease = FreshnessLease(clock)
         self.catalogue_state = CatalogueState(clock, self.logger)
         self.lease.listeners.append(self.catalogue_state.record_proof)
@@ -131,6 +131,7 @@
         self.table_server = TableServer(self.table, self.lease)
         self._request_log = RequestLog(
             self.catalogue_state,
+            self.table,
             self.lease,
             clock,
             self.logger,
