Emulate a store that comes back from an older copy

Cause: the users' store may be away for a moment and come back from a copy some seconds old; the emulated store could not, so no test played it.

The writers of a deployment record each acknowledged write and write their state again after a return.

--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -16,13 +16,15 @@
     Execution,
     PlatformSearcherEmulator,
 )
-from jacinthcart_emulator.platform_store import StoreEmulator, start_store
+from jacinthcart_emulator.platform_store import StoreEmulator
+from jacinthcart_lab._store_writers import StoreWriters
 
 _STORE_ADDRESS = '127.0.2.1'
 _SEARCHER_ADDRESS = '127.0.3.1'
 _ZONES = ('zone-a', 'zone-b', 'zone-c')
 _SEED_COUNT = 3
 _PORT_COUNT = 5
+_CONFIG_KEY = 'op/config'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,13 +55,16 @@
         """Create the deployment; `start` starts its servers."""
         self.params = params
         self.store = StoreEmulator()
+        #: The operator and the searchers, as writers of the store.
+        self.writers = StoreWriters(self.store, random_source)
         self.executions: list[Execution] = []
         self.arrivals: list[Arrival] = []
         self.searchers_by_id: dict[str, PlatformSearcherEmulator] = {}
         self.version = 0
         self.keys = ['key-1']
+        #: Names of routes that a version adds to those that all versions have.
+        self.extra_routes: list[str] = []
         self._random = random_source
-        self._sequence = 0
         self._store_port = 0
         self._ports: list[int] = []
 
@@ -83,7 +88,7 @@
         self._ports = find_free_ports(self.addresses[0], _PORT_COUNT)
         self._store_port = find_free_ports(_STORE_ADDRESS, 1)[0]
         endpoint = Endpoint(address=_STORE_ADDRESS, port=self._store_port)
-        await start_store(self.store, endpoint, tasks)
+        await self.writers.start(endpoint, tasks)
         for service in self.list_services():
             for number in range(self.params.replicas):
                 await self.start_searcher(f'{service}-{number}', service, tasks)
@@ -115,9 +120,8 @@
     def publish_searcher(self, searcher_id: str, state: str = 'ready') -> None:
         """Publish the advertisement of a searcher to the store."""
         searcher = self.searchers_by_id[searcher_id]
-        self._sequence += 1
         zone = _ZONES[sum(searcher_id.encode()) % len(_ZONES)]
-        self.store.put(
+        self.writers.write(
             f'servers/{searcher_id}',
             {
                 'service': searcher.service,
@@ -127,11 +131,19 @@
                 'concurrency_limit': 4,
                 'state': state,
                 'warmup_left_ms': 0,
-                'sequence': self._sequence,
+                'sequence': self.writers.take_sequence(),
                 'born': 1,
             },
         )
 
+    def remove_searcher(self, searcher_id: str) -> None:
+        """Remove the advertisement of a searcher that has left."""
+        self.writers.write(f'servers/{searcher_id}', None)
+
+    def set_evacuation(self, zone: str, *, is_requested: bool) -> None:
+        """Request the evacuation of a zone or take it back."""
+        self.writers.write(f'op/evacuate/{zone}', {} if is_requested else None)
+
     def publish_config(self) -> None:
         """Publish a new configuration version with the current keys."""
         self.version += 3
@@ -144,8 +156,8 @@
             'attempts': 2,
             'public': False,
         }
-        self.store.put(
-            'op/config',
+        self.writers.write(
+            _CONFIG_KEY,
             {
                 'version': self.version,
                 'routes': [
@@ -165,6 +177,16 @@
                         'route_type': 'non_idempotent',
                         'service': 'orders',
                     },
+                    *(
+                        {
+                            **common,
+                            'name': name,
+                            'prefix': f'/{name}/',
+                            'route_type': 'idempotent',
+                            'service': 'orders',
+                        }
+                        for name in self.extra_routes
+                    ),
                 ],
                 'services': [
                     {'name': one, 'max_connections': 26}
--- a/jacinthcart_lab/soak/_searcher_faults.py
+++ b/jacinthcart_lab/soak/_searcher_faults.py
@@ -100,8 +100,9 @@
     async def _replace(self, searcher_id: str, tasks: TaskGroup) -> None:
         deployment = self._deployment
         searcher = deployment.searchers_by_id.pop(searcher_id)
+        deployment.writers.forget(f'servers/{searcher_id}')
         await searcher.close()
         await anyio.sleep(self._random.uniform(0.5, 3))
-        deployment.store.remove(f'servers/{searcher_id}')
+        deployment.remove_searcher(searcher_id)
         successor_id = f'{searcher.service}-n{self._random.getrandbits(32):08x}'
         await deployment.start_searcher(successor_id, searcher.service, tasks)
