--- a/jacinthcart_lab/_store_writers.py
+++ b/jacinthcart_lab/_store_writers.py
@@ -56,6 +56,8 @@
         """Create writers of `store`; `start` serves it."""
         self.writes: list[WriteRecord] = []
         self.returns: list[ReturnRecord] = []
+        #: Number of keys that are still to be written again after a return.
+        self.pending_count = 0
         self._store = store
         self._random = random_source
         self._server: StoreServer | None = None
@@ -119,11 +121,13 @@
             is_operator = key.startswith(_OPERATOR_PREFIX)
             searcher_delay_s = self._random.uniform(0, _MAX_REWRITE_DELAY_S)
             delay_s = operator_delay_s if is_operator else searcher_delay_s
+            self.pending_count += 1
             tasks.start_soon(self._write_again, key, delay_s)
 
     async def _write_again(self, key: str, delay_s: float) -> None:
         era = self._store.era
         await anyio.sleep(delay_s)
+        self.pending_count -= 1
         if self._store.is_away or era != self._store.era:
             # After a further return, everything is written again.
             return
--- a/tests/lab/test_store_writers.py
+++ b/tests/lab/test_store_writers.py
@@ -73,7 +73,9 @@
             await writers.play_return(1, 0, fixture.tasks)
             returned = await fixture.list_keys()
             self.assertEqual(returned, {'op/evacuate/zone-a', 'servers/gone'})
+            self.assertEqual(writers.pending_count, 4)
             await fixture.wait_for_writes(6 + 4)
+            self.assertEqual(writers.pending_count, 0)
             self.assertEqual(await fixture.list_keys(), before)
 
         _run(scenario)
