Test lists whose position is later than their items on their own

The platform calls its answers linearizable, so a page whose `at` is later than its items is outside its pages; a list of several pages that changes between them is not.

--- a/tests/readings/test_store_returns.py
+++ b/tests/readings/test_store_returns.py
@@ -106,6 +106,12 @@
 
     def test_list_read_while_keys_change(self) -> None:
         """Guards against a read that counts as complete beyond its items."""
+        store = StoreParameters(page_items=1, page_s=0.3)
+        kinds = _OPERATOR_WRITES | {StepKind.HISTORY_LOSS}
+        self.check(8, (1, 2, 3), kinds=kinds, store=store)
+
+    def test_list_whose_at_is_later_than_its_items(self) -> None:
+        """Guards against a change that a read hides for good."""
         store = StoreParameters(page_s=0.6, has_late_at=True)
         kinds = _OPERATOR_WRITES | {StepKind.HISTORY_LOSS}
         self.check(8, (1, 2, 3), kinds=kinds, store=store)
