Keep searchers and evacuations that a returned store lacks for a while

When the store comes back from an older copy, entries written since are missing until their writers write them again. The catalogue knew only "written" and "removed", and kept removed searchers only after an outage of more than 2 s between two freshness proofs; evacuations ended at once.

apply_searcher_changes takes the ids of entries that the store came back without: their searchers stay in use for 2 s from then, independently of proofs, unless the entry is written again or removed. update_evacuated takes the missing evacuations, which stay in force for 30 s unless written again or withdrawn. Repeated reports of the same missing key extend neither; a key that was written in between starts a new period.

--- a/jacinthcart/catalogue/_state.py
+++ b/jacinthcart/catalogue/_state.py
@@ -2,7 +2,9 @@
 
 import collections
 from collections.abc import Callable, Mapping
+from collections.abc import Set as AbstractSet
 
+from jacinthcart.catalogue._missing import MissingKeys
 from jacinthcart.catalogue._types import (
     Catalogue,
     Route,
@@ -20,13 +22,20 @@
 #: Minimum gap in seconds between two proofs that counts as a store outage.
 #: Readers normally renew the proof about once a second.
 _MIN_OUTAGE_S = 2.0
+#: Seconds for which an evacuation stays in force after the store has come back
+#: without its key. The operator writes it again soon after the return; one
+#: that was withdrawn meanwhile must not keep a data centre out of use forever.
+_EVACUATION_RETENTION_S = 30.0
+_NO_KEYS: frozenset[str] = frozenset()
 
 
 class CatalogueState:
     """Stores the newest configuration and the searchers in use.
 
-    A searcher whose entry disappears right after a store outage stays in use
-    for a grace period, in which live searchers publish their entries again.
+    A searcher whose entry disappears right after a store outage, or is missing
+    because the store came back from an older copy, stays in use for a grace
+    period, in which live searchers publish their entries again. Missing
+    evacuations likewise stay in force for a limited time.
     """
 
     def __init__(self, clock: Clock, logger: Logger) -> None:
@@ -37,7 +46,12 @@
         self.listeners: list[Callable[[], None]] = []
         self._clock = clock
         self._logger = logger
-        self._missing_since_by_id: dict[str, float] = {}
+        #: Clock time in seconds at which the entry of a searcher was removed
+        #: right after a store outage.
+        self._removed_at_by_id: dict[str, float] = {}
+        self._missing_searchers = MissingKeys(clock, _REPUBLISH_S)
+        self._written_evacuations: frozenset[str] = frozenset()
+        self._missing_evacuations = MissingKeys(clock, _EVACUATION_RETENTION_S)
         self._newest_by_id: dict[str, Searcher] = {}
         self._proof_at = -_MIN_OUTAGE_S
         self._outage_ended_at = -_REPUBLISH_S * 2
@@ -84,30 +98,37 @@
         )
         self._notify()
 
-    def update_evacuated(self, data_centres: frozenset[str]) -> None:
-        """Set the data centres whose searchers must not get requests."""
-        if data_centres == self.evacuated:
-            return
-        self.evacuated = data_centres
-        self._logger.info(
-            'evacuation changed', data_centres=sorted(data_centres)
-        )
-        self._refresh()
+    def update_evacuated(
+        self,
+        data_centres: AbstractSet[str],
+        missing: AbstractSet[str] = _NO_KEYS,
+    ) -> None:
+        """Set the data centres whose searchers must not get requests.
+
+        `missing` are evacuations that the store came back without. They stay
+        in force for `_EVACUATION_RETENTION_S` unless they are written again.
+        """
+        self._written_evacuations = frozenset(data_centres)
+        self._missing_evacuations.replace(missing - data_centres)
+        self._update_evacuations_in_force()
 
     def apply_searcher_changes(
-        self, changes: Mapping[str, Searcher | None]
+        self,
+        changes: Mapping[str, Searcher | None],
+        missing_ids: AbstractSet[str] = _NO_KEYS,
     ) -> None:
         """Apply changed entries by searcher id; None means a removed entry.
 
         An entry that is older than the last one of its searcher is ignored.
+        The store came back without the entries of `missing_ids`; their
+        searchers stay in use for `_REPUBLISH_S` unless the entry is written
+        again or removed.
         """
         for searcher_id, searcher in changes.items():
             if searcher is None:
                 self._remove(searcher_id)
             elif not self._is_outdated(searcher):
-                self._missing_since_by_id.pop(searcher_id, None)
-                self._newest_by_id[searcher_id] = searcher
-                self.searchers_by_id[searcher_id] = searcher
+                self._put(searcher, is_missing=searcher_id in missing_ids)
         if changes:
             self._refresh()
 
@@ -122,41 +143,73 @@
         self._proof_at = max(proof_at, self._proof_at)
 
     def remove_lapsed(self) -> None:
-        """Remove searchers whose entries have not reappeared in time.
+        """Remove searchers and evacuations that have not reappeared in time.
 
         Must be called regularly; the state has no timer of its own.
         """
         now = self._clock()
-        lapsed_ids = [
+        lapsed_ids = {
             searcher_id
-            for searcher_id, since in self._missing_since_by_id.items()
-            if now - since >= _REPUBLISH_S
-        ]
+            for searcher_id, removed_at in self._removed_at_by_id.items()
+            if now - removed_at >= _REPUBLISH_S
+        }
+        lapsed_ids.update(self._missing_searchers.list_lapsed())
+        lapsed_ids.intersection_update(self.searchers_by_id)
         for searcher_id in lapsed_ids:
-            self._missing_since_by_id.pop(searcher_id)
-            self.searchers_by_id.pop(searcher_id, None)
+            self._removed_at_by_id.pop(searcher_id, None)
+            self.searchers_by_id.pop(searcher_id)
         if lapsed_ids:
             self._logger.info('lapsed searchers removed', count=len(lapsed_ids))
             self._refresh()
+        self._update_evacuations_in_force()
+
+    def _update_evacuations_in_force(self) -> None:
+        missing = self._missing_evacuations.list_retained()
+        in_force = self._written_evacuations.union(missing)
+        if in_force == self.evacuated:
+            return
+        self.evacuated = in_force
+        self._logger.info(
+            'evacuation changed',
+            data_centres=sorted(in_force),
+            missing=sorted(missing),
+        )
+        self._refresh()
+
+    def _put(self, searcher: Searcher, *, is_missing: bool) -> None:
+        searcher_id = searcher.searcher_id
+        newest = self._newest_by_id.get(searcher_id)
+        is_new = newest is None or _get_version(searcher) > _get_version(newest)
+        if is_new or not is_missing:
+            self._missing_searchers.discard(searcher_id)
+        if is_missing:
+            self._missing_searchers.add(searcher_id)
+        if self._missing_searchers.has_lapsed(searcher_id):
+            return
+        self._removed_at_by_id.pop(searcher_id, None)
+        self._newest_by_id[searcher_id] = searcher
+        self.searchers_by_id[searcher_id] = searcher
 
     def _remove(self, searcher_id: str) -> None:
+        # An entry that was missing has been written again in between.
+        was_missing = self._missing_searchers.discard(searcher_id)
         if searcher_id not in self.searchers_by_id:
             return
         now = self._clock()
         current = self.searchers_by_id[searcher_id]
         is_lapse = now - self._outage_ended_at < _REPUBLISH_S
-        if is_lapse and current.state is SearcherState.READY:
-            self._missing_since_by_id.setdefault(searcher_id, now)
+        is_ready = current.state is SearcherState.READY
+        if is_lapse and is_ready and not was_missing:
+            self._removed_at_by_id.setdefault(searcher_id, now)
             return
         self.searchers_by_id.pop(searcher_id)
-        self._missing_since_by_id.pop(searcher_id, None)
+        self._removed_at_by_id.pop(searcher_id, None)
 
     def _is_outdated(self, searcher: Searcher) -> bool:
         newest = self._newest_by_id.get(searcher.searcher_id)
         if newest is None:
             return False
-        newest_version = (newest.born, newest.sequence)
-        return (searcher.born, searcher.sequence) < newest_version
+        return _get_version(searcher) < _get_version(newest)
 
     def _compute_coverage(self, routes: tuple[Route, ...]) -> dict[str, float]:
         services = [
@@ -195,3 +248,7 @@
         self._coverage_by_host.clear()
         for listener in self.listeners:
             listener()
+
+
+def _get_version(searcher: Searcher) -> tuple[int, int]:
+    return searcher.born, searcher.sequence
--- a/tests/catalogue/test_state.py
+++ b/tests/catalogue/test_state.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from jacinthcart.catalogue import CatalogueState, SearcherState, find_route
+from jacinthcart.catalogue import (
+    CatalogueState,
+    Searcher,
+    SearcherState,
+    find_route,
+)
 from jacinthcart.telemetry import create_logger
 from tests.support import (
     ManualClock,
@@ -90,6 +95,132 @@
         self.assertEqual(len(self.state.list_searchers('shard-0')), 1)
 
 
+class MissingEntryTests(unittest.TestCase):
+    """Entries and evacuations that the store came back without."""
+
+    def setUp(self) -> None:
+        """Create a state with a searcher; the store had no known outage."""
+        self.clock = ManualClock()
+        self.state = CatalogueState(self.clock, create_logger('test'))
+        self.searcher = create_searcher('a', sequence=5)
+        self.state.record_proof(self.clock())
+        self.clock.advance(10)
+        self.state.apply_searcher_changes({'a': self.searcher})
+
+    def test_missing_entry_is_used_for_two_seconds(self) -> None:
+        """Guards against losing live searchers when the store returns."""
+        self._apply(self.searcher, is_missing=True)
+        self._advance(1.9)
+        self.assertTrue(self._is_used())
+        self._advance(0.1)
+        self.assertFalse(self._is_used())
+
+    def test_written_entry_ends_the_period(self) -> None:
+        """Guards against dropping a searcher that has published again."""
+        self._apply(self.searcher, is_missing=True)
+        self._advance(1)
+        self._apply(create_searcher('a', sequence=6))
+        self._advance(5)
+        self.assertTrue(self._is_used())
+
+    def test_late_entry_makes_the_searcher_usable_again(self) -> None:
+        """Guards against ignoring a searcher that was dropped once."""
+        self._apply(self.searcher, is_missing=True)
+        self._advance(2.5)
+        self._apply(create_searcher('a', sequence=6))
+        self._advance(5)
+        self.assertTrue(self._is_used())
+
+    def test_removal_of_a_missing_entry_takes_effect_immediately(self) -> None:
+        """Guards against requests to searchers that left after a return."""
+        self.state.record_proof(self.clock())
+        self._apply(self.searcher, is_missing=True)
+        self._apply(None)
+        self.assertFalse(self._is_used())
+
+    def test_repeated_report_does_not_extend_the_period(self) -> None:
+        """Guards against dead searchers in use over returns in series."""
+        for _ in range(2):
+            self._apply(self.searcher, is_missing=True)
+            self._advance(1)
+        self._apply(self.searcher, is_missing=True)
+        self._advance(0)
+        self.assertFalse(self._is_used())
+        self._apply(self.searcher, is_missing=True)
+        self.assertFalse(self._is_used())
+
+    def test_each_return_starts_a_period(self) -> None:
+        """Guards against a short period when returns follow each other."""
+        self._apply(self.searcher, is_missing=True)
+        self._advance(1.5)
+        rewritten = create_searcher('a', sequence=6)
+        self._apply(rewritten)
+        self._apply(rewritten, is_missing=True)
+        self._advance(1.5)
+        self.assertTrue(self._is_used())
+
+    def test_entry_written_between_two_returns_starts_a_period(self) -> None:
+        """A paused VM learns of the entry only after the second return."""
+        self._apply(self.searcher, is_missing=True)
+        self._advance(2.5)
+        self._apply(create_searcher('a', sequence=6), is_missing=True)
+        self.assertTrue(self._is_used())
+
+    def test_draining_searcher_stays_unused_while_missing(self) -> None:
+        """Guards against requests to a searcher that is shutting down."""
+        draining = create_searcher(
+            'a', sequence=6, state=SearcherState.DRAINING
+        )
+        self._apply(draining)
+        self._apply(draining, is_missing=True)
+        self._apply(self.searcher, is_missing=True)
+        self._apply(self.searcher)
+        self.assertFalse(self._is_used())
+
+    def test_missing_evacuation_stays_in_force_for_a_limited_time(self) -> None:
+        """Guards against requests to an evacuated data centre, and forever."""
+        self.state.update_evacuated({'near'})
+        self.state.update_evacuated(frozenset(), missing={'near'})
+        self._advance(29)
+        self.state.update_evacuated(frozenset(), missing={'near'})
+        self.assertFalse(self._is_used())
+        self._advance(1)
+        self.assertTrue(self._is_used())
+        self.state.update_evacuated(frozenset(), missing={'near'})
+        self.assertTrue(self._is_used())
+
+    def test_evacuation_written_again_has_no_end(self) -> None:
+        """Guards against ending an evacuation that is in the store."""
+        self.state.update_evacuated(frozenset(), missing={'near'})
+        self._advance(20)
+        self.state.update_evacuated({'near'})
+        self._advance(20)
+        self.assertFalse(self._is_used())
+        self.state.update_evacuated(frozenset(), missing={'near'})
+        self._advance(20)
+        self.assertFalse(self._is_used())
+
+    def test_withdrawn_missing_evacuation_ends_immediately(self) -> None:
+        """Guards against evacuations that outlive their withdrawal."""
+        self.state.update_evacuated({'near'})
+        self.state.update_evacuated(frozenset(), missing={'near'})
+        self.state.update_evacuated(frozenset())
+        self.assertTrue(self._is_used())
+
+    def _apply(
+        self, searcher: Searcher | None, *, is_missing: bool = False
+    ) -> None:
+        missing_ids = {'a'} if is_missing else set()
+        self.state.apply_searcher_changes({'a': searcher}, missing_ids)
+
+    def _advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.state.remove_lapsed()
+
+    def _is_used(self) -> bool:
+        return bool(self.state.list_searchers('shard-0'))
+
+
 class FindRouteTests(unittest.TestCase):
     """Route lookup uses the longest matching prefix of the host."""
 
