Accept searchers that restart after their clock was set back

An entry is ordered by the start time of its process, which its machine's clock gives. After the clock was set back, the entry of a restarted searcher has a lower start time than the last known one, so it was ignored for as long as the VM ran or until the clock had caught up.

Such an entry is now used once it has been the last one of its searcher for 4 s. An old entry that the store shows again is replaced within about two seconds if the newer process is alive, so it doesn't get that far. Entries of the same process with a lower sequence are still ignored for good.

Without the mechanism test_restart_after_a_backward_clock_step_is_accepted fails with [100] and [] instead of [40], and test_last_entry_of_the_earlier_process_counts fails; with a delay of 0 s test_old_entry_does_not_replace_the_newer_process fails.

--- a/jacinthcart/catalogue/_state.py
+++ b/jacinthcart/catalogue/_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from collections.abc import Set as AbstractSet
 
+from jacinthcart.catalogue._earlier import EarlierEntries
 from jacinthcart.catalogue._missing import MissingKeys
 from jacinthcart.catalogue._types import (
     Catalogue,
@@ -26,6 +27,11 @@
 #: without its key. The operator writes it again soon after the return; one
 #: that was withdrawn meanwhile must not keep a data centre out of use forever.
 _EVACUATION_RETENTION_S = 30.0
+#: Seconds for which an entry of an earlier process must have been the last one
+#: of its searcher to be accepted. An older entry that the store shows again is
+#: replaced within about two seconds if the newer process is alive; one that
+#: stays is of a process that started after its clock was set back.
+_EARLIER_PROCESS_S = 4.0
 _NO_KEYS: frozenset[str] = frozenset()
 
 
@@ -50,6 +56,7 @@
         #: right after a store outage.
         self._removed_at_by_id: dict[str, float] = {}
         self._missing_searchers = MissingKeys(clock, _REPUBLISH_S)
+        self._earlier_entries = EarlierEntries(clock, _EARLIER_PROCESS_S)
         self._written_evacuations: frozenset[str] = frozenset()
         self._missing_evacuations = MissingKeys(clock, _EVACUATION_RETENTION_S)
         self._newest_by_id: dict[str, Searcher] = {}
@@ -76,7 +83,9 @@
             return {}
         routes = catalogue.routes_by_host[host]
         if host not in self._coverage_by_host:
-            self._coverage_by_host[host] = self._compute_coverage(routes)
+            self._coverage_by_host[host] = _compute_coverage(
+                routes, self._searchers_by_service
+            )
         return self._coverage_by_host[host]
 
     def update_catalogue(self, catalogue: Catalogue) -> None:
@@ -119,16 +128,17 @@
     ) -> None:
         """Apply changed entries by searcher id; None means a removed entry.
 
-        An entry that is older than the last one of its searcher is ignored.
-        The store came back without the entries of `missing_ids`; their
-        searchers stay in use for `_REPUBLISH_S` unless the entry is written
-        again or removed.
+        An entry that is older than the last one of its searcher is ignored, or
+        accepted later if it is of an earlier process. The store came back
+        without the entries of `missing_ids`; their searchers stay in use for
+        `_REPUBLISH_S` unless the entry is written again or removed.
         """
         for searcher_id, searcher in changes.items():
             if searcher is None:
                 self._remove(searcher_id)
-            elif not self._is_outdated(searcher):
-                self._put(searcher, is_missing=searcher_id in missing_ids)
+            else:
+                is_missing = searcher_id in missing_ids
+                self._apply_entry(searcher, is_missing=is_missing)
         if changes:
             self._refresh()
 
@@ -163,6 +173,24 @@
             self._refresh()
         self._update_evacuations_in_force()
 
+    def accept_earlier_processes(self) -> None:
+        """Use entries of earlier processes that no newer one has replaced.
+
+        Must be called regularly, like `remove_lapsed`.
+        """
+        accepted = self._earlier_entries.list_due()
+        for searcher in accepted:
+            self._logger.warning(
+                'searcher with an earlier start time accepted',
+                limit_key='earlier_process',
+                searcher=searcher.searcher_id,
+                born=searcher.born,
+                former_born=self._newest_by_id[searcher.searcher_id].born,
+            )
+            self._put(searcher, is_missing=False)
+        if accepted:
+            self._refresh()
+
     def _update_evacuations_in_force(self) -> None:
         missing = self._missing_evacuations.list_retained()
         in_force = self._written_evacuations.union(missing)
@@ -176,10 +204,18 @@
         )
         self._refresh()
 
+    def _apply_entry(self, searcher: Searcher, *, is_missing: bool) -> None:
+        newest = self._newest_by_id.get(searcher.searcher_id)
+        if newest is None or not _is_older(searcher, newest):
+            self._put(searcher, is_missing=is_missing)
+        elif searcher.born < newest.born and not is_missing:
+            self._earlier_entries.put(searcher)
+
     def _put(self, searcher: Searcher, *, is_missing: bool) -> None:
         searcher_id = searcher.searcher_id
+        self._earlier_entries.discard(searcher_id)
         newest = self._newest_by_id.get(searcher_id)
-        is_new = newest is None or _get_version(searcher) > _get_version(newest)
+        is_new = newest is None or _is_older(newest, searcher)
         if is_new or not is_missing:
             self._missing_searchers.discard(searcher_id)
         if is_missing:
@@ -191,6 +227,7 @@
         self.searchers_by_id[searcher_id] = searcher
 
     def _remove(self, searcher_id: str) -> None:
+        self._earlier_entries.discard(searcher_id)
         # An entry that was missing has been written again in between.
         was_missing = self._missing_searchers.discard(searcher_id)
         if searcher_id not in self.searchers_by_id:
@@ -205,30 +242,6 @@
         self.searchers_by_id.pop(searcher_id)
         self._removed_at_by_id.pop(searcher_id, None)
 
-    def _is_outdated(self, searcher: Searcher) -> bool:
-        newest = self._newest_by_id.get(searcher.searcher_id)
-        if newest is None:
-            return False
-        return _get_version(searcher) < _get_version(newest)
-
-    def _compute_coverage(self, routes: tuple[Route, ...]) -> dict[str, float]:
-        services = [
-            service
-            for route in routes
-            for service in (
-                *route.shards,
-                *(share.service for share in route.shares),
-            )
-        ]
-        counts: collections.Counter[str] = collections.Counter()
-        for service in services:
-            searchers = self.list_searchers(service)
-            counts.update({one.data_centre for one in searchers})
-        return {
-            data_centre: count / len(services)
-            for data_centre, count in counts.items()
-        }
-
     def _refresh(self) -> None:
         by_service: dict[str, list[Searcher]] = {}
         for searcher in self.searchers_by_id.values():
@@ -250,5 +263,27 @@
             listener()
 
 
-def _get_version(searcher: Searcher) -> tuple[int, int]:
-    return searcher.born, searcher.sequence
+def _is_older(searcher: Searcher, other: Searcher) -> bool:
+    return (searcher.born, searcher.sequence) < (other.born, other.sequence)
+
+
+def _compute_coverage(
+    routes: tuple[Route, ...],
+    searchers_by_service: Mapping[str, tuple[Searcher, ...]],
+) -> dict[str, float]:
+    services = [
+        service
+        for route in routes
+        for service in (
+            *route.shards,
+            *(share.service for share in route.shares),
+        )
+    ]
+    counts: collections.Counter[str] = collections.Counter()
+    for service in services:
+        searchers = searchers_by_service.get(service, ())
+        counts.update({one.data_centre for one in searchers})
+    return {
+        data_centre: count / len(services)
+        for data_centre, count in counts.items()
+    }
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -369,3 +369,4 @@
         while True:
             await anyio.sleep(_EXPIRY_INTERVAL_S)
             self.catalogue_state.remove_lapsed()
+            self.catalogue_state.accept_earlier_processes()
--- a/tests/catalogue/test_state.py
+++ b/tests/catalogue/test_state.py
@@ -221,6 +221,82 @@
         return bool(self.state.list_searchers('shard-0'))
 
 
+class EarlierProcessTests(unittest.TestCase):
+    """Entries whose process began before that of the last known entry."""
+
+    def setUp(self) -> None:
+        """Create a state with a searcher whose process began at 100."""
+        self.clock = ManualClock()
+        self.state = CatalogueState(self.clock, create_logger('test'))
+        self.state.record_proof(self.clock())
+        self.clock.advance(10)
+        self._apply(create_searcher('a', born=100, sequence=5))
+
+    def test_restart_after_a_backward_clock_step_is_accepted(self) -> None:
+        """Guards against a live searcher that is ignored for good."""
+        for former in (create_searcher('a', born=100, sequence=6), None):
+            with self.subTest(former=former):
+                self._apply(former)
+                self._apply(create_searcher('a', born=40))
+                self._advance(4)
+                self.assertEqual(self._list_born(), [40])
+
+    def test_old_entry_does_not_replace_the_newer_process(self) -> None:
+        """The live process writes its entry again within two seconds."""
+        self._apply(create_searcher('a', born=40))
+        self._advance(2.5)
+        self.assertEqual(self._list_born(), [100])
+        self._apply(create_searcher('a', born=100, sequence=7))
+        self._advance(10)
+        self.assertEqual(self._list_born(), [100])
+
+    def test_removed_earlier_process_is_not_accepted(self) -> None:
+        """Guards against requests to a searcher that is gone."""
+        self._apply(create_searcher('a', born=40))
+        self._apply(None)
+        self._advance(10)
+        self.assertEqual(self._list_born(), [])
+
+    def test_last_entry_of_the_earlier_process_counts(self) -> None:
+        """Guards against requests to a searcher that is shutting down."""
+        self._apply(create_searcher('a', born=40))
+        self._advance(3)
+        draining = create_searcher(
+            'a', born=40, sequence=2, state=SearcherState.DRAINING
+        )
+        self._apply(draining)
+        self._apply(create_searcher('a', born=40))
+        self._advance(1)
+        self.assertEqual(self._list_born(), [])
+
+    def test_missing_entry_of_an_earlier_process_is_not_accepted(self) -> None:
+        """Guards against requests to a process that is not in the store."""
+        earlier = create_searcher('a', born=40)
+        self.state.apply_searcher_changes({'a': earlier}, {'a'})
+        self._advance(10)
+        self.assertEqual(self._list_born(), [100])
+
+    def test_late_entry_of_the_same_process_is_never_accepted(self) -> None:
+        """A process never goes back to an earlier state of its own."""
+        self._apply(create_searcher('a', born=100, sequence=4))
+        self._advance(10)
+        self.assertEqual(
+            self.state.searchers_by_id['a'].sequence,
+            5,
+        )
+
+    def _apply(self, searcher: Searcher | None) -> None:
+        self.state.apply_searcher_changes({'a': searcher})
+
+    def _advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.state.remove_lapsed()
+        self.state.accept_earlier_processes()
+
+    def _list_born(self) -> list[int]:
+        return [one.born for one in self.state.list_searchers('shard-0')]
+
+
 class FindRouteTests(unittest.TestCase):
     """Route lookup uses the longest matching prefix of the host."""
 
