Send requests to searchers that restarted with an earlier start time

A searcher process that says it leaves excluded every process of the same id that began before it, because their entries are old ones. A searcher that restarts after its clock was set back has such a start time too and got no request from this VM any more.

Earlier processes are now excluded for 10 s from the statement. The test of the bound reads the renamed attribute, with the same limit.

--- a/tests/routing/test_availability.py
+++ b/tests/routing/test_availability.py
@@ -12,7 +12,8 @@
 
     def setUp(self) -> None:
         """Create a tracker to which a searcher said that it leaves."""
-        self.tracker = AvailabilityTracker(ManualClock())
+        self.clock = ManualClock()
+        self.tracker = AvailabilityTracker(self.clock)
         self.tracker.record_leaving(create_searcher('one', born=5))
 
     def test_republished_entry_does_not_bring_the_process_back(self) -> None:
@@ -41,11 +42,39 @@
             self.tracker.may_send(create_searcher('one', born=5)),
         )
 
+    def test_restart_after_a_backward_clock_step_gets_requests(self) -> None:
+        """Guards against excluding a live searcher for good."""
+        self.clock.advance(10)
+        self.assertTrue(
+            self.tracker.may_send(create_searcher('one', born=4)),
+        )
+
+    def test_each_process_that_left_stays_excluded(self) -> None:
+        """Guards against a stale entry after such a restart."""
+        self.clock.advance(10)
+        restarted = create_searcher('one', born=4)
+        self.assertTrue(self.tracker.record_leaving(restarted))
+        self.clock.advance(100)
+        for born in (4, 5):
+            with self.subTest(born=born):
+                searcher = create_searcher('one', born=born)
+                self.assertFalse(self.tracker.may_send(searcher))
+
+    def test_number_of_remembered_processes_is_bounded(self) -> None:
+        """Guards against memory that grows with every restart."""
+        for born in range(100):
+            self.tracker.record_leaving(create_searcher('one', born=born))
+            self.clock.advance(20)
+        remembered = self.tracker._leaving_at_by_born_by_id['one']
+        self.assertLess(len(remembered), 100)
+        last = create_searcher('one', born=99)
+        self.assertFalse(self.tracker.may_send(last))
+
     def test_number_of_remembered_searchers_is_bounded(self) -> None:
         """Guards against memory that grows with every replaced searcher."""
         for number in range(10_000):
             self.tracker.record_leaving(create_searcher(f'other-{number}'))
-        self.assertLess(len(self.tracker._leaving_born_by_id), 10_000)
+        self.assertLess(len(self.tracker._leaving_at_by_born_by_id), 10_000)
         self.assertFalse(
             self.tracker.may_send(create_searcher('other-9999')),
         )
