Charge each reported grant of a deputy once

The home of a workspace kept the last report of each VM, whatever its total and process. A report that arrived after a later one lowered the total, so the next one charged the difference twice. A late report of a former process replaced that of its successor, whose next grants were then charged as one.

The home keeps the highest total of the last two processes of each VM.

--- a/jacinthcart/quota/_home.py
+++ b/jacinthcart/quota/_home.py
@@ -11,6 +11,10 @@
 from jacinthcart.telemetry import Metrics
 from jacinthcart.tokens import TokenBucket
 
+#: Processes of a VM whose totals are kept. A report of the former one may
+#: arrive after the first of its successor.
+_MAX_RUNS = 2
+
 
 @dataclasses.dataclass(frozen=True)
 class QuotaParameters:
@@ -79,8 +83,8 @@
         self._debt_by_workspace: collections.defaultdict[str, int] = (
             collections.defaultdict(int)
         )
-        #: Last report by source and workspace.
-        self._report_by_source: dict[tuple[str, str], GrantReport] = {}
+        #: Highest total by run, by source and workspace; newest run last.
+        self._total_by_run: dict[tuple[str, str], dict[int, int]] = {}
         #: Return times of callers that this VM refuses.
         self.returns = ReturnSchedule(clock, params.returns)
         catalogue_state.listeners.append(self.create_buckets)
@@ -93,10 +97,10 @@
         catalogue = self._catalogue_state.catalogue
         if catalogue is not None:
             self.returns.retain_only(set(catalogue.workspaces_by_name))
-            self._report_by_source = {
-                key: report
-                for key, report in self._report_by_source.items()
-                if report.workspace in catalogue.workspaces_by_name
+            self._total_by_run = {
+                (source, workspace): totals
+                for (source, workspace), totals in self._total_by_run.items()
+                if workspace in catalogue.workspaces_by_name
             }
         for workspace in catalogue.workspaces_by_name if catalogue else ():
             if workspace not in self._bucket_by_workspace:
@@ -116,19 +120,14 @@
     def charge(self, report: GrantReport) -> None:
         """Owe the grants that a deputy reports.
 
-        Totals make lost reports harmless. Reports of unknown workspaces or
-        VMs are ignored.
+        Totals make lost, repeated and late reports harmless. Reports of
+        unknown workspaces or VMs are ignored.
         """
         config = self._get_workspace_config(report.workspace)
         is_known = self._members.log.get_record(report.source) is not None
         if config is None or not is_known:
             return
-        key = (report.source, report.workspace)
-        last = self._report_by_source.get(key)
-        self._report_by_source[key] = report
-        grants = 1
-        if last is not None and last.run == report.run:
-            grants = max(0, report.total - last.total)
+        grants = self._count_new_grants(report)
         max_debt = math.ceil(
             max(config.burst, self._params.min_capacity)
             * self._params.max_debt_fraction
@@ -173,6 +172,18 @@
             if self._members.rank(f'allotment/{workspace}')[:1] == [own_address]
         }
 
+    def _count_new_grants(self, report: GrantReport) -> int:
+        key = (report.source, report.workspace)
+        totals = self._total_by_run.setdefault(key, {})
+        known = totals.get(report.run)
+        if known is None:
+            if len(totals) >= _MAX_RUNS:
+                totals.pop(next(iter(totals)))
+            totals[report.run] = report.total
+            return 1
+        totals[report.run] = max(known, report.total)
+        return totals[report.run] - known
+
     def _take_from_rate(self, workspace: str, count: int) -> int:
         share = self._members.alive_fraction
         return self._take(self._bucket_by_workspace, workspace, share, count)
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -223,6 +223,18 @@
             granted = run_in_virtual_time(_count_grants_after, totals)
             self.assertEqual(granted, int(0.9 * _RATE) - debt)
 
+    def test_late_report_is_not_charged_again(self) -> None:
+        """Guards against grants that are charged twice after a reordering."""
+        reports = ((1, 9), (1, 8), (1, 10))
+        granted = run_in_virtual_time(_count_grants_after_runs, reports)
+        self.assertEqual(granted, int(0.9 * _RATE) - 2)
+
+    def test_late_report_of_a_former_process_charges_nothing(self) -> None:
+        """Guards against grants of the new process that are never counted."""
+        reports = ((1, 5), (2, 1), (1, 4), (2, 7))
+        granted = run_in_virtual_time(_count_grants_after_runs, reports)
+        self.assertEqual(granted, int(0.9 * _RATE) - 8)
+
     def test_isolated_vms_stay_within_the_rate(self) -> None:
         """Guards against VMs without any peer that each grant the full rate."""
         granted = run_in_virtual_time(
@@ -253,13 +265,21 @@
 
 
 async def _count_grants_after(totals: tuple[int, ...]) -> int:
-    """Return the grants of a home with a full bucket after reports."""
+    """Return the grants of a home after reports of one process."""
+    return await _count_grants_after_runs(tuple((1, total) for total in totals))
+
+
+async def _count_grants_after_runs(reports: tuple[tuple[int, int], ...]) -> int:
+    """Return the grants of a home with a full bucket after reports.
+
+    Each report has the number of its process and a total.
+    """
     network = _Network()
     vm = _Vm(network, '10.0.0.0', 2)
     await anyio.sleep(60)
     peer = Endpoint(address='10.0.0.1', port=1)
-    for total in totals:
-        report = {'kind': 'report', 'workspace': 'mill', 'run': 1}
+    for run, total in reports:
+        report = {'kind': 'report', 'workspace': 'mill', 'run': run}
         await vm.client.handle({**report, 'total': total}, peer)
     grants = 0
     while vm.home.take('mill', 1):
