Ignore grants that answer a former process of a VM

The numbers of requests to the home of a workspace began at 1 in each process. A home that was paused over the restart of a VM answers the requests of the former process late, and the new process took such a grant for the answer to its own request with the same number, for any workspace.

Measured: on the former version test_answer_to_a_former_process_is_ignored fails (a grant for another workspace is returned).

--- a/jacinthcart/quota/_client.py
+++ b/jacinthcart/quota/_client.py
@@ -32,6 +32,7 @@
 #: Longest wait in seconds that a grant message may tell.
 _MAX_WAIT_S = 60.0
 _RUN_ID_BITS = 48
+_SEQ_BITS = 32
 _MAX_TOTAL = 1 << 53
 
 
@@ -103,7 +104,9 @@
         self._clock = clock
         self._metrics = metrics
         self._calls_by_seq: dict[int, _PendingCall] = {}
-        self._seq = 0
+        # A random first number: an answer to a previous process of this VM
+        # does not match.
+        self._seq = random.getrandbits(_SEQ_BITS)
         self._run_id = random.getrandbits(_RUN_ID_BITS)
         #: Grants that this VM has made in place of homes, by address of the
         #: home and workspace.
--- a/tests/quota/test_home.py
+++ b/tests/quota/test_home.py
@@ -235,6 +235,10 @@
         granted = run_in_virtual_time(_count_grants_after_runs, reports)
         self.assertEqual(granted, int(0.9 * _RATE) - 8)
 
+    def test_answer_to_a_former_process_is_ignored(self) -> None:
+        """Guards against a grant that was made for another workspace."""
+        self.assertIsNone(run_in_virtual_time(_answer_former_process))
+
     def test_isolated_vms_stay_within_the_rate(self) -> None:
         """Guards against VMs without any peer that each grant the full rate."""
         granted = run_in_virtual_time(
@@ -264,6 +268,28 @@
             return decision
 
 
+async def _answer_former_process() -> QuotaDecision | None:
+    """Return what a new process makes of the answer to its predecessor."""
+    network = _Network()
+    peer = Endpoint(address='10.0.0.1', port=1)
+    numbers: list[int] = []
+
+    async def record(message: dict[str, Any], _: Endpoint) -> None:
+        numbers.append(message['seq'])
+
+    former = _Vm(network, '10.0.0.0', 2).client
+    with mock.patch.object(former, '_datagrams', mock.Mock(send=record)):
+        await former._ask(peer.address, 'mill')
+    new = _Vm(network, '10.0.0.0', 2).client
+
+    async def answer_former(message: dict[str, Any], _: Endpoint) -> None:
+        late = {'kind': 'grant', 'seq': numbers[0], 'granted': 1}
+        await new.handle(late, peer)
+
+    with mock.patch.object(new, '_datagrams', mock.Mock(send=answer_former)):
+        return await new._ask(peer.address, 'other')
+
+
 async def _count_grants_after(totals: tuple[int, ...]) -> int:
     """Return the grants of a home after reports of one process."""
     return await _count_grants_after_runs(tuple((1, total) for total in totals))
