Test that state of a former process isn't used for its successor

Two places were safe by reading only: health, connections and cold starts of searchers are kept by searcher id and start time, also when the start time is lower than that of the former process, and the numbers of borrows begin at random.

With processes told apart by id alone test_process_with_an_earlier_start_time_has_its_own_state fails ("1 != 0"); with numbers from 0 test_reply_to_a_former_process_matches_nothing fails.

--- a/tests/limits/test_parts.py
+++ b/tests/limits/test_parts.py
@@ -1,9 +1,11 @@
 """Tests for the token bucket and the permit pool."""
 
+import random
 import unittest
 
 from jacinthcart.errors import InvariantViolationError
 from jacinthcart.limits import PermitPool
+from jacinthcart.limits._pending import PendingBorrows
 from jacinthcart.telemetry import Metrics
 from jacinthcart.tokens import TokenBucket
 from tests.limits.fixtures import ManualClock
@@ -53,6 +55,21 @@
         self.assertEqual(self.pool.take(9).count, 2)
 
 
+class PendingBorrowsTest(unittest.TestCase):
+    """A reply is matched to a request of the same process and VM only."""
+
+    def test_reply_to_a_former_process_matches_nothing(self) -> None:
+        """Guards against permits whose computed expiry is too late."""
+        clock = ManualClock()
+        former = PendingBorrows(clock, random.Random(1))
+        late_seq = former.add('b', {'mill': 1})
+        new = PendingBorrows(clock, random.Random(2))
+        seq = new.add('b', {'mill': 1})
+        self.assertIsNone(new.pop(late_seq, 'b'))
+        self.assertIsNone(new.pop(seq, 'c'))
+        self.assertIsNotNone(new.pop(seq, 'b'))
+
+
 class InvariantTest(unittest.TestCase):
     """A violated invariant raises an error."""
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -125,6 +125,19 @@
         self.state.apply_searcher_changes({'near': again})
         self.assertEqual(self._choose(), 'near')
 
+    def test_process_with_an_earlier_start_time_has_its_own_state(self) -> None:
+        """Guards against state of the former process after a clock step."""
+        former = create_searcher('near', born=100)
+        self.state.apply_searcher_changes({'near': former})
+        self.health_tracker.record_failure(self.table.get_health(former))
+        again = create_searcher('near', born=40, cold_left_ms=3000)
+        self.state.apply_searcher_changes({'near': again})
+        self.clock.advance(4)
+        self.state.accept_earlier_processes()
+        self.assertEqual(self.table.get_health(again).consecutive_failures, 0)
+        self.assertTrue(self._is_cold())
+        self.assertEqual(self._choose(), 'near')
+
     def test_cold_searcher_gets_no_more_than_its_rate(self) -> None:
         """Guards against unrecorded sends, which the limiter can't limit."""
         catalogue = create_catalogue(
