Don't accept an earlier process whose entry has gone missing

An entry of an earlier process that waits to be accepted stayed waiting when the store came back without it, was then accepted and never dropped, because it didn't count as missing. It is forgotten now until it is written again.

--- a/jacinthcart/catalogue/_state.py
+++ b/jacinthcart/catalogue/_state.py
@@ -208,7 +208,9 @@
         newest = self._newest_by_id.get(searcher.searcher_id)
         if newest is None or not _is_older(searcher, newest):
             self._put(searcher, is_missing=is_missing)
-        elif searcher.born < newest.born and not is_missing:
+        elif is_missing:
+            self._earlier_entries.discard(searcher.searcher_id)
+        elif searcher.born < newest.born:
             self._earlier_entries.put(searcher)
 
     def _put(self, searcher: Searcher, *, is_missing: bool) -> None:
--- a/tests/catalogue/test_state.py
+++ b/tests/catalogue/test_state.py
@@ -276,6 +276,14 @@
         self._advance(10)
         self.assertEqual(self._list_born(), [100])
 
+    def test_entry_that_goes_missing_is_not_accepted(self) -> None:
+        """Guards against a searcher in use that the store has lost."""
+        earlier = create_searcher('a', born=40)
+        self._apply(earlier)
+        self.state.apply_searcher_changes({'a': earlier}, {'a'})
+        self._advance(10)
+        self.assertEqual(self._list_born(), [100])
+
     def test_late_entry_of_the_same_process_is_never_accepted(self) -> None:
         """A process never goes back to an earlier state of its own."""
         self._apply(create_searcher('a', born=100, sequence=4))
