Order what is known of the store by era and revision

Seen by callers: after the store had come back from an older copy, VMs stayed on an old configuration for as long as its revisions were lower than the known ones, new routes were answered 404, and requests went on to searchers that had said they leave.

Cause: revisions alone stood for newer, although the store gives them out again. The table kept the item of the higher revision, peers asked only for what comes after theirs, and a watch went on in another history.

Change: a position of era and revision, totally ordered, replaces the revision wherever one is compared, stored, logged or sent to a peer. The era is the one that the store states. A revision below what was known when a call was sent means a new era if the store states none. An answer that contradicts the known history is an error, and a return if that lasts for 1 s. A reader that finds a new era ends its watch and reads everything again before it proves anything. Content whose writer gave it a lower version doesn't replace a higher one over a return, and keys that the store came back without are kept as missing, so that withdrawn keys stay withdrawn. Messages to peers carry the era in fields that VMs of the former release ignore; without them, the era counts as 0.

--- a/jacinthcart/catalogue/_state.py
+++ b/jacinthcart/catalogue/_state.py
@@ -89,11 +89,11 @@
         return self._coverage_by_host[host]
 
     def update_catalogue(
-        self, catalogue: Catalogue, revision: int | None = None
+        self, catalogue: Catalogue, position: str | None = None
     ) -> None:
         """Put a configuration in force unless a newer one is in force.
 
-        `revision` is that of its item in the store, for the log.
+        `position` is that of its item in the store, for the log.
         """
         current = self.catalogue
         if current is not None and catalogue.version < current.version:
@@ -102,7 +102,7 @@
                 limit_key='old_configuration',
                 version=catalogue.version,
                 in_force=current.version,
-                revision=revision,
+                position=position,
             )
             return
         self.catalogue = catalogue
@@ -110,7 +110,7 @@
             'configuration in force',
             version=catalogue.version,
             former=current.version if current else None,
-            revision=revision,
+            position=position,
         )
         self._notify()
 
--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -158,7 +158,7 @@
         sent_at = self._detector.record_ack(address, received.seq)
         if sent_at is None:
             return
-        is_covered = self._puller.is_covered(received.revision)
+        is_covered = self._puller.is_covered(received.newest)
         if is_covered and received.age_s is not None:
             self._lease.record_peer_proof(sent_at, received.age_s)
         if self.anti_entropy.handle_answer(received, has_learned=has_learned):
@@ -174,7 +174,7 @@
         )
         if self._tasks is None or not is_source:
             return
-        if self._puller.is_behind(received.revision, received.complete_to):
+        if self._puller.is_behind(received.newest, received.complete_to):
             endpoint = Endpoint(address=address, port=self._port)
             self._tasks.start_soon(self._puller.pull, address, endpoint)
 
@@ -227,7 +227,7 @@
             kind=kind,
             seq=seq,
             sender=self._members.own,
-            revision=self._table.revision,
+            newest=self._table.newest,
             complete_to=self._table.complete_to,
             age_s=round(age_s, 3) if math.isfinite(age_s) else None,
             described=described,
--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from jacinthcart.errors import InvalidMessageError
+from jacinthcart.readings import Position
 
 #: Maximum length of an address or of the name of a data centre.
 _MAX_ID_CHARACTERS = 64
@@ -77,10 +78,10 @@
     seq: int
     #: Record of the sender.
     sender: MemberRecord
-    #: Highest revision in the sender's copy of the store.
-    revision: int
-    #: Revision up to which the sender's copy has every change.
-    complete_to: int
+    #: Highest position in the sender's copy of the store.
+    newest: Position
+    #: Position up to which the sender's copy has every change.
+    complete_to: Position
     #: Age of the sender's freshness proof in seconds; None without one.
     age_s: float | None
     #: In a ping that requests the receiver's list, the description of the
@@ -97,20 +98,29 @@
             'b': [
                 self.seq,
                 self.sender.pack(),
-                self.revision,
+                self.newest.revision,
                 self.age_s,
                 self.described,
                 [record.pack() for record in self.records],
             ],
         }
-        if self.complete_to != self.revision:
-            message[_COMPLETE_TO] = self.complete_to
+        if self.newest.era:
+            message[_ERA] = self.newest.era
+        if self.complete_to != self.newest:
+            message[_COMPLETE_TO] = self.complete_to.revision
+        if self.complete_to.era != self.newest.era:
+            message[_COMPLETE_ERA] = self.complete_to.era
         return message
 
 
-#: Key of `complete_to` in a message. It is absent if all changes up to the
-#: revision are present, which is so most of the time.
+#: Key of the revision of `complete_to` in a message. It is absent if all
+#: changes up to the newest are present, which is so most of the time.
 _COMPLETE_TO = 'c'
+#: Key of the era of the newest position; absent for 0, and in messages of VMs
+#: of a release without eras.
+_ERA = 'e'
+#: Key of the era of `complete_to`; absent if it is that of the newest position.
+_COMPLETE_ERA = 'f'
 
 
 class _Body(pydantic.BaseModel):
@@ -118,11 +128,13 @@
 
     seq: int
     sender: list[Any]
-    revision: int
+    revision: int = pydantic.Field(ge=0)
     age_s: float | None
     described: str | None
     records: list[list[Any]]
-    complete_to: int
+    complete_to: int = pydantic.Field(ge=0)
+    era: int = pydantic.Field(ge=0)
+    complete_era: int = pydantic.Field(ge=0)
 
 
 #: Fields of the list in a message, in order.
@@ -132,9 +144,7 @@
 def decode_fleet_message(message: dict[str, Any]) -> FleetMessage:
     """Decode a ping or acknowledgement; raise InvalidMessageError."""
     try:
-        named = dict(zip(_LISTED_FIELDS, message.get('b', ()), strict=True))
-        named['complete_to'] = message.get(_COMPLETE_TO, named['revision'])
-        body = _Body.model_validate(named)
+        body = _decode_body(message)
     except (ValueError, TypeError) as error:
         raise InvalidMessageError(
             f'malformed membership message: {error}'
@@ -143,14 +153,22 @@
         kind=str(message.get('kind')),
         seq=body.seq,
         sender=unpack_record(body.sender),
-        revision=body.revision,
-        complete_to=body.complete_to,
+        newest=Position(body.era, body.revision),
+        complete_to=Position(body.complete_era, body.complete_to),
         age_s=body.age_s,
         described=body.described,
         records=tuple(unpack_record(record) for record in body.records),
     )
 
 
+def _decode_body(message: dict[str, Any]) -> _Body:
+    named = dict(zip(_LISTED_FIELDS, message.get('b', ()), strict=True))
+    named['complete_to'] = message.get(_COMPLETE_TO, named['revision'])
+    named['era'] = message.get(_ERA, 0)
+    named['complete_era'] = message.get(_COMPLETE_ERA, named['era'])
+    return _Body.model_validate(named)
+
+
 def unpack_record(fields: list[Any]) -> MemberRecord:
     """Decode the list form of a record; raise InvalidMessageError."""
     try:
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -38,6 +38,7 @@
     QuotaParameters,
 )
 from jacinthcart.readings import (
+    BaseContentVersions,
     BaseStore,
     FreshnessLease,
     ItemTable,
@@ -91,6 +92,7 @@
         codec: BaseSearcherCodec,
         *,
         proof_prefix: str,
+        versions: BaseContentVersions | None = None,
         clock: Clock = read_boot_clock,
         random_source: random.Random | None = None,
     ) -> None:
@@ -105,7 +107,7 @@
         self.caller_memory = self._memory_bounds.create_caller_memory(
             clock, self.metrics, self.logger
         )
-        self.table = ItemTable(proof_prefix)
+        self.table = ItemTable(proof_prefix, versions)
         self.lease = FreshnessLease(clock)
         self.catalogue_state = CatalogueState(clock, self.logger)
         self.lease.listeners.append(self.catalogue_state.record_proof)
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -66,9 +66,10 @@
         'data_centre': node.settings.data_centre,
         'is_ready': node.is_ready,
         'version': catalogue.version if catalogue else None,
-        'operator_revision': node.table.operator_revision,
-        'newest_revision': node.table.revision,
-        'complete_to': node.table.complete_to,
+        'era': node.table.newest.era,
+        'operator_revision': node.table.operator_position.revision,
+        'newest_revision': node.table.newest.revision,
+        'complete_to': node.table.complete_to.revision,
         'proof_age_s': round(age_s, 3) if math.isfinite(age_s) else None,
         'reads_store': node.reads_store,
         'members': {
@@ -117,6 +118,7 @@
         for name in (
             'proof_age_s',
             'version',
+            'era',
             'operator_revision',
             'newest_revision',
             'complete_to',
--- a/jacinthcart/node/_peer_api.py
+++ b/jacinthcart/node/_peer_api.py
@@ -17,10 +17,12 @@
         """Return the changes that the peer lacks."""
         if request.path != PULL_PATH:
             return RawResponse(404)
+        query = request.query
         try:
-            after = int(request.query.get('after', '0'))
+            after = int(query.get('after', '0'))
+            era = int(query['era']) if 'era' in query else None
         except ValueError:
             return RawResponse(400)
         return RawResponse(
-            200, _COMPRESSED, self._node.table_server.answer(after)
+            200, _COMPRESSED, self._node.table_server.answer(after, era)
         )
--- a/jacinthcart/node/_request_log.py
+++ b/jacinthcart/node/_request_log.py
@@ -115,7 +115,7 @@
         return {
             'request_id': request.request_id,
             'version': catalogue.version if catalogue else None,
-            'revision': self._table.revision,
+            'position': str(self._table.newest),
             'proof_age_s': round(self._lease.age_s, 3),
             'elapsed_ms': round((now - request.received_at) * _MS_PER_S, 1),
             'time_left_ms': round((request.deadline - now) * _MS_PER_S),
--- a/jacinthcart/platform/_catalogue_updater.py
+++ b/jacinthcart/platform/_catalogue_updater.py
@@ -3,18 +3,14 @@
 from jacinthcart.catalogue import CatalogueState, Searcher
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.platform._documents import decode_catalogue, decode_searcher
+from jacinthcart.platform._keys import (
+    CONFIG_KEY,
+    EVACUATE_PREFIX,
+    SERVER_PREFIX,
+)
 from jacinthcart.readings import Item, ItemTable
 from jacinthcart.telemetry import Logger
 
-#: Prefix of the keys that the freshness proof must cover: configuration and
-#: evacuations.
-OPERATOR_PREFIX = 'op/'
-_CONFIG_KEY = 'op/config'
-#: The rest of the key is the name of an evacuated data centre.
-_EVACUATE_PREFIX = 'op/evacuate/'
-#: The rest of the key is the id of the searcher that published the entry.
-_SERVER_PREFIX = 'servers/'
-
 
 class CatalogueUpdater:
     """Decodes changed items of the table and updates the catalogue."""
@@ -35,23 +31,21 @@
         changes: dict[str, Searcher | None] = {}
         has_evacuations = False
         for item in items:
-            if item.key == _CONFIG_KEY:
+            if item.key == CONFIG_KEY:
                 self._apply_config(item)
-            elif item.key.startswith(_SERVER_PREFIX):
-                searcher_id = item.key.removeprefix(_SERVER_PREFIX)
+            elif item.key.startswith(SERVER_PREFIX):
+                searcher_id = item.key.removeprefix(SERVER_PREFIX)
                 changes[searcher_id] = self._decode(searcher_id, item)
-            elif item.key.startswith(_EVACUATE_PREFIX):
+            elif item.key.startswith(EVACUATE_PREFIX):
                 has_evacuations = True
         if has_evacuations:
             self._apply_evacuations()
         self._catalogue_state.apply_searcher_changes(changes)
 
     def _apply_evacuations(self) -> None:
-        present = self._table.list_existing(_EVACUATE_PREFIX)
+        present = self._table.list_existing(EVACUATE_PREFIX)
         self._catalogue_state.update_evacuated(
-            frozenset(
-                one.key.removeprefix(_EVACUATE_PREFIX) for one in present
-            ),
+            frozenset(one.key.removeprefix(EVACUATE_PREFIX) for one in present),
         )
 
     def _apply_config(self, item: Item) -> None:
@@ -62,11 +56,11 @@
         except InvalidMessageError as error:
             self._logger.error(
                 'invalid configuration document; keeping the last valid one',
-                revision=item.revision,
+                position=str(item.position),
                 error=str(error),
             )
             return
-        self._catalogue_state.update_catalogue(catalogue, item.revision)
+        self._catalogue_state.update_catalogue(catalogue, str(item.position))
 
     def _decode(self, searcher_id: str, item: Item) -> Searcher | None:
         if item.content is None:
--- a/jacinthcart/platform/_store.py
+++ b/jacinthcart/platform/_store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store."""
 
 import base64
+import re
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -10,19 +11,21 @@
 from jacinthcart.network import Endpoint
 from jacinthcart.readings import (
     BaseStore,
-    Item,
     ReadResult,
+    StoredItem,
+    StoreEraError,
     StoreError,
     StoreHistoryLostError,
     WatchResult,
 )
 from jacinthcart.wire import ConnectionPool, HttpResponse, decode_json
 
-_ERA = b'store-era'
+_STATUS_HISTORY_LOST = 410
+#: States how often the store has come back from an older copy.
+_ERA_HEADER = b'store-era'
+_ERA_DIGITS = re.compile(b'[0-9]{1,16}')
 #: Maximum of an era, the highest whole number that all JSON readers keep.
 _MAX_ERA = 1 << 53
-_MAX_ERA_DIGITS = 16
-_STATUS_HISTORY_LOST = 410
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 0.5
 #: Seconds added to the wait of a watch to give its timeout.
@@ -68,22 +71,21 @@
 
     async def read(self, prefix: str, timeout_s: float) -> ReadResult:
         """Return all items with `prefix`; see the base class."""
-        items: list[Item] = []
-        revision: int | None = None
-        era: int | None = None
-        has_more = True
-        after = ''
-        while has_more:
-            query = {'prefix': prefix, **({'after': after} if after else {})}
-            response = await self._get('kv-range', query, timeout_s)
-            page = _decode(_RangeBody, response)
-            items.extend(_decode_item(item) for item in page.items)
-            if revision is None:
-                revision = page.at
-                era = _decode_era(response)
-            has_more = page.has_more and bool(page.items)
-            after = page.items[-1].key if page.items else ''
-        return ReadResult(tuple(items), revision or 0, era)
+        pages: list[ReadResult] = []
+        after: str | None = ''
+        while after is not None:
+            page, after = await self._read_page(prefix, after, timeout_s)
+            is_return = bool(pages) and (
+                page.era != pages[0].era or page.revision < pages[-1].revision
+            )
+            if is_return:
+                raise StoreEraError('kv-range: pages of different eras')
+            pages.append(page)
+        return ReadResult(
+            tuple(item for page in pages for item in page.items),
+            pages[0].revision,
+            pages[0].era,
+        )
 
     async def watch(self, after: int, wait_s: float) -> WatchResult:
         """Return the changes after a revision; see the base class."""
@@ -104,6 +106,21 @@
         """Close idle connections."""
         await self._pool.close()
 
+    async def _read_page(
+        self, prefix: str, after: str, timeout_s: float
+    ) -> tuple[ReadResult, str | None]:
+        """Return a page and the key after which the next one starts."""
+        query = {'prefix': prefix, **({'after': after} if after else {})}
+        response = await self._get('kv-range', query, timeout_s)
+        body = _decode(_RangeBody, response)
+        page = ReadResult(
+            tuple(_decode_item(item) for item in body.items),
+            body.at,
+            _decode_era(response),
+        )
+        has_more = body.has_more and body.items
+        return page, body.items[-1].key if has_more else None
+
     async def _get(
         self,
         call: str,
@@ -133,18 +150,19 @@
 
 
 def _decode_era(response: HttpResponse) -> int | None:
-    text = response.headers.get(_ERA, b'')
-    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+    """Return the stated era; None if it is absent or not a sane number."""
+    text = response.headers.get(_ERA_HEADER, b'')
+    if not _ERA_DIGITS.fullmatch(text):
         return None
     era = int(text)
     return era if era <= _MAX_ERA else None
 
 
-def _decode_item(body: _ItemBody) -> Item:
+def _decode_item(body: _ItemBody) -> StoredItem:
     if body.removed or body.value is None:
-        return Item(body.key, body.revision, None)
+        return StoredItem(body.key, body.revision, None)
     try:
         content = base64.b64decode(body.value, validate=True)
     except ValueError as error:
         raise StoreError(f'{body.key}: value is not base64') from error
-    return Item(body.key, body.revision, content)
+    return StoredItem(body.key, body.revision, content)
--- a/jacinthcart/platform/assembly.py
+++ b/jacinthcart/platform/assembly.py
@@ -5,16 +5,15 @@
 from jacinthcart.front import BaseRequestHandler, HttpServer
 from jacinthcart.network import Endpoint
 from jacinthcart.node import Node, NodeSettings
-from jacinthcart.platform._catalogue_updater import (
-    OPERATOR_PREFIX,
-    CatalogueUpdater,
-)
+from jacinthcart.platform._catalogue_updater import CatalogueUpdater
+from jacinthcart.platform._document_versions import DocumentVersions
 from jacinthcart.platform._handlers import (
     CallerHandler,
     DirectoryHandler,
     ReadinessHandler,
 )
 from jacinthcart.platform._headers import PlatformSearcherCodec
+from jacinthcart.platform._keys import OPERATOR_PREFIX
 from jacinthcart.platform._store import PlatformStore
 
 
@@ -25,6 +24,7 @@
         PlatformStore(settings.store),
         PlatformSearcherCodec(),
         proof_prefix=OPERATOR_PREFIX,
+        versions=DocumentVersions(),
     )
     CatalogueUpdater(node.table, node.catalogue_state, node.logger)
     caller_handlers: list[tuple[Endpoint, BaseRequestHandler]] = [
--- a/jacinthcart/readings/__init__.py
+++ b/jacinthcart/readings/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from jacinthcart.readings._lease import FreshnessLease
+from jacinthcart.readings._position import START, Position
 from jacinthcart.readings._pull import (
     PULL_PATH,
     TablePuller,
@@ -17,27 +18,40 @@
 )
 from jacinthcart.readings._source import (
     BaseStore,
-    Item,
     ReadResult,
+    StoredItem,
+    StoreEraError,
     StoreError,
     StoreHistoryLostError,
     WatchResult,
 )
-from jacinthcart.readings._table import Changes, ItemTable
+from jacinthcart.readings._table import Changes, Item, ItemTable
+from jacinthcart.readings._versions import (
+    BaseContentVersions,
+    ContentVersion,
+    NoContentVersions,
+)
 
 __all__ = [
     'PULL_PATH',
+    'START',
+    'BaseContentVersions',
     'BaseStore',
     'Changes',
+    'ContentVersion',
     'FreshnessLease',
     'Item',
     'ItemTable',
+    'NoContentVersions',
+    'Position',
     'ReadResult',
     'ReaderParameters',
     'ReaderRole',
+    'StoreEraError',
     'StoreError',
     'StoreHistoryLostError',
     'StoreReader',
+    'StoredItem',
     'TablePuller',
     'TableServer',
     'WatchResult',
--- a/jacinthcart/readings/_merge_log.py
+++ b/jacinthcart/readings/_merge_log.py
@@ -1,9 +1,9 @@
-"""Logs items whose revisions contradict what this VM knows."""
+"""Logs items whose positions contradict what this VM knows."""
 
 from collections.abc import Iterable
 
-from jacinthcart.readings._source import Item
-from jacinthcart.readings._table import ItemTable
+from jacinthcart.readings._position import Position
+from jacinthcart.readings._table import Item, ItemTable
 from jacinthcart.telemetry import Logger, Metrics
 
 _STORE = 'store'
@@ -24,15 +24,15 @@
         self._logger = logger
         self._metrics = metrics
 
-    def record_read(self, items: Iterable[Item], store_revision: int) -> None:
+    def record_read(self, items: Iterable[Item], position: Position) -> None:
         """Record the items of a read or watch of the store.
 
-        `store_revision` is the store's revision by the same answer.
+        `position` is that of the store by the same answer.
         """
         for item in items:
             known = self._table.get(item.key)
-            self._record_ignored(item, known, _STORE, store_revision)
-            self._record_missed(item, known, store_revision)
+            self._record_ignored(item, known, _STORE, position)
+            self._record_missed(item, known, position)
 
     def record_pull(self, items: Iterable[Item]) -> None:
         """Record the items of a pull from a peer."""
@@ -44,45 +44,46 @@
         item: Item,
         known: Item | None,
         source: str,
-        store_revision: int | None = None,
+        store_position: Position | None = None,
     ) -> None:
         if known is None or item.content == known.content:
             return
-        if item.revision > known.revision:
+        if item.position > known.position:
             return
-        if item.revision == known.revision:
-            # A store gives a revision only once, unless it came back from an
-            # older copy.
+        if item.position == known.position:
+            # A store gives a position only once. Content that is kept over a
+            # return of the store differs, too.
             counter = 'reused_revision'
-            event = 'item with a known revision but other content ignored'
+            event = 'item with a known position but other content'
         else:
             counter = 'older_ignored'
-            event = 'item with a lower revision ignored'
+            event = 'item with a lower position ignored'
         self._metrics.count('table', counter)
         self._logger.warning(
             event,
             limit_key=f'{counter} {source}',
             key=item.key,
-            revision=item.revision,
-            known_revision=known.revision,
+            position=str(item.position),
+            known=str(known.position),
             source=source,
-            store_revision=store_revision,
+            store=None if store_position is None else str(store_position),
         )
 
     def _record_missed(
-        self, item: Item, known: Item | None, store_revision: int
+        self, item: Item, known: Item | None, store_position: Position
     ) -> None:
-        known_revision = known.revision if known else 0
         complete_to = self._table.complete_to
-        if not known_revision < item.revision <= complete_to:
+        if known is not None and item.position <= known.position:
+            return
+        if item.position > complete_to:
             return
         self._metrics.count('table', 'missed_change')
         self._logger.warning(
             'change missed by the copy',
             limit_key='missed_change',
             key=item.key,
-            revision=item.revision,
-            known_revision=known.revision if known else None,
-            complete_to=complete_to,
-            store_revision=store_revision,
+            position=str(item.position),
+            known=None if known is None else str(known.position),
+            complete_to=str(complete_to),
+            store=str(store_position),
         )
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -12,8 +12,8 @@
 from jacinthcart.network import Endpoint
 from jacinthcart.readings._lease import FreshnessLease
 from jacinthcart.readings._merge_log import MergeLog
-from jacinthcart.readings._source import Item
-from jacinthcart.readings._table import ItemTable
+from jacinthcart.readings._position import Position
+from jacinthcart.readings._table import Item, ItemTable
 from jacinthcart.telemetry import Logger, Metrics
 from jacinthcart.wire import HttpConnection, decode_json, encode_json
 
@@ -30,14 +30,32 @@
     """Wire form of one item."""
 
     key: str
-    revision: int
+    revision: int = pydantic.Field(ge=0)
     content: str | None
+    #: Era of the revision. VMs of a release without eras send none.
+    era: int = pydantic.Field(default=0, ge=0)
+    #: Era in which the content was written; None for that of the revision.
+    written_in: int | None = None
+    is_missing: bool = False
+
+    def decode(self) -> Item:
+        """Return the item; raise InvalidMessageError."""
+        written_in = self.era if self.written_in is None else self.written_in
+        return Item(
+            self.key,
+            Position(self.era, self.revision),
+            _decode(self.content),
+            written_in,
+            self.is_missing,
+        )
 
 
 class _ChangesMessage(pydantic.BaseModel):
     """Wire form of the items a peer lacks and the age of the proof."""
 
-    complete_to: int
+    complete_to: int = pydantic.Field(ge=0)
+    #: Era of `complete_to`.
+    era: int = pydantic.Field(default=0, ge=0)
     age_s: float | None
     items: list[_ItemMessage]
 
@@ -50,25 +68,23 @@
         self._table = table
         self._lease = lease
 
-    def answer(self, after: int) -> bytes:
+    def answer(self, after: int, era: int | None = None) -> bytes:
         """Return the changes for a peer that has those up to `after`.
 
+        `era` is that of `after`. A VM of a release without eras gives None,
+        which stands for the current one.
+
         The message is compressed, because entries of searchers are similar
         to each other and traffic between data centres is charged.
         """
-        changes = self._table.list_changes(after)
+        after_era = self._table.newest.era if era is None else era
+        changes = self._table.list_changes(Position(after_era, after))
         age_s = self._lease.age_s
         message = {
-            'complete_to': changes.complete_to,
+            'complete_to': changes.complete_to.revision,
+            'era': changes.complete_to.era,
             'age_s': age_s if math.isfinite(age_s) else None,
-            'items': [
-                {
-                    'key': item.key,
-                    'revision': item.revision,
-                    'content': _encode(item.content),
-                }
-                for item in changes.items
-            ],
+            'items': [_encode_item(item) for item in changes.items],
         }
         return zlib.compress(encode_json(message))
 
@@ -91,23 +107,23 @@
         self._metrics = metrics
         self._is_busy = False
 
-    def is_covered(self, revision: int) -> bool:
+    def is_covered(self, newest: Position) -> bool:
         """Return whether a peer's proof also holds for this VM's copy.
 
-        `revision` is the highest one that the peer knows.
+        `newest` is the highest position that the peer knows.
         """
-        return revision <= self.table.revision
+        return newest <= self.table.newest
 
-    def is_behind(self, revision: int, complete_to: int) -> bool:
+    def is_behind(self, newest: Position, complete_to: Position) -> bool:
         """Return whether a peer has items that this VM may lack.
 
-        `revision` is the highest one that the peer knows. It is not enough
+        `newest` is the highest position that the peer knows. It is not enough
         to compare it: a read of some keys gets their newest changes, while
         earlier changes of other keys arrive later. `complete_to` is the
-        revision up to which the peer has every change.
+        position up to which the peer has every change.
         """
         is_complete = complete_to <= self.table.complete_to
-        return not (is_complete and self.is_covered(revision))
+        return not (is_complete and self.is_covered(newest))
 
     async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
         """Fetch and merge a peer's changes; count and log failures.
@@ -138,10 +154,11 @@
             _CONNECT_TIMEOUT_S,
         )
         try:
+            after = self.table.complete_to
             asked_at = self.lease.clock()
             response = await connection.request(
                 'GET',
-                f'{PULL_PATH}?after={self.table.complete_to}',
+                f'{PULL_PATH}?after={after.revision}&era={after.era}',
                 max_body_bytes=_MAX_TABLE_BYTES,
             )
         finally:
@@ -155,13 +172,10 @@
         except pydantic.ValidationError as error:
             raise InvalidMessageError(str(error)) from error
         self._metrics.count('pull', 'answered')
-        items = [
-            Item(item.key, item.revision, _decode(item.content))
-            for item in changes.items
-        ]
+        items = [item.decode() for item in changes.items]
         self._merge_log.record_pull(items)
         self.table.merge(items)
-        self.table.mark_complete_to(changes.complete_to)
+        self.table.mark_complete_to(Position(changes.era, changes.complete_to))
         if changes.age_s is not None:
             self.lease.record_peer_proof(asked_at, changes.age_s)
 
@@ -175,6 +189,20 @@
     return decode_json(text)
 
 
+def _encode_item(item: Item) -> dict[str, Any]:
+    encoded: dict[str, Any] = {
+        'key': item.key,
+        'revision': item.position.revision,
+        'content': _encode(item.content),
+        'era': item.position.era,
+    }
+    if item.written_in != item.position.era:
+        encoded['written_in'] = item.written_in
+    if item.is_missing:
+        encoded['is_missing'] = True
+    return encoded
+
+
 def _encode(content: bytes | None) -> str | None:
     if content is None:
         return None
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -6,15 +6,18 @@
 
 import anyio
 
+from jacinthcart.readings._eras import EraTracker
 from jacinthcart.readings._lease import FreshnessLease
 from jacinthcart.readings._merge_log import MergeLog
+from jacinthcart.readings._position import Position
 from jacinthcart.readings._source import (
     BaseStore,
     StoreError,
     StoreHistoryLostError,
+    WatchResult,
 )
 from jacinthcart.readings._store_log import StoreLog
-from jacinthcart.readings._table import ItemTable
+from jacinthcart.readings._table import ItemTable, create_item
 from jacinthcart.telemetry import Logger, Metrics
 
 #: Prefix of all keys.
@@ -90,16 +93,15 @@
         self._started_at = lease.clock()
         self._params = params
         self._logger = logger
-        self._metrics = metrics
+        self._log = StoreLog(lease, logger, metrics)
         self._merge_log = MergeLog(table, logger, metrics)
-        self._store_log = StoreLog(logger, metrics)
         self._random = random.Random()
-        #: Revision after which the next watch starts; None if all items must
-        #: be read first: at the start, after a time without the reader role
-        #: and after the store lost its history.
-        self._watched_from: int | None = None
-        #: Whether the last call to the store succeeded.
-        self._is_available = True
+        self._eras = EraTracker(lease.clock)
+        #: Position after which the next watch starts; None if all items must
+        #: be read first: at the start, after a time without the reader role,
+        #: after the store lost its history and in a new era.
+        self._watched_from: Position | None = None
+        self._watch_scope: anyio.CancelScope | None = None
 
     def must_read(self) -> bool:
         """Return whether this VM must read the store now."""
@@ -157,76 +159,81 @@
 
     async def _renew_proof(self) -> bool:
         prefix = self._params.proof_prefix
-        former = self._store_log.newest_revision
         sent_at = self._lease.clock()
         try:
-            result = await self._store.read(prefix, self._params.read_timeout_s)
+            position = await self._read(prefix)
         except StoreError as error:
-            self._record_failure(error)
+            self._log.record_failure(error)
             return False
-        self._record_success()
-        self._store_log.record(result, former)
-        self._merge_log.record_read(result.items, result.revision)
-        self._table.replace_prefix(prefix, result.items, result.revision)
-        # The copy is not current before all items have been read: until then,
-        # items outside the prefix may be missing.
-        if self._watched_from is not None or prefix == _ALL:
+        # The copy is not current before all items have been read in this era:
+        # until then, items outside the prefix may be missing.
+        if self._is_watching(position.era) or prefix == _ALL:
             self._lease.record_own_read(sent_at)
         return True
 
     async def _read_changes(self) -> bool:
         try:
-            if self._watched_from is None:
-                await self._read_all()
-            else:
+            if self._is_watching(self._table.newest.era):
                 await self._watch()
+            else:
+                await self._read_all()
         except StoreHistoryLostError:
             self._watched_from = None
             self._logger.info('store history lost; reading all items again')
         except StoreError as error:
-            self._record_failure(error)
+            self._log.record_failure(error)
             return False
         return True
 
     async def _read_all(self) -> None:
-        former = self._store_log.newest_revision
         sent_at = self._lease.clock()
-        result = await self._store.read(_ALL, self._params.read_timeout_s)
-        self._record_success()
-        self._store_log.record(result, former)
-        self._merge_log.record_read(result.items, result.revision)
-        self._table.replace_prefix(_ALL, result.items, result.revision)
-        self._table.mark_complete_to(result.revision)
-        self._watched_from = result.revision
+        position = await self._read(_ALL)
+        self._table.mark_complete_to(position)
+        self._watched_from = position
         self._lease.record_own_read(sent_at)
 
+    async def _read(self, prefix: str) -> Position:
+        known = self._table.newest
+        result = await self._store.read(prefix, self._params.read_timeout_s)
+        position = self._eras.resolve(result.era, result.revision, known)
+        self._log.record_success()
+        self._log.record_position(position, known, result.era)
+        items = [create_item(one, position.era) for one in result.items]
+        self._merge_log.record_read(items, position)
+        self._table.replace_prefix(prefix, items, position)
+        if not self._is_watching(position.era) and self._watch_scope:
+            self._watch_scope.cancel()
+        return position
+
     async def _watch(self) -> None:
         after = self._watched_from
         if after is None:
             return
-        watched = await self._store.watch(after, self._params.watch_s)
-        self._record_success()
-        self._store_log.record(watched, after)
-        self._merge_log.record_read(watched.items, watched.revision)
-        self._table.merge(watched.items)
-        self._watched_from = max(after, watched.revision)
-        self._table.mark_complete_to(self._watched_from)
-        if watched.items:
-            await anyio.sleep(self._params.watch_pause_s)
-
-    def _record_failure(self, error: StoreError) -> None:
-        self._metrics.count('store_call', 'failed')
-        if self._is_available:
-            self._logger.warning(
-                'platform store unavailable',
-                limit_key='store_unavailable',
-                error=str(error),
-                proof_age_s=round(self._lease.age_s, 3),
+        # A read that finds a new era ends the watch, which may never return.
+        scope = anyio.CancelScope()
+        self._watch_scope = scope
+        with scope:
+            watched = await self._store.watch(
+                after.revision, self._params.watch_s
             )
-        self._is_available = False
+            await self._merge_watched(watched, after)
+
+    async def _merge_watched(
+        self, watched: WatchResult, after: Position
+    ) -> None:
+        position = Position(
+            self._eras.convert(watched.era, after.era), watched.revision
+        )
+        if position < after or position.era > after.era:
+            raise StoreHistoryLostError('watch: store has another history')
+        self._log.record_success()
+        items = [create_item(one, position.era) for one in watched.items]
+        self._merge_log.record_read(items, position)
+        self._table.merge(items)
+        self._watched_from = position
+        self._table.mark_complete_to(position)
+        if items:
+            await anyio.sleep(self._params.watch_pause_s)
 
-    def _record_success(self) -> None:
-        self._metrics.count('store_call', 'answered')
-        if not self._is_available:
-            self._logger.info('platform store available again')
-        self._is_available = True
+    def _is_watching(self, era: int) -> bool:
+        return self._watched_from is not None and self._watched_from.era == era
--- a/jacinthcart/readings/_source.py
+++ b/jacinthcart/readings/_source.py
@@ -7,7 +7,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Item:
+class StoredItem:
     """One key of the store as of its last change."""
 
     key: str
@@ -22,12 +22,11 @@
     """All items whose keys have a given prefix."""
 
     #: Items, sorted by key.
-    items: tuple[Item, ...]
+    items: tuple[StoredItem, ...]
     #: Revision of the store when the first page was read; `items` may lack
     #: later changes.
     revision: int
-    #: Number that the store raises when it comes back from an older copy;
-    #: None if the answer states none. It is only logged.
+    #: Era that the store stated; None if it stated none.
     era: int | None = None
 
 
@@ -36,11 +35,10 @@
     """Changes since a revision."""
 
     #: Changed and removed items, oldest first.
-    items: tuple[Item, ...]
+    items: tuple[StoredItem, ...]
     #: Revision to continue from.
     revision: int
-    #: Number that the store raises when it comes back from an older copy;
-    #: None if the answer states none. It is only logged.
+    #: Era that the store stated; None if it stated none.
     era: int | None = None
 
 
@@ -52,6 +50,10 @@
     """The store no longer has the changes since a revision."""
 
 
+class StoreEraError(StoreError):
+    """An answer contradicts what is known of the store's history."""
+
+
 class BaseStore(abc.ABC):
     """Read-only access to the platform's store."""
 
@@ -59,7 +61,8 @@
     async def read(self, prefix: str, timeout_s: float) -> ReadResult:
         """Return all items with `prefix`, as of the time of the call.
 
-        Raise StoreError.
+        Raise StoreEraError when the store came back from an older copy between
+        two pages, and StoreError for any other failure.
         """
 
     @abc.abstractmethod
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -13,7 +13,11 @@
     MemberTable,
 )
 from jacinthcart.network import BaseDatagrams, Endpoint
-from jacinthcart.readings import FreshnessLease, ItemTable, TablePuller
+from jacinthcart.readings import (
+    FreshnessLease,
+    ItemTable,
+    TablePuller,
+)
 from jacinthcart.telemetry import Metrics, create_logger
 from tests.support import create_member
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -14,6 +14,7 @@
     WorkspaceConfig,
 )
 from jacinthcart.fleet import MemberRecord, MemberState
+from jacinthcart.readings import Item, Position
 from jacinthcart.routing import CallerRequest
 from jacinthcart_lab import _virtual_time as virtual_time
 
@@ -42,6 +43,13 @@
     return virtual_time.run_in_virtual_time(function, *arguments, seed=1)
 
 
+def create_item(
+    key: str, revision: int, content: bytes | None, era: int = 0
+) -> Item:
+    """Return an item as written in `era` at `revision`."""
+    return Item(key, Position(era, revision), content, written_in=era)
+
+
 def create_member(
     address: str,
     state: MemberState = MemberState.ALIVE,
