End the use of searchers and evacuations that stay missing

Seen by callers: requests would go on to searchers that left while the store was away and whose entries it came back without, and an evacuation that it came back without would never end.

Cause: the table keeps a missing key with its content, and the catalogue took it for written.

Change: the adapter passes missing searchers and evacuations on.

Result: without the change test_searcher_without_an_entry_is_used_for_two_seconds fails ('lost' still in use). The other new tests pass without it: they guard what the table and the catalogue keep.

--- a/jacinthcart/platform/_catalogue_updater.py
+++ b/jacinthcart/platform/_catalogue_updater.py
@@ -40,13 +40,22 @@
                 has_evacuations = True
         if has_evacuations:
             self._apply_evacuations()
-        self._catalogue_state.apply_searcher_changes(changes)
+        self._catalogue_state.apply_searcher_changes(
+            changes,
+            {
+                one.key.removeprefix(SERVER_PREFIX)
+                for one in items
+                if one.is_missing
+            },
+        )
 
     def _apply_evacuations(self) -> None:
-        present = self._table.list_existing(EVACUATE_PREFIX)
-        self._catalogue_state.update_evacuated(
-            frozenset(one.key.removeprefix(EVACUATE_PREFIX) for one in present),
-        )
+        written: set[str] = set()
+        missing: set[str] = set()
+        for item in self._table.list_existing(EVACUATE_PREFIX):
+            data_centres = missing if item.is_missing else written
+            data_centres.add(item.key.removeprefix(EVACUATE_PREFIX))
+        self._catalogue_state.update_evacuated(written, missing)
 
     def _apply_config(self, item: Item) -> None:
         if item.content is None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,11 +5,12 @@
 
 import logbook
 
-from jacinthcart.catalogue import CatalogueState, find_route
+from jacinthcart.catalogue import CatalogueState, SearcherState, find_route
 from jacinthcart.errors import InvalidMessageError
 from jacinthcart.platform._catalogue_updater import CatalogueUpdater
 from jacinthcart.platform._documents import decode_catalogue, decode_searcher
-from jacinthcart.readings import ItemTable
+from jacinthcart.platform._document_versions import DocumentVersions
+from jacinthcart.readings import ItemTable, Position
 from jacinthcart.telemetry import create_logger
 from jacinthcart.wire import encode_json
 from tests.support import ManualClock, create_item
@@ -200,3 +201,66 @@
         self.assertEqual(self.state.evacuated, {'a'})
         self.table.merge([create_item('op/evacuate/a', 7, None)])
         self.assertEqual(self.state.evacuated, frozenset())
+
+
+class StoreReturnTests(unittest.TestCase):
+    """The store comes back from an older copy."""
+
+    def setUp(self) -> None:
+        """Put a configuration in force, with a searcher and an evacuation."""
+        logger = create_logger('test')
+        self.clock = ManualClock()
+        self.table = ItemTable('op/', DocumentVersions())
+        self.state = CatalogueState(self.clock, logger)
+        CatalogueUpdater(self.table, self.state, logger)
+        self.config = encode_json(create_document(version=9))
+        self.table.merge(
+            [
+                create_item('op/config', 5, self.config),
+                create_item('op/evacuate/a', 6, b'{}'),
+                create_item('servers/lost', 7, create_entry()),
+                create_item(
+                    'servers/leaving',
+                    8,
+                    create_entry(state='draining', sequence=8),
+                ),
+            ]
+        )
+
+    def test_searcher_without_an_entry_is_used_for_two_seconds(self) -> None:
+        """Guards against losing searchers before they have written again."""
+        self._come_back()
+        self.assertIn('lost', self.state.searchers_by_id)
+        self.clock.advance(2)
+        self.state.remove_lapsed()
+        self.assertNotIn('lost', self.state.searchers_by_id)
+
+    def test_evacuation_without_a_key_stays_in_force(self) -> None:
+        """Guards against requests to a data centre that is being taken out."""
+        self._come_back()
+        self.assertEqual(self.state.evacuated, {'a'})
+        self.table.merge([create_item('op/evacuate/a', 5, None, era=1)])
+        self.assertEqual(self.state.evacuated, frozenset())
+
+    def test_earlier_entry_does_not_undo_leaving(self) -> None:
+        """Guards against requests to a searcher that said it leaves."""
+        self._come_back()
+        leaving = self.state.searchers_by_id['leaving']
+        self.assertEqual(leaving.state, SearcherState.DRAINING)
+
+    def test_earlier_configuration_is_neither_used_nor_logged(self) -> None:
+        """Guards against a version that goes back."""
+        with logbook.TestHandler() as handler:
+            self._come_back()
+        assert self.state.catalogue is not None
+        self.assertEqual(self.state.catalogue.version, 9)
+        messages = {record.message for record in handler.records}
+        self.assertNotIn('configuration in force', messages)
+
+    def _come_back(self) -> None:
+        copy = [
+            create_item('op/config', 2, encode_json(create_document()), era=1),
+            create_item('servers/leaving', 3, create_entry(sequence=4), era=1),
+        ]
+        self.table.replace_prefix('', copy, Position(1, 4))
+        self.table.mark_complete_to(Position(1, 4))
