Accept a proof of freshness only for the contents that it names

Seen by callers: VMs that had missed a change, or a removal, kept the old configuration or evacuation for good with fresh proofs, while one VM was ahead with the same proof.

Cause: a proof said that a copy is fresh without saying of what. Peers compared positions, which tell what a copy should have. A change below the mark up to which a copy is complete was never sent, and neither was a removal from before the start of the VM that peers pull from.

Change: pings, acknowledgements and answers to pulls name a digest of the contents that the proof covers, and a VM takes a proof only if its own digest is the same. Copies that differ at one position are repaired by a transfer of all items; the newer proof decides which keys exist. A VM that may not know every removal since a position answers with all its items, and the receiver drops what it lacks. Whether a key is missing follows from its era, so that a removal from before a return stands. Proofs of VMs of the former release name no digest and count for nothing; those VMs read the store themselves until peers of this release are found.

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -158,7 +158,7 @@
         sent_at = self._detector.record_ack(address, received.seq)
         if sent_at is None:
             return
-        is_covered = self._puller.is_covered(received.newest)
+        is_covered = self._puller.is_covered(received.digest)
         if is_covered and received.age_s is not None:
             self._lease.record_peer_proof(sent_at, received.age_s)
         if self.anti_entropy.handle_answer(received, has_learned=has_learned):
@@ -168,15 +168,15 @@
         self, received: FleetMessage, sender: MemberRecord
     ) -> None:
         address = sender.address
-        is_source = (
-            self._sources.has_newer_proof(received)
-            or address in self._sources.list_sources()
+        puller = self._puller
+        is_repair = puller.must_repair(received.newest, received.digest)
+        is_behind = puller.is_behind(received.newest, received.complete_to)
+        must_pull = is_repair or (
+            is_behind and self._sources.is_source(received)
         )
-        if self._tasks is None or not is_source:
-            return
-        if self._puller.is_behind(received.newest, received.complete_to):
+        if self._tasks is not None and must_pull:
             endpoint = Endpoint(address=address, port=self._port)
-            self._tasks.start_soon(self._puller.pull, address, endpoint)
+            self._tasks.start_soon(puller.pull, address, endpoint, is_repair)
 
     def _list_credible(self, received: FleetMessage) -> list[MemberRecord]:
         # A member that others can't reach may be unable to hear them, so its
@@ -230,6 +230,7 @@
             newest=self._table.newest,
             complete_to=self._table.complete_to,
             age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+            digest=self._table.digest,
             described=described,
             records=tuple(records),
         )
--- a/jacinthcart/fleet/_messages.py
+++ b/jacinthcart/fleet/_messages.py
@@ -84,6 +84,9 @@
     complete_to: Position
     #: Age of the sender's freshness proof in seconds; None without one.
     age_s: float | None
+    #: Digest of the contents that the proof covers; None from VMs of a release
+    #: without digests.
+    digest: str | None
     #: In a ping that requests the receiver's list, the description of the
     #: sender's list (see MemberLog.describe); in the answer to it, a digest of
     #: the answering VM's description; otherwise None.
@@ -106,6 +109,8 @@
         }
         if self.newest.era:
             message[_ERA] = self.newest.era
+        if self.digest is not None:
+            message[_DIGEST] = self.digest
         if self.complete_to != self.newest:
             message[_COMPLETE_TO] = self.complete_to.revision
         if self.complete_to.era != self.newest.era:
@@ -119,6 +124,8 @@
 #: Key of the era of the newest position; absent for 0, and in messages of VMs
 #: of a release without eras.
 _ERA = 'e'
+#: Key of the digest of the contents that the proof covers.
+_DIGEST = 'd'
 #: Key of the era of `complete_to`; absent if it is that of the newest position.
 _COMPLETE_ERA = 'f'
 
@@ -135,6 +142,7 @@
     complete_to: int = pydantic.Field(ge=0)
     era: int = pydantic.Field(ge=0)
     complete_era: int = pydantic.Field(ge=0)
+    digest: str | None
 
 
 #: Fields of the list in a message, in order.
@@ -156,6 +164,7 @@
         newest=Position(body.era, body.revision),
         complete_to=Position(body.complete_era, body.complete_to),
         age_s=body.age_s,
+        digest=body.digest,
         described=body.described,
         records=tuple(unpack_record(record) for record in body.records),
     )
@@ -165,6 +174,7 @@
     named = dict(zip(_LISTED_FIELDS, message.get('b', ()), strict=True))
     named['complete_to'] = message.get(_COMPLETE_TO, named['revision'])
     named['era'] = message.get(_ERA, 0)
+    named['digest'] = message.get(_DIGEST)
     named['complete_era'] = message.get(_COMPLETE_ERA, named['era'])
     return _Body.model_validate(named)
 
--- a/jacinthcart/fleet/_sources.py
+++ b/jacinthcart/fleet/_sources.py
@@ -51,6 +51,11 @@
         )
         return self._lease.age_s > stale_s
 
+    def is_source(self, received: FleetMessage) -> bool:
+        """Return whether to pull from the sender what this VM lacks."""
+        is_listed = received.sender.address in self.list_sources()
+        return is_listed or self.has_newer_proof(received)
+
     def has_newer_proof(self, received: FleetMessage) -> bool:
         """Return whether to pull from the sender, whatever its rank.
 
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -13,6 +13,7 @@
 )
 from jacinthcart.node._handler import BaseNodeHandler
 from jacinthcart.node._node import Node
+from jacinthcart.readings import START, ItemTable
 from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import encode_json
 
@@ -67,7 +68,7 @@
         'is_ready': node.is_ready,
         'version': catalogue.version if catalogue else None,
         'era': node.table.newest.era,
-        'operator_revision': node.table.operator_position.revision,
+        'operator_revision': _find_operator_revision(node.table),
         'newest_revision': node.table.newest.revision,
         'complete_to': node.table.complete_to.revision,
         'proof_age_s': round(age_s, 3) if math.isfinite(age_s) else None,
@@ -85,6 +86,16 @@
     }
 
 
+def _find_operator_revision(table: ItemTable) -> int:
+    """Return the highest revision of the keys that a proof must cover."""
+    positions = [
+        item.position
+        for item in table.list_changes(START).items
+        if item.key.startswith(table.proof_prefix)
+    ]
+    return max(positions, default=START).revision
+
+
 def encode_metrics(node: Node) -> bytes:
     """Return counters, gauges and latency quantiles in Prometheus format."""
     # Imported on the first request only, as the library takes memory on
--- a/jacinthcart/platform/_catalogue_updater.py
+++ b/jacinthcart/platform/_catalogue_updater.py
@@ -45,7 +45,7 @@
             {
                 one.key.removeprefix(SERVER_PREFIX)
                 for one in items
-                if one.is_missing
+                if self._table.is_missing(one)
             },
         )
 
@@ -53,7 +53,7 @@
         written: set[str] = set()
         missing: set[str] = set()
         for item in self._table.list_existing(EVACUATE_PREFIX):
-            data_centres = missing if item.is_missing else written
+            data_centres = missing if self._table.is_missing(item) else written
             data_centres.add(item.key.removeprefix(EVACUATE_PREFIX))
         self._catalogue_state.update_evacuated(written, missing)
 
--- a/jacinthcart/readings/__init__.py
+++ b/jacinthcart/readings/__init__.py
@@ -4,6 +4,7 @@
 a proof of how fresh its copy is.
 """
 
+from jacinthcart.readings._item import Item
 from jacinthcart.readings._lease import FreshnessLease
 from jacinthcart.readings._position import START, Position
 from jacinthcart.readings._pull import (
@@ -25,7 +26,7 @@
     StoreHistoryLostError,
     WatchResult,
 )
-from jacinthcart.readings._table import Changes, Item, ItemTable
+from jacinthcart.readings._table import Changes, ItemTable
 from jacinthcart.readings._versions import (
     BaseContentVersions,
     ContentVersion,
--- a/jacinthcart/readings/_merge_log.py
+++ b/jacinthcart/readings/_merge_log.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 
+from jacinthcart.readings._item import Item
 from jacinthcart.readings._position import Position
-from jacinthcart.readings._table import Item, ItemTable
+from jacinthcart.readings._table import ItemTable
 from jacinthcart.telemetry import Logger, Metrics
 
 _STORE = 'store'
--- a/jacinthcart/readings/_position.py
+++ b/jacinthcart/readings/_position.py
@@ -16,6 +16,11 @@
     #: Revision of the store within the era.
     revision: int = 0
 
+    @property
+    def next(self) -> 'Position':
+        """The position of the next change in the same era."""
+        return Position(self.era, self.revision + 1)
+
     def __str__(self) -> str:
         """Return the form for logs, such as `2.870`."""
         return f'{self.era}.{self.revision}'
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -10,10 +10,11 @@
 
 from jacinthcart.errors import InvalidMessageError, WireError
 from jacinthcart.network import Endpoint
+from jacinthcart.readings._item import Item
 from jacinthcart.readings._lease import FreshnessLease
 from jacinthcart.readings._merge_log import MergeLog
-from jacinthcart.readings._position import Position
-from jacinthcart.readings._table import Item, ItemTable
+from jacinthcart.readings._position import START, Position
+from jacinthcart.readings._table import Changes, ItemTable
 from jacinthcart.telemetry import Logger, Metrics
 from jacinthcart.wire import HttpConnection, decode_json, encode_json
 
@@ -22,6 +23,8 @@
 #: acknowledgement of a peer.
 _PULL_TIMEOUT_S = 0.8
 _CONNECT_TIMEOUT_S = 0.3
+#: Minimum time in seconds between two repairs.
+_REPAIR_INTERVAL_S = 1.0
 #: Maximum size of a decompressed table in bytes: 500 of the largest values.
 _MAX_TABLE_BYTES = 1 << 29
 
@@ -36,7 +39,6 @@
     era: int = pydantic.Field(default=0, ge=0)
     #: Era in which the content was written; None for that of the revision.
     written_in: int | None = None
-    is_missing: bool = False
 
     def decode(self) -> Item:
         """Return the item; raise InvalidMessageError."""
@@ -46,7 +48,6 @@
             Position(self.era, self.revision),
             _decode(self.content),
             written_in,
-            self.is_missing,
         )
 
 
@@ -57,6 +58,11 @@
     #: Era of `complete_to`.
     era: int = pydantic.Field(default=0, ge=0)
     age_s: float | None
+    #: Digest of the contents that the proof covers. VMs of a release without
+    #: digests send none, and their proofs count for nothing.
+    digest: str | None = None
+    #: Whether the items are all that the sender knows.
+    is_full: bool = False
     items: list[_ItemMessage]
 
 
@@ -84,6 +90,8 @@
             'complete_to': changes.complete_to.revision,
             'era': changes.complete_to.era,
             'age_s': age_s if math.isfinite(age_s) else None,
+            'digest': self._table.digest,
+            'is_full': changes.is_full,
             'items': [_encode_item(item) for item in changes.items],
         }
         return zlib.compress(encode_json(message))
@@ -106,13 +114,31 @@
         self._logger = logger
         self._metrics = metrics
         self._is_busy = False
+        self._has_pulled = False
+        self._repaired_at = -math.inf
 
-    def is_covered(self, newest: Position) -> bool:
+    def is_covered(self, digest: str | None) -> bool:
         """Return whether a peer's proof also holds for this VM's copy.
 
-        `newest` is the highest position that the peer knows.
+        `digest` is that of the contents that the proof covers. Positions would
+        not be enough: they tell what a copy should have, not what it has.
         """
-        return newest <= self.table.newest
+        return digest == self.table.digest
+
+    def must_repair(self, newest: Position, digest: str | None) -> bool:
+        """Return whether to fetch all items of a peer.
+
+        This is so if the copies differ although neither is ahead, and for the
+        first pull: a VM that has read the store itself may lack what its peers
+        keep although the store came back without it.
+        """
+        if newest == START or newest < self.table.newest:
+            return False
+        if not self._has_pulled:
+            return self.table.complete_to != START
+        is_due = self.lease.clock() - self._repaired_at >= _REPAIR_INTERVAL_S
+        is_level = newest == self.table.newest
+        return is_due and is_level and digest not in {None, self.table.digest}
 
     def is_behind(self, newest: Position, complete_to: Position) -> bool:
         """Return whether a peer has items that this VM may lack.
@@ -122,20 +148,24 @@
         earlier changes of other keys arrive later. `complete_to` is the
         position up to which the peer has every change.
         """
-        is_complete = complete_to <= self.table.complete_to
-        return not (is_complete and self.is_covered(newest))
+        table = self.table
+        return complete_to > table.complete_to or newest > table.newest
 
-    async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
+    async def pull(
+        self, peer_id: str, endpoint: Endpoint, is_repair: bool = False
+    ) -> None:
         """Fetch and merge a peer's changes; count and log failures.
 
-        Do nothing while another pull is in progress.
+        A repair fetches all items, not only those after the position up to
+        which this copy is complete. Do nothing while another pull is in
+        progress.
         """
         if self._is_busy:
             return
         self._is_busy = True
         try:
             with anyio.fail_after(_PULL_TIMEOUT_S):
-                await self._pull(endpoint)
+                await self._pull(endpoint, is_repair)
         except (WireError, InvalidMessageError, TimeoutError) as error:
             self._metrics.count('pull', 'failed')
             self._logger.warning(
@@ -147,14 +177,14 @@
         finally:
             self._is_busy = False
 
-    async def _pull(self, endpoint: Endpoint) -> None:
+    async def _pull(self, endpoint: Endpoint, is_repair: bool) -> None:
         connection = await HttpConnection.open(
             endpoint.address,
             endpoint.port,
             _CONNECT_TIMEOUT_S,
         )
         try:
-            after = self.table.complete_to
+            after = START if is_repair else self.table.complete_to
             asked_at = self.lease.clock()
             response = await connection.request(
                 'GET',
@@ -165,6 +195,9 @@
             with anyio.CancelScope(shield=True):
                 await connection.close()
         self._merge(asked_at, _decompress(response.body))
+        self._has_pulled = True
+        if is_repair:
+            self._repaired_at = asked_at
 
     def _merge(self, asked_at: float, message: Any) -> None:
         try:
@@ -174,9 +207,16 @@
         self._metrics.count('pull', 'answered')
         items = [item.decode() for item in changes.items]
         self._merge_log.record_pull(items)
-        self.table.merge(items)
-        self.table.mark_complete_to(Position(changes.era, changes.complete_to))
-        if changes.age_s is not None:
+        age_s = math.inf if changes.age_s is None else changes.age_s
+        self.table.merge_changes(
+            Changes(
+                tuple(items),
+                Position(changes.era, changes.complete_to),
+                changes.is_full,
+            ),
+            is_proof_newer=asked_at - age_s > self.lease.proof_at,
+        )
+        if changes.age_s is not None and self.is_covered(changes.digest):
             self.lease.record_peer_proof(asked_at, changes.age_s)
 
 
@@ -198,8 +238,6 @@
     }
     if item.written_in != item.position.era:
         encoded['written_in'] = item.written_in
-    if item.is_missing:
-        encoded['is_missing'] = True
     return encoded
 
 
--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -7,6 +7,7 @@
 import anyio
 
 from jacinthcart.readings._eras import EraTracker
+from jacinthcart.readings._item import create_item
 from jacinthcart.readings._lease import FreshnessLease
 from jacinthcart.readings._merge_log import MergeLog
 from jacinthcart.readings._position import Position
@@ -17,7 +18,7 @@
     WatchResult,
 )
 from jacinthcart.readings._store_log import StoreLog
-from jacinthcart.readings._table import ItemTable, create_item
+from jacinthcart.readings._table import ItemTable
 from jacinthcart.telemetry import Logger, Metrics
 
 #: Prefix of all keys.
@@ -188,7 +189,7 @@
     async def _read_all(self) -> None:
         sent_at = self._lease.clock()
         position = await self._read(_ALL)
-        self._table.mark_complete_to(position)
+        self._table.mark_complete_to(position, is_complete_read=True)
         self._watched_from = position
         self._lease.record_own_read(sent_at)
 
@@ -200,7 +201,9 @@
         self._log.record_position(position, known, result.era)
         items = [create_item(one, position.era) for one in result.items]
         self._merge_log.record_read(items, position)
-        self._table.replace_prefix(prefix, items, position)
+        self._table.replace_prefix(
+            prefix, items, position, None if prefix == _ALL else known
+        )
         if not self._is_watching(position.era) and self._watch_scope:
             self._watch_scope.cancel()
         return position
--- a/jacinthcart/readings/_table.py
+++ b/jacinthcart/readings/_table.py
@@ -1,35 +1,24 @@
 """The copy of the store's items that VMs exchange and merge."""
 
 import dataclasses
+import hashlib
+import operator
 from collections.abc import Callable, Iterable
 
+from jacinthcart.readings._item import (
+    Item,
+    ItemResolver,
+)
 from jacinthcart.readings._position import START, Position
-from jacinthcart.readings._source import StoredItem
 from jacinthcart.readings._versions import (
     BaseContentVersions,
-    ContentVersion,
     NoContentVersions,
 )
 
-#: Called with the items that changed.
-ItemListener = Callable[[list['Item']], None]
-
+_DIGEST_BYTES = 6
 
-@dataclasses.dataclass(frozen=True)
-class Item:
-    """One key as of its last known change."""
-
-    key: str
-    #: Position of the store at the last change.
-    position: Position
-    #: Stored bytes; None for a removed key.
-    content: bytes | None
-    #: Era in which the store held this content. It is lower than that of the
-    #: position if the store came back without it.
-    written_in: int
-    #: Whether the store came back without the key, and nobody has written it
-    #: again yet.
-    is_missing: bool = False
+#: Called with the items that changed.
+ItemListener = Callable[[list[Item]], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +29,8 @@
     items: tuple[Item, ...]
     #: Position up to which the sender has every change.
     complete_to: Position
+    #: Whether the items are all that the sender knows.
+    is_full: bool = False
 
 
 class ItemTable:
@@ -51,7 +42,7 @@
 
     The store may come back from an older copy. Contents that were acknowledged
     before are kept until they are written again: where the copy has content of
-    a lower version, and where it lacks the key.
+    a lower version, and where it lacks the key, which then is missing.
     """
 
     def __init__(
@@ -66,11 +57,16 @@
         """
         #: Position up to which this table has every change.
         self.complete_to = START
+        #: Position from which this table has every removal. Before, it may
+        #: never have known a key that was removed.
+        self._history_from = START
         self.listeners: list[ItemListener] = []
-        self._proof_prefix = proof_prefix
-        self._versions = versions or NoContentVersions()
+        #: Prefix of the keys that a proof must cover.
+        self.proof_prefix = proof_prefix
+        self._resolver = ItemResolver(versions or NoContentVersions())
         self._newest = START
         self._item_by_key: dict[str, Item] = {}
+        self._cached_digest: str | None = None
 
     @property
     def newest(self) -> Position:
@@ -78,80 +74,136 @@
         return max(self.complete_to, self._newest)
 
     @property
-    def operator_position(self) -> Position:
-        """The highest position of the keys that a proof must cover.
+    def digest(self) -> str:
+        """A digest of the contents that a proof must cover.
 
-        Removed keys count, too.
+        It leaves out missing items, which prove nothing.
         """
-        return max(
-            (
-                item.position
-                for key, item in self._item_by_key.items()
-                if key.startswith(self._proof_prefix)
-            ),
-            default=START,
-        )
+        if self._cached_digest is None:
+            hashed = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+            for item in sorted(
+                self.list_existing(self.proof_prefix),
+                key=operator.attrgetter('key'),
+            ):
+                if not self.is_missing(item):
+                    hashed.update(_describe(item))
+            self._cached_digest = hashed.hexdigest()
+        return self._cached_digest
 
     def get(self, key: str) -> Item | None:
         """Return the known item of a key, even if it was removed."""
         return self._item_by_key.get(key)
 
-    def mark_complete_to(self, position: Position) -> None:
-        """Record that this table has every change up to a position."""
+    def is_missing(self, item: Item) -> bool:
+        """Return whether the store came back without an existing item."""
+        return (
+            item.content is not None
+            and item.position.era < self.complete_to.era
+        )
+
+    def mark_complete_to(
+        self, position: Position, *, is_complete_read: bool = False
+    ) -> None:
+        """Record that this table has every change up to a position.
+
+        After a complete read, it may not know every removal before.
+        """
+        if is_complete_read:
+            self._history_from = max(self._history_from, position)
+        is_new_era = position.era > self.complete_to.era
         self.complete_to = max(self.complete_to, position)
+        if is_new_era:
+            self._cached_digest = None
+            self._notify(
+                [one for one in self.list_existing('') if self.is_missing(one)]
+            )
 
     def merge(self, items: Iterable[Item]) -> int:
-        """Store the items that are newer and return the number of changes."""
-        changed = []
-        for item in items:
-            known = self._item_by_key.get(item.key)
-            merged = (
-                self._admit(item)
-                if known is None
-                else self._resolve(known, item)
-            )
-            if merged == known:
-                continue
-            self._put(merged)
-            if known is None or _is_visible_change(known, merged):
-                changed.append(merged)
-        if changed:
-            for listener in self.listeners:
-                listener(changed)
-        return len(changed)
+        """Store the items that are newer and return the number of changes.
+
+        Unknown keys that were removed before `complete_to` stay so.
+        """
+        return self._merge(
+            item for item in items if not self._is_known_removal(item)
+        )
+
+    def merge_changes(self, changes: Changes, *, is_proof_newer: bool) -> None:
+        """Merge what a peer sent.
+
+        `is_proof_newer` tells whether the peer's proof is newer than that of
+        this VM. If two complete copies differ, the newer proof decides on the
+        keys that it covers.
+        """
+        complete_to = changes.complete_to
+        if not changes.is_full or complete_to < self.complete_to:
+            self.merge(changes.items)
+        elif complete_to > self.complete_to:
+            self.replace_prefix('', changes.items, complete_to)
+            self.mark_complete_to(complete_to, is_complete_read=True)
+        elif is_proof_newer:
+            prefix = self.proof_prefix
+            covered = [
+                one for one in changes.items if one.key.startswith(prefix)
+            ]
+            self.merge(changes.items)
+            self.replace_prefix(prefix, covered, complete_to)
+        else:
+            self.merge(changes.items)
+        self.mark_complete_to(complete_to)
 
     def replace_prefix(
         self,
         prefix: str,
         items: Iterable[Item],
         position: Position,
+        known_before: Position | None = None,
     ) -> int:
         """Apply a complete read of the keys with `prefix` at `position`.
 
         Keys missing from the read have been removed, unless their last known
-        change is newer than the read. Keys of an earlier era are missing
-        instead: the store may have lost them without a removal.
+        change is newer than the read or than `known_before`, the highest
+        position that was known when the read began. Keys of an earlier era are
+        kept: the store may have lost them without a removal.
         """
+        if position.era > self._newest.era:
+            self._newest = position
+        removed_before = position
+        if known_before is not None:
+            removed_before = min(position, known_before.next)
         present = {item.key: item for item in items}
         absent = [
-            _mark_absent(known, position)
+            dataclasses.replace(known, content=None)
             for key, known in self._item_by_key.items()
             if key.startswith(prefix)
             and key not in present
             and known.content is not None
-            and known.position < position
+            and Position(position.era) <= known.position < removed_before
         ]
-        return self.merge([*present.values(), *absent])
+        # A write that the read shows has not been removed, whatever a former
+        # read lacked.
+        for key in present.keys() & self._item_by_key.keys():
+            known = self._item_by_key[key]
+            if (
+                known.content is None
+                and known.position == present[key].position
+            ):
+                self._item_by_key.pop(key)
+        return self._merge([*present.values(), *absent])
 
     def list_changes(self, after: Position) -> Changes:
-        """Return the items that changed after a position."""
+        """Return the items that changed after a position.
+
+        Return all items if removals after the position may be unknown.
+        """
+        is_full = after < self._history_from or after == START
         return Changes(
             tuple(
                 item
                 for item in self._item_by_key.values()
-                if item.position > after
+                if is_full or item.position > after
             ),
             self.complete_to,
+            is_full,
         )
 
     def list_existing(self, prefix: str) -> list[Item]:
@@ -165,75 +217,39 @@
             if key.startswith(prefix) and item.content is not None
         ]
 
-    def _put(self, item: Item) -> None:
-        self._item_by_key[item.key] = item
-        self._newest = max(self._newest, item.position)
-
-    def _admit(self, item: Item) -> Item:
-        # A complete read in a later era has shown that the key is absent.
-        if item.content is None or item.position.era >= self.complete_to.era:
-            return item
-        return dataclasses.replace(
-            item, position=self.complete_to, is_missing=True
-        )
+    def _merge(self, items: Iterable[Item]) -> int:
+        changed = []
+        for item in items:
+            known = self._item_by_key.get(item.key)
+            merged = self._resolver.resolve(known, item) if known else item
+            if item.key.startswith(self.proof_prefix):
+                self._cached_digest = None
+            self._item_by_key[item.key] = merged
+            self._newest = max(self._newest, merged.position)
+            if self._is_visible_change(known, merged):
+                changed.append(merged)
+        self._notify(changed)
+        return len(changed)
 
-    def _resolve(self, known: Item, item: Item) -> Item:
-        """Return what two items of a key amount to, in either order."""
-        if item.position == known.position:
-            return max(known, item, key=self._rank)
-        earlier, later = (
-            (known, item) if known.position < item.position else (item, known)
-        )
-        era = later.position.era
-        if earlier.written_in == era and later.written_in == era:
-            return later
-        if earlier.content is None or later.content is None:
-            return later
-        if self._get_version(earlier) > self._get_version(later):
-            return dataclasses.replace(
-                earlier,
-                position=later.position,
-                is_missing=later.is_missing,
-            )
-        return later
+    def _notify(self, changed: list[Item]) -> None:
+        if not changed:
+            return
+        for listener in self.listeners:
+            listener(changed)
 
-    def _rank(
-        self, item: Item
-    ) -> tuple[bool, ContentVersion, bool, int, bytes]:
+    def _is_known_removal(self, item: Item) -> bool:
         return (
-            item.content is None,
-            self._get_version(item),
-            not item.is_missing,
-            item.written_in,
-            item.content or b'',
+            item.key not in self._item_by_key
+            and item.position.era == self.complete_to.era
+            and item.position <= self.complete_to
         )
 
-    def _get_version(self, item: Item) -> ContentVersion:
-        if item.content is None:
-            return ()
-        return self._versions.get_version(item.key, item.content) or ()
-
-
-def create_item(stored: StoredItem, era: int) -> Item:
-    """Return an item that the store holds in an era."""
-    return Item(
-        stored.key,
-        Position(era, stored.revision),
-        stored.content,
-        written_in=era,
-    )
-
-
-def _mark_absent(known: Item, position: Position) -> Item:
-    if known.position.era < position.era:
-        return dataclasses.replace(known, position=position, is_missing=True)
-    if known.is_missing:
-        return known
-    return Item(known.key, position, None, written_in=position.era)
+    def _is_visible_change(self, known: Item | None, merged: Item) -> bool:
+        if known is None or known.content != merged.content:
+            return True
+        return self.is_missing(known) and not self.is_missing(merged)
 
 
-def _is_visible_change(known: Item, merged: Item) -> bool:
-    return (known.content, known.is_missing) != (
-        merged.content,
-        merged.is_missing,
-    )
+def _describe(item: Item) -> bytes:
+    content = item.content or b''
+    return b'%s %d\n%s' % (item.key.encode(), len(content), content)
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -15,6 +15,7 @@
 from jacinthcart.network import BaseDatagrams, Endpoint
 from jacinthcart.readings import (
     FreshnessLease,
+    START,
     ItemTable,
     TablePuller,
 )
@@ -71,12 +72,15 @@
         super().__init__(vm.table, vm.lease, create_logger('test'), Metrics())
         self._network = network
 
-    async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
+    async def pull(
+        self, peer_id: str, endpoint: Endpoint, is_repair: bool
+    ) -> None:
         """Merge the peer's changes."""
         peer = self._network.vms[peer_id]
-        changes = peer.table.list_changes(self.table.complete_to)
-        self.table.merge(changes.items)
-        self.table.mark_complete_to(changes.complete_to)
+        after = START if is_repair else self.table.complete_to
+        self.table.merge_changes(
+            peer.table.list_changes(after), is_proof_newer=True
+        )
 
 
 class FakeVm:
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -68,6 +68,10 @@
         states = run_in_virtual_time(self._spread_late, 24)
         self.assertEqual(states, {b'draining'})
 
+    def test_change_below_the_mark_reaches_every_vm(self) -> None:
+        """Guards against peers that are never sent what a mark passed over."""
+        self.assertEqual(run_in_virtual_time(self._spread_below, 24), {b'new'})
+
     def test_proof_of_any_reader_reaches_all_members(self) -> None:
         """Guards against old proofs while the store refuses live readers."""
         ages = run_in_virtual_time(self._read_elsewhere, 40)
@@ -103,6 +107,27 @@
             tasks.cancel_scope.cancel()
         return {vm.table.list_existing('servers/')[0].content for vm in vms}
 
+    async def _spread_below(self, count: int) -> set[bytes | None]:
+        network = _create_network(count)
+        vms = list(network.vms.values())
+        async with anyio.create_task_group() as tasks:
+            for vm in vms:
+                tasks.start_soon(vm.gossip.run)
+            await anyio.sleep(7)
+            ranked = vms[0].members.rank('readers')
+            table = network.vms[ranked[0]].table
+            table.merge([create_item('op/config', 5, b'old')])
+            table.mark_complete_to(Position(0, 9))
+            await anyio.sleep(2)
+            table.replace_prefix(
+                'op/',
+                [create_item('op/config', 8, b'new')],
+                Position(0, 9),
+            )
+            await anyio.sleep(3)
+            tasks.cancel_scope.cancel()
+        return {vm.table.list_existing('op/')[0].content for vm in vms}
+
     async def _read_elsewhere(self, count: int) -> list[float]:
         network = _create_network(count)
         async with anyio.create_task_group() as tasks:
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -16,6 +16,7 @@
         newest=Position(0, 8),
         complete_to=Position(0, complete_to),
         age_s=0.5,
+        digest='0a',
         described=None,
         records=(),
     )
--- a/tests/readings/returns/_vm.py
+++ b/tests/readings/returns/_vm.py
@@ -202,10 +202,12 @@
         super().__init__(vm.table, vm.lease, vm.logger, vm.metrics)
         self._address = vm.address
 
-    async def pull(self, peer_id: str, endpoint: Endpoint) -> None:
+    async def pull(
+        self, peer_id: str, endpoint: Endpoint, is_repair: bool = False
+    ) -> None:
         """Pull as the base class does."""
         _pulling_address.set(self._address)
-        await super().pull(peer_id, endpoint)
+        await super().pull(peer_id, endpoint, is_repair)
 
 
 class ModelConnection:
--- a/tests/readings/test_merge_log.py
+++ b/tests/readings/test_merge_log.py
@@ -126,7 +126,9 @@
         )
         server = ScriptedServer([head + body], len(head + body))
         async with server.listen() as port:
-            await puller.pull('a', Endpoint(address='127.0.0.1', port=port))
+            await puller.pull(
+                'a', Endpoint(address='127.0.0.1', port=port), is_repair=False
+            )
         self.assertEqual(self.metrics.counts_by_key[('pull', 'answered')], 1)
 
     def _count(self, name: str) -> int:
--- a/tests/readings/test_pull.py
+++ b/tests/readings/test_pull.py
@@ -9,13 +9,14 @@
 from jacinthcart.readings import (
     FreshnessLease,
     ItemTable,
+    Position,
     TablePuller,
     TableServer,
 )
 from jacinthcart.telemetry import Metrics, create_logger
 from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME
 from tests.scripted_server import ScriptedServer
-from tests.support import create_item
+from tests.support import ManualClock, create_item
 
 
 def _create_response() -> bytes:
@@ -53,3 +54,68 @@
     def test_well_formed_response_is_merged(self) -> None:
         """The malformed responses differ from this one only in their heads."""
         self.assertEqual(anyio.run(_pull, _create_response()), 3)
+
+
+class ProofTests(unittest.TestCase):
+    """A proof holds for the contents that it names, not for others."""
+
+    def setUp(self) -> None:
+        """Create a puller whose copy is complete to revision 9."""
+        self.table = ItemTable('op/')
+        self.table.merge([create_item('op/config', 4, b'{}')])
+        self.table.mark_complete_to(Position(0, 9))
+        self.clock = ManualClock()
+        self.puller = TablePuller(
+            self.table,
+            FreshnessLease(self.clock),
+            create_logger('test'),
+            Metrics(),
+        )
+        self.peer = ItemTable('op/')
+        self.peer.merge([create_item('op/config', 8, b'new')])
+        self.peer.mark_complete_to(Position(0, 9))
+
+    def test_proof_of_other_contents_is_refused(self) -> None:
+        """Guards against a fresh proof for an old configuration."""
+        self.assertFalse(self.puller.is_covered(self.peer.digest))
+        self.table.merge([create_item('op/config', 8, b'new')])
+        self.assertTrue(self.puller.is_covered(self.peer.digest))
+
+    def test_proof_without_a_digest_is_refused(self) -> None:
+        """Guards against proofs of VMs that do not say of what."""
+        self.assertFalse(self.puller.is_covered(None))
+
+    def test_copies_that_differ_at_one_position_are_repaired(self) -> None:
+        """Guards against a mark ahead of the copy that lasts."""
+        self._pull_from_peer()
+        self.clock.advance(1)
+        self.table.merge([create_item('op/evacuate/a', 10, b'{}')])
+        self.peer.mark_complete_to(Position(0, 10))
+        self.assertTrue(
+            self.puller.must_repair(self.peer.newest, self.peer.digest)
+        )
+
+    def test_vm_that_read_the_store_itself_asks_a_peer_once(self) -> None:
+        """Guards against a new VM that lacks what its peers keep."""
+        newest, digest = self.peer.newest, self.table.digest
+        self.assertTrue(self.puller.must_repair(newest, digest))
+        self._pull_from_peer()
+        self.assertFalse(self.puller.must_repair(newest, self.table.digest))
+
+    def test_peer_that_is_behind_repairs_nothing(self) -> None:
+        """Guards against transfers of older copies."""
+        self.table.mark_complete_to(Position(0, 12))
+        self.assertFalse(
+            self.puller.must_repair(self.peer.newest, self.peer.digest)
+        )
+
+    def _pull_from_peer(self) -> None:
+        body = TableServer(self.peer, FreshnessLease(self.clock)).answer(0)
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+        anyio.run(self._pull, head + body)
+
+    async def _pull(self, response: bytes) -> None:
+        server = ScriptedServer([response], len(response))
+        async with server.listen() as port:
+            endpoint = Endpoint(address='127.0.0.1', port=port)
+            await self.puller.pull('peer', endpoint, is_repair=True)
--- a/tests/readings/test_table.py
+++ b/tests/readings/test_table.py
@@ -163,27 +163,40 @@
 
     def test_key_that_the_copy_lacks_is_missing_until_written(self) -> None:
         """Guards against taking a lost entry for a searcher that has left."""
-        self.table.replace_prefix('servers/', [], Position(1, 4))
-        self.assertTrue(self._get('servers/a').is_missing)
-        self.table.replace_prefix('servers/', [], Position(1, 5))
-        self.assertTrue(self._get('servers/a').is_missing)
+        self._read_without_entries(4)
+        self.assertTrue(self._is_missing('servers/a'))
+        self._read_without_entries(5)
+        self.assertTrue(self._is_missing('servers/a'))
         self.table.merge([create_item('servers/a', 6, b'x', era=1)])
-        self.assertFalse(self._get('servers/a').is_missing)
+        self.assertFalse(self._is_missing('servers/a'))
+
+    def test_missing_key_is_reported_once(self) -> None:
+        """Guards against lost entries that are used for good."""
+        reported: list[Item] = []
+        self.table.listeners.append(reported.extend)
+        self._read_without_entries(4)
+        self._read_without_entries(5)
+        self.assertEqual([one.key for one in reported], ['servers/a'])
 
     def test_removal_after_a_return_ends_a_missing_key(self) -> None:
         """Guards against entries that stay although they were removed."""
-        self.table.replace_prefix('servers/', [], Position(1, 4))
+        self._read_without_entries(4)
         self.table.merge([create_item('servers/a', 6, None, era=1)])
         self.assertEqual(self.table.list_existing('servers/'), [])
 
     def test_item_of_a_former_era_comes_as_missing(self) -> None:
         """Guards against a paused VM that brings back what was given up."""
-        self.table.replace_prefix(
-            '', [create_item('op/config', 9, b'121', era=1)], Position(1, 9)
-        )
-        self.table.mark_complete_to(Position(1, 9))
+        self._read_without_entries(9)
         self.table.merge([create_item('servers/b', 8, b'y')])
-        self.assertTrue(self._get('servers/b').is_missing)
+        self.assertTrue(self._is_missing('servers/b'))
+
+    def test_removal_before_a_return_stands(self) -> None:
+        """Guards against a paused VM that undoes a removal."""
+        self.table.merge([create_item('servers/a', 8, None)])
+        self._read_without_entries(4)
+        paused = create_item('servers/a', 7, b'x')
+        self.table.merge([paused])
+        self.assertIsNone(self._get_content('servers/a'))
 
     def test_unchanged_contents_are_not_reported(self) -> None:
         """Guards against decoding every document again after a return."""
@@ -196,6 +209,15 @@
         )
         self.assertEqual(reported, [])
 
+    def _read_without_entries(self, revision: int) -> None:
+        position = Position(1, revision)
+        config = create_item('op/config', 3, b'121', era=1)
+        self.table.replace_prefix('', [config], position)
+        self.table.mark_complete_to(position, is_complete_read=True)
+
+    def _is_missing(self, key: str) -> bool:
+        return self.table.is_missing(self._get(key))
+
     def _get(self, key: str) -> Item:
         item = self.table.get(key)
         assert item is not None
@@ -203,3 +225,52 @@
 
     def _get_content(self, key: str) -> bytes | None:
         return self._get(key).content
+
+
+class FullAnswerTests(unittest.TestCase):
+    """A peer that may not know every removal sends all its items."""
+
+    def setUp(self) -> None:
+        """Create a table that is complete to revision 9, and a peer."""
+        self.table = ItemTable('op/')
+        self.table.merge(
+            [
+                create_item('op/evacuate/a', 4, b'{}'),
+                create_item('servers/a', 5, b'x'),
+            ]
+        )
+        self.table.mark_complete_to(Position(0, 9), is_complete_read=True)
+        self.peer = ItemTable('op/')
+        self.peer.merge([create_item('servers/b', 3, b'y')])
+        self.peer.mark_complete_to(Position(0, 12), is_complete_read=True)
+
+    def test_removal_that_the_peer_never_saw_reaches_a_vm(self) -> None:
+        """Guards against evacuations and searchers that stay for good."""
+        changes = self.peer.list_changes(self.table.complete_to)
+        self.table.merge_changes(changes, is_proof_newer=True)
+        keys = [one.key for one in self.table.list_existing('')]
+        self.assertEqual(keys, ['servers/b'])
+        self.assertEqual(self.table.complete_to, Position(0, 12))
+
+    def test_peer_that_is_behind_removes_nothing(self) -> None:
+        """Guards against losing keys to an older copy."""
+        changes = self.table.list_changes(Position())
+        self.peer.merge([create_item('op/evacuate/b', 13, b'{}')])
+        self.peer.merge_changes(changes, is_proof_newer=True)
+        keys = [one.key for one in self.peer.list_existing('')]
+        self.assertEqual(keys, ['servers/b', 'op/evacuate/b'])
+
+    def test_newer_proof_decides_between_copies_at_one_position(self) -> None:
+        """Guards against copies that differ for good."""
+        self.table.mark_complete_to(Position(0, 12))
+        for is_newer, expected in ((False, 1), (True, 0)):
+            changes = self.peer.list_changes(Position())
+            self.table.merge_changes(changes, is_proof_newer=is_newer)
+            existing = self.table.list_existing('op/')
+            self.assertEqual(len(existing), expected)
+        self.assertEqual(self.table.digest, self.peer.digest)
+
+    def test_vm_within_the_history_gets_only_changes(self) -> None:
+        """Guards against charged transfers of whole tables."""
+        changes = self.peer.list_changes(Position(0, 12))
+        self.assertEqual((changes.items, changes.is_full), ((), False))
