Play returns of the store in the soak and check versions and drains

Cause: the soak neither played a return of the store from an older copy nor saw which version of the configuration a VM has in force.

Change: the store returns from copies of up to 10 s ago, away for up to 5 s, in series and beside the other faults; in a quarter of the runs it doesn't tell its era, and in half of them a return follows the last heartbeat. Versions add and drop routes all the time, searchers write heartbeats, zones are evacuated. Disturbances of the store and of each VM are recorded. New checks: each acknowledged version is in force after its bound, no VM goes back to an older version within one life of its process, and leaving searchers get nothing after the bound. The bound of a revoked key runs from the first acknowledgement of the revocation, also if the store loses it.

--- a/jacinthcart_lab/_store_writers.py
+++ b/jacinthcart_lab/_store_writers.py
@@ -5,8 +5,10 @@
 """
 
 import dataclasses
+import math
 import random
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -91,6 +93,15 @@
             WriteRecord(key, message, self._store.revision, time.monotonic())
         )
 
+    def repeat(self, key: str) -> None:
+        """Write again what a key holds, unless its writer has ended."""
+        if key not in self._message_by_key:
+            return
+        message = self._message_by_key[key]
+        if message is not None and 'sequence' in message:
+            message = {**message, 'sequence': self.take_sequence()}
+        self.write(key, message)
+
     def forget(self, key: str) -> None:
         """Write a key no more, because its writer has ended."""
         self._message_by_key.pop(key, None)
@@ -131,9 +142,18 @@
         if self._store.is_away or era != self._store.era:
             # After a further return, everything is written again.
             return
-        if key not in self._message_by_key:
-            return
-        message = self._message_by_key[key]
-        if message is not None and 'sequence' in message:
-            message = {**message, 'sequence': self.take_sequence()}
-        self.write(key, message)
+        self.repeat(key)
+
+
+def compute_loss_at(
+    write: WriteRecord, returns: Sequence[ReturnRecord]
+) -> float:
+    """Return when the store lost a write, or infinity."""
+    return min(
+        (
+            one.away_at
+            for one in returns
+            if write.at < one.away_at and write.revision > one.revision
+        ),
+        default=math.inf,
+    )
--- a/jacinthcart_lab/platform_deployment.py
+++ b/jacinthcart_lab/platform_deployment.py
@@ -19,9 +19,10 @@
 from jacinthcart_emulator.platform_store import StoreEmulator
 from jacinthcart_lab._store_writers import StoreWriters
 
+#: Zones of the VMs and the searchers.
+ZONES = ('zone-a', 'zone-b', 'zone-c')
 _STORE_ADDRESS = '127.0.2.1'
 _SEARCHER_ADDRESS = '127.0.3.1'
-_ZONES = ('zone-a', 'zone-b', 'zone-c')
 _SEED_COUNT = 3
 _PORT_COUNT = 5
 _CONFIG_KEY = 'op/config'
@@ -64,6 +65,8 @@
         self.keys = ['key-1']
         #: Names of routes that a version adds to those that all versions have.
         self.extra_routes: list[str] = []
+        #: Names of such routes that a version has dropped again.
+        self.former_routes: list[str] = []
         self._random = random_source
         self._store_port = 0
         self._ports: list[int] = []
@@ -120,7 +123,7 @@
     def publish_searcher(self, searcher_id: str, state: str = 'ready') -> None:
         """Publish the advertisement of a searcher to the store."""
         searcher = self.searchers_by_id[searcher_id]
-        zone = _ZONES[sum(searcher_id.encode()) % len(_ZONES)]
+        zone = ZONES[sum(searcher_id.encode()) % len(ZONES)]
         self.writers.write(
             f'servers/{searcher_id}',
             {
@@ -222,7 +225,7 @@
         fields = {
             'node_name': f'vm-{number}',
             'ip': address,
-            'zone': _ZONES[number % len(_ZONES)],
+            'zone': ZONES[number % len(ZONES)],
             'listen_addrs': {
                 'frontend_addr': f'{address}:{self._ports[0]}',
                 'ready': f'{address}:{self._ports[1]}',
--- a/jacinthcart_lab/soak/_callers.py
+++ b/jacinthcart_lab/soak/_callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import time
+from collections.abc import Sequence
 
 import anyio
 import httpx
@@ -12,6 +13,8 @@
 
 _CALL_TIMEOUT_S = 3.0
 _PAUSE_S = 0.05
+#: Routes of every version.
+MAIN_ROUTES = frozenset(('search', 'order'))
 
 
 class SoakCallers:
@@ -21,14 +24,14 @@
         self,
         deployment: PlatformDeployment,
         seed: int,
-        revoked_at_by_key: dict[str, float],
+        revoked_keys: Sequence[str],
     ) -> None:
         """Call `deployment` with its current keys and with revoked keys."""
         self.calls: list[Call] = []
         self._deployment = deployment
         self._seed = seed
         self._random = random.Random(seed)
-        self._revoked_at_by_key = revoked_at_by_key
+        self._revoked_keys = revoked_keys
         self._requests = 0
 
     async def run(self) -> None:
@@ -46,12 +49,20 @@
     async def _use_connection(self, client: httpx.AsyncClient) -> None:
         vm = self._random.randrange(self._deployment.params.vms)
         for _ in range(self._random.randrange(5, 60)):
-            kind = self._random.choice(('search', 'search', 'order'))
+            kind = self._random.choice(
+                ('search', 'search', 'order', *self._list_recent_routes())
+            )
             call = await self._call(client, vm, kind)
             if not call.status:
                 return
             await anyio.sleep(self._random.uniform(0.005, 0.05))
 
+    def _list_recent_routes(self) -> list[str]:
+        """Return routes that versions have added or dropped lately."""
+        return self._deployment.former_routes[-2:] + (
+            self._deployment.extra_routes
+        )
+
     async def _call(
         self,
         client: httpx.AsyncClient,
@@ -60,9 +71,10 @@
     ) -> Call:
         self._requests += 1
         request_id = f'{self._seed:08x}{self._requests:08x}'
-        key = self._random.choice(
-            [*self._deployment.keys, *self._revoked_at_by_key],
-        )
+        keys = list(self._deployment.keys)
+        if kind in MAIN_ROUTES:
+            keys.extend(self._revoked_keys)
+        key = self._random.choice(keys)
         address = self._deployment.addresses[vm]
         sent_at = time.monotonic()
         call = Call(request_id, kind, key, vm, sent_at, sent_at, 0)
@@ -70,7 +82,7 @@
         index = len(self.calls) - 1
         try:
             response = await client.request(
-                'GET' if kind == 'search' else 'POST',
+                'POST' if kind == 'order' else 'GET',
                 f'http://{address}:{self._deployment.callers_port}/{kind}/x',
                 headers={
                     'Host': 'shop.example',
--- a/jacinthcart_lab/soak/_checks.py
+++ b/jacinthcart_lab/soak/_checks.py
@@ -25,7 +25,7 @@
     """A request as observed by its caller."""
 
     request_id: str
-    #: `search` or `order`.
+    #: Name of the route: `search`, `order` or a route of some versions only.
     kind: str
     #: Key of the workspace, possibly revoked.
     key: str
--- a/jacinthcart_lab/soak/_faults.py
+++ b/jacinthcart_lab/soak/_faults.py
@@ -10,7 +10,8 @@
 from anyio.abc import TaskGroup
 
 from jacinthcart_emulator.platform_store import StoreFault
-from jacinthcart_lab.platform_deployment import PlatformDeployment
+from jacinthcart_lab.platform_deployment import ZONES, PlatformDeployment
+from jacinthcart_lab.soak._disturbances import Disturbances
 from jacinthcart_lab.soak._proxy import ProxyMode
 from jacinthcart_lab.soak._searcher_faults import SearcherFaults
 from jacinthcart_lab.soak._vm import SoakVm
@@ -18,6 +19,17 @@
 #: `grace_s` of the VMs, in seconds.
 _GRACE_S = 3.0
 _DISCARD_FRACTION = 0.3
+#: Maximum age in seconds of the copy from which the store comes back, and
+#: maximum time for which it is away before (platform contract).
+_MAX_COPY_AGE_S = 10.0
+_MAX_AWAY_S = 5.0
+#: Shortest and longest time between two heartbeats, in seconds.
+_HEARTBEAT_INTERVALS_S = (0.03, 0.3)
+#: Fraction of the runs in which the store returns after the last heartbeat.
+#: Its revision then stays lower than before.
+_LAST_RETURN_FRACTION = 0.5
+#: Number of routes that some versions have and others don't.
+_EXTRA_ROUTES = 2
 
 
 class SoakFaults:
@@ -30,10 +42,11 @@
         random_source: random.Random,
     ) -> None:
         """Inject faults into `deployment` and `vms`."""
-        #: Description of each injected fault.
+        #: Monotonic time and description of each injected fault.
         self.injected: list[str] = []
-        #: Monotonic time in seconds at which each key was revoked.
-        self.revoked_at_by_key: dict[str, float] = {}
+        #: Keys that a version has revoked.
+        self.revoked_keys: list[str] = []
+        self.disturbances = Disturbances()
         self._deployment = deployment
         self._vms = vms
         self._random = random_source
@@ -43,15 +56,41 @@
 
     async def inject(self, seconds: float, tasks: TaskGroup) -> None:
         """Start faults at random for `seconds`; the last ones end later."""
-        until = anyio.current_time() + seconds
-        while anyio.current_time() < until:
-            fault = self._random.choice(self._list_faults(tasks))
-            tasks.start_soon(fault)
-            await anyio.sleep(self._random.uniform(0.1, 2))
+        started_at = anyio.current_time()
+        until = started_at + seconds
+        async with anyio.create_task_group() as heartbeats:
+            heartbeats.start_soon(self._write_heartbeats)
+            while anyio.current_time() < until:
+                fault = self._random.choice(
+                    self._list_faults(tasks, started_at)
+                )
+                tasks.start_soon(fault)
+                await anyio.sleep(self._random.uniform(0.1, 2))
+            heartbeats.cancel_scope.cancel()
+        if self._random.random() < _LAST_RETURN_FRACTION:
+            tasks.start_soon(self._return_store, tasks, started_at)
+
+    async def change_routes(self) -> None:
+        """Publish versions that add and drop routes, until cancelled."""
+        deployment = self._deployment
+        while True:
+            if len(deployment.extra_routes) < _EXTRA_ROUTES:
+                name = f'route-{deployment.version}'
+                deployment.extra_routes.append(name)
+            else:
+                former = deployment.extra_routes.pop(0)
+                deployment.former_routes.append(former)
+            deployment.publish_config()
+            await anyio.sleep(self._random.uniform(0.3, 2))
+
+    async def drain(self, seconds: float) -> None:
+        """Publish a searcher as draining for a time."""
+        await self._searcher_faults.drain(seconds)
 
     def _list_faults(
         self,
         tasks: TaskGroup,
+        started_at: float,
     ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         return [
             self._pause_vm,
@@ -60,20 +99,37 @@
             self._inject_store_fault,
             self._inject_proxy_fault,
             self._replace_key,
+            self._evacuate,
+            lambda: self._return_store(tasks, started_at),
+            lambda: self._return_store(tasks, started_at),
             self._searcher_faults.break_responses,
-            self._searcher_faults.drain,
+            lambda: self._searcher_faults.drain(self._random.uniform(1, 8)),
             self._searcher_faults.reject_for_a_while,
             lambda: self._searcher_faults.crash(tasks),
             lambda: self._searcher_faults.leave(tasks),
         ]
 
+    async def _write_heartbeats(self) -> None:
+        """Let searchers write their state again and again.
+
+        With short intervals, a return loses more writes than are written
+        again after it, so that the revisions stay lower for a time.
+        """
+        deployment = self._deployment
+        interval_s = self._random.uniform(*_HEARTBEAT_INTERVALS_S)
+        while True:
+            await anyio.sleep(interval_s)
+            searcher_id = self._random.choice(list(deployment.searchers_by_id))
+            deployment.writers.repeat(f'servers/{searcher_id}')
+
     async def _pause_vm(self) -> None:
         vm = self._random.choice(self._vms)
         seconds = self._random.uniform(0.3, 5.0)
         self._record(f'pause vm-{vm.number} for {seconds:.1f} s')
-        vm.send_signal(signal.SIGSTOP)
-        await anyio.sleep(seconds)
-        vm.send_signal(signal.SIGCONT)
+        with self.disturbances.record(vm.number):
+            vm.send_signal(signal.SIGSTOP)
+            await anyio.sleep(seconds)
+            vm.send_signal(signal.SIGCONT)
 
     async def _kill_vms(self) -> None:
         count = self._random.choice((1, 1, 2, len(self._vms)))
@@ -82,10 +138,11 @@
                 continue
             self._record(f'kill vm-{vm.number}')
             vm.is_expected_to_run = False
-            vm.send_signal(signal.SIGKILL)
-            await vm.wait()
-            await anyio.sleep(self._random.uniform(0, 0.5))
-            vm.start()
+            with self.disturbances.record(vm.number):
+                vm.send_signal(signal.SIGKILL)
+                await vm.wait()
+                await anyio.sleep(self._random.uniform(0, 0.5))
+                vm.start()
 
     async def _stop_vm(self) -> None:
         vm = self._random.choice(self._vms)
@@ -93,37 +150,62 @@
             return
         self._record(f'stop vm-{vm.number}')
         vm.is_expected_to_run = False
-        vm.send_signal(signal.SIGTERM)
-        with anyio.move_on_after(_GRACE_S * 2):
+        with self.disturbances.record(vm.number):
+            vm.send_signal(signal.SIGTERM)
+            with anyio.move_on_after(_GRACE_S * 2):
+                await vm.wait()
+            vm.send_signal(signal.SIGKILL)
             await vm.wait()
-        vm.send_signal(signal.SIGKILL)
-        await vm.wait()
-        vm.start()
+            vm.start()
 
     async def _inject_store_fault(self) -> None:
         store = self._deployment.store
         fault = self._random.choice(list(StoreFault))
         seconds = self._random.uniform(0.5, 5.0)
         self._record(f'store {fault} for {seconds:.1f} s')
-        store.fault = fault
-        if self._random.random() < _DISCARD_FRACTION:
-            store.discard_history()
-        await anyio.sleep(seconds)
-        store.fault = StoreFault.NONE
+        with self.disturbances.record(None):
+            store.fault = fault
+            if self._random.random() < _DISCARD_FRACTION:
+                store.discard_history()
+            await anyio.sleep(seconds)
+            store.fault = StoreFault.NONE
+
+    async def _return_store(self, tasks: TaskGroup, started_at: float) -> None:
+        """Let the store come back from older copies, once or in series."""
+        store = self._deployment.store
+        for _ in range(self._random.choice((1, 1, 2, 3))):
+            if store.is_away:
+                return
+            # The first configuration stays.
+            age_s = min(
+                self._random.uniform(0, _MAX_COPY_AGE_S),
+                anyio.current_time() - started_at,
+            )
+            away_s = self._random.uniform(0, _MAX_AWAY_S)
+            self._record(
+                f'store away for {away_s:.1f} s, back from a copy {age_s:.1f} '
+                's old',
+            )
+            with self.disturbances.record(None):
+                await self._deployment.writers.play_return(age_s, away_s, tasks)
+                if self._random.random() < _DISCARD_FRACTION:
+                    store.discard_history()
+            await anyio.sleep(self._random.uniform(0, 2))
 
     async def _inject_proxy_fault(self) -> None:
         vm = self._random.choice(self._vms)
         mode = self._random.choice(list(ProxyMode))
         seconds = self._random.uniform(0.5, 6.0)
         self._record(f'vm-{vm.number} to store: {mode} for {seconds:.1f} s')
-        await vm.proxy.switch(mode)
-        await anyio.sleep(seconds)
-        await vm.proxy.switch(ProxyMode.PASS)
+        with self.disturbances.record(vm.number):
+            await vm.proxy.switch(mode)
+            await anyio.sleep(seconds)
+            await vm.proxy.switch(ProxyMode.PASS)
 
     async def _replace_key(self) -> None:
         deployment = self._deployment
         old = deployment.keys[0]
-        new = f'key-{len(self.revoked_at_by_key) + 2}'
+        new = f'key-{len(self.revoked_keys) + 2}'
         deployment.keys = [old, new]
         deployment.publish_config()
         await anyio.sleep(self._random.uniform(0.2, 2))
@@ -131,8 +213,16 @@
             return
         deployment.keys = [new]
         deployment.publish_config()
-        self.revoked_at_by_key[old] = time.monotonic()
+        self.revoked_keys.append(old)
         self._record(f'revoke key {old}')
 
+    async def _evacuate(self) -> None:
+        zone = self._random.choice(ZONES)
+        seconds = self._random.uniform(0.5, 3)
+        self._record(f'evacuate {zone} for {seconds:.1f} s')
+        self._deployment.set_evacuation(zone, is_requested=True)
+        await anyio.sleep(seconds)
+        self._deployment.set_evacuation(zone, is_requested=False)
+
     def _record(self, fault: str) -> None:
-        self.injected.append(fault)
+        self.injected.append(f'{time.monotonic():.3f} {fault}')
--- a/jacinthcart_lab/soak/_run.py
+++ b/jacinthcart_lab/soak/_run.py
@@ -11,17 +11,18 @@
 from anyio.abc import TaskGroup
 
 from jacinthcart.network import Endpoint
-from jacinthcart_emulator.platform_store import StoreFault
 from jacinthcart_lab.platform_deployment import (
     DeploymentParameters,
     PlatformDeployment,
     find_free_ports,
 )
-from jacinthcart_lab.soak._callers import SoakCallers
+from jacinthcart_lab.soak._callers import MAIN_ROUTES, SoakCallers
 from jacinthcart_lab.soak._checks import check_calls
+from jacinthcart_lab.soak._drain_checks import DrainChecker
 from jacinthcart_lab.soak._faults import SoakFaults
-from jacinthcart_lab.soak._proxy import FaultProxy, ProxyMode
+from jacinthcart_lab.soak._proxy import FaultProxy
 from jacinthcart_lab.soak._statement_checks import StatementChecker
+from jacinthcart_lab.soak._version_checks import VersionChecker
 from jacinthcart_lab.soak._vm import SoakVm
 
 #: Time bound for a revoked key in seconds, `revoke_ms` of the VMs.
@@ -32,6 +33,10 @@
 _MIN_RECOVERED_FRACTION = 0.5
 _POLL_S = 0.05
 _LOG_TAIL_LINES = 20
+#: Seconds for which a searcher drains while no other fault is active.
+_CALM_DRAIN_S = 10.0
+#: Fraction of the runs in which the store doesn't tell its era.
+_NO_ERA_FRACTION = 0.25
 _PROXY_ADDRESS = '127.0.4.1'
 
 
@@ -83,8 +88,10 @@
         self._callers = SoakCallers(
             self._deployment,
             params.seed,
-            self._faults.revoked_at_by_key,
+            self._faults.revoked_keys,
         )
+        store = self._deployment.store
+        store.has_era_header = random_source.random() >= _NO_ERA_FRACTION
 
     async def run(self) -> None:
         """Inject the faults and check the guarantees."""
@@ -92,7 +99,7 @@
             async with anyio.create_task_group() as tasks:
                 await self._start(tasks)
                 await self._faults.inject(self._params.seconds, tasks)
-                await self._recover()
+                await self._recover(tasks)
                 tasks.cancel_scope.cancel()
         finally:
             for vm in self._vms:
@@ -112,6 +119,7 @@
                     await anyio.sleep(_POLL_S)
         for _ in range(self._params.callers):
             tasks.start_soon(self._callers.run)
+        tasks.start_soon(self._faults.change_routes)
 
     async def _create_vm(self, number: int, tasks: TaskGroup) -> SoakVm:
         endpoint = Endpoint(
@@ -129,20 +137,21 @@
         vm.start()
         return vm
 
-    async def _recover(self) -> None:
-        for vm in self._vms:
-            vm.send_signal(signal.SIGCONT)
-            await vm.proxy.switch(ProxyMode.PASS)
-        self._deployment.store.fault = StoreFault.NONE
+    async def _recover(self, tasks: TaskGroup) -> None:
+        while self._faults.disturbances.is_active:
+            await anyio.sleep(_POLL_S)
+        tasks.start_soon(self._faults.drain, _CALM_DRAIN_S)
         await anyio.sleep(_RECOVERY_S)
         observed_since = time.monotonic()
         await anyio.sleep(_OBSERVATION_S)
-        # Requests with a revoked key are refused on purpose.
+        # Requests with a revoked key or to a dropped route are refused on
+        # purpose.
         observed = [
             call
             for call in self._callers.calls
             if call.sent_at >= observed_since
             and call.key in self._deployment.keys
+            and call.kind in MAIN_ROUTES
         ]
         served = sum(call.status == 200 for call in observed)
         self.report.recovered_fraction = served / max(1, len(observed))
@@ -150,24 +159,36 @@
     def _check(self) -> None:
         report = self.report
         calls = self._callers.calls
+        writers = self._deployment.writers
+        executions = self._deployment.executions
         report.faults = self._faults.injected
         report.calls = len(calls)
         report.answered = sum(call.status == 200 for call in calls)
-        services = self._deployment.list_services()
-        report.violations = check_calls(
-            calls,
-            self._deployment.executions,
-            [one for one in services if one != 'orders'],
-            self._faults.revoked_at_by_key,
-            _KEY_BOUND_S,
+        started_at_by_vm = {vm.number: vm.started_at for vm in self._vms}
+        versions = VersionChecker(
+            writers.writes,
+            writers.returns,
+            self._faults.disturbances,
+            started_at_by_vm,
         )
-        report.violations.extend(
-            StatementChecker(
+        drains = DrainChecker(
+            writers.writes, writers.returns, self._faults.disturbances
+        )
+        services = self._deployment.list_services()
+        report.violations = [
+            *check_calls(
                 calls,
-                self._deployment.arrivals,
-                {vm.number: vm.started_at for vm in self._vms},
+                executions,
+                [one for one in services if one != 'orders'],
+                versions.compute_revoked_at_by_key(),
+                _KEY_BOUND_S,
+            ),
+            *StatementChecker(
+                calls, self._deployment.arrivals, started_at_by_vm
             ).check(),
-        )
+            *versions.check(calls, {one.request_id for one in executions}),
+            *drains.check(calls, self._deployment.arrivals),
+        ]
         if report.recovered_fraction < _MIN_RECOVERED_FRACTION:
             report.violations.append(
                 f'only {report.recovered_fraction:.2f} of the requests were '
@@ -183,7 +204,10 @@
 def run_soak(
     params: SoakParameters, keep: pathlib.Path | None = None
 ) -> SoakReport:
-    """Run a soak; on a violation, copy the logs to `keep`/seed-<seed>."""
+    """Run a soak; on a violation, keep what explains it.
+
+    The logs and the faults are written to `keep`/seed-<seed>.
+    """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         soak = _Soak(params, folder)
@@ -191,6 +215,8 @@
         if soak.report.violations and keep is not None:
             target = keep / f'seed-{params.seed}'
             target.mkdir(parents=True, exist_ok=True)
+            faults = '\n'.join(soak.report.faults)
+            (target / 'faults.txt').write_text(f'{faults}\n')
             for log in folder.glob('*.log'):
                 (target / log.name).write_bytes(log.read_bytes())
     return soak.report
--- a/jacinthcart_lab/soak/_searcher_faults.py
+++ b/jacinthcart_lab/soak/_searcher_faults.py
@@ -49,14 +49,14 @@
         setattr(chosen.faults, f'{name}_fraction', 0)
         chosen.faults.is_silent = False
 
-    async def drain(self) -> None:
-        """Publish a searcher as draining, later as ready again."""
+    async def drain(self, seconds: float) -> None:
+        """Publish a searcher as draining, `seconds` later as ready again."""
         searcher_id = self._random.choice(
             list(self._deployment.searchers_by_id),
         )
         self._record(f'drain searcher {searcher_id}')
         self._deployment.publish_searcher(searcher_id, 'draining')
-        await anyio.sleep(self._random.uniform(1, 4))
+        await anyio.sleep(seconds)
         # It may have crashed meanwhile, and its successor has another id.
         if searcher_id in self._deployment.searchers_by_id:
             self._deployment.publish_searcher(searcher_id)
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -156,7 +156,7 @@
         deployment.searchers_by_id = {'shard0-2': mock.Mock()}
         faults = SearcherFaults(deployment, random.Random(1), mock.Mock())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(faults.drain)
+            tasks.start_soon(faults.drain, 1)
             await anyio.sleep(0.1)
             deployment.searchers_by_id.clear()
         states = [
