Keep changing routes in force for longer than the bound in the soak

Change: four routes change, so that each is in force for longer than the bound; late requests to leaving searchers are reported by VM and searcher; the deployment has a random source of its own, as searchers draw when requests arrive.

--- a/jacinthcart_lab/soak/_callers.py
+++ b/jacinthcart_lab/soak/_callers.py
@@ -49,8 +49,9 @@
     async def _use_connection(self, client: httpx.AsyncClient) -> None:
         vm = self._random.randrange(self._deployment.params.vms)
         for _ in range(self._random.randrange(5, 60)):
+            changing = self._random.choice(self._list_recent_routes())
             kind = self._random.choice(
-                ('search', 'search', 'order', *self._list_recent_routes())
+                ('search', 'search', 'order', changing, changing)
             )
             call = await self._call(client, vm, kind)
             if not call.status:
@@ -59,9 +60,9 @@
 
     def _list_recent_routes(self) -> list[str]:
         """Return routes that versions have added or dropped lately."""
-        return self._deployment.former_routes[-2:] + (
-            self._deployment.extra_routes
-        )
+        deployment = self._deployment
+        recent = [*deployment.former_routes[-2:], *deployment.extra_routes]
+        return recent or ['search']
 
     async def _call(
         self,
--- a/jacinthcart_lab/soak/_drain_checks.py
+++ b/jacinthcart_lab/soak/_drain_checks.py
@@ -56,15 +56,19 @@
     def check(
         self, calls: Sequence[Call], arrivals: Sequence[Arrival]
     ) -> list[str]:
-        """Return a line for each request that arrived too late."""
-        call_by_id = {call.request_id: call for call in calls}
+        """Return a line for each VM and searcher with late requests."""
+        vm_by_id = {call.request_id: call.vm for call in calls}
+        late_by_pair: dict[tuple[int, str], list[Arrival]] = {}
+        for arrival in arrivals:
+            vm = vm_by_id.get(arrival.request_id)
+            if vm is not None and self._is_late(vm, arrival):
+                pair = (vm, arrival.searcher_id)
+                late_by_pair.setdefault(pair, []).append(arrival)
         return [
-            f'{one.request_id} reached {one.searcher_id} from '
-            f'vm-{call_by_id[one.request_id].vm} after the bound, although '
-            'the store had acknowledged that it leaves'
-            for one in arrivals
-            if one.request_id in call_by_id
-            and self._is_late(call_by_id[one.request_id].vm, one)
+            f'{len(late)} requests from vm-{vm} reached {searcher_id} after '
+            'the bound, although the store had acknowledged that it leaves; '
+            f'first {late[0].request_id}'
+            for (vm, searcher_id), late in late_by_pair.items()
         ]
 
     def _is_late(self, vm: int, arrival: Arrival) -> bool:
--- a/jacinthcart_lab/soak/_faults.py
+++ b/jacinthcart_lab/soak/_faults.py
@@ -25,11 +25,9 @@
 _MAX_AWAY_S = 5.0
 #: Shortest and longest time between two heartbeats, in seconds.
 _HEARTBEAT_INTERVALS_S = (0.03, 0.3)
-#: Fraction of the runs in which the store returns after the last heartbeat.
-#: Its revision then stays lower than before.
-_LAST_RETURN_FRACTION = 0.5
-#: Number of routes that some versions have and others don't.
-_EXTRA_ROUTES = 2
+#: Number of routes of a version that others don't have. Each is in force for
+#: longer than the bound, so that a VM without it is noticed.
+_EXTRA_ROUTES = 4
 
 
 class SoakFaults:
@@ -54,8 +52,13 @@
             deployment, random_source, self._record
         )
 
-    async def inject(self, seconds: float, tasks: TaskGroup) -> None:
-        """Start faults at random for `seconds`; the last ones end later."""
+    async def inject(
+        self, seconds: float, tasks: TaskGroup, *, has_last_return: bool
+    ) -> None:
+        """Start faults at random for `seconds`; the last ones end later.
+
+        With `has_last_return`, the store returns after the last heartbeat.
+        """
         started_at = anyio.current_time()
         until = started_at + seconds
         async with anyio.create_task_group() as heartbeats:
@@ -67,7 +70,7 @@
                 tasks.start_soon(fault)
                 await anyio.sleep(self._random.uniform(0.1, 2))
             heartbeats.cancel_scope.cancel()
-        if self._random.random() < _LAST_RETURN_FRACTION:
+        if has_last_return:
             tasks.start_soon(self._return_store, tasks, started_at)
 
     async def change_routes(self) -> None:
--- a/jacinthcart_lab/soak/_run.py
+++ b/jacinthcart_lab/soak/_run.py
@@ -37,6 +37,9 @@
 _CALM_DRAIN_S = 10.0
 #: Fraction of the runs in which the store doesn't tell its era.
 _NO_ERA_FRACTION = 0.25
+#: Fraction of the runs in which the store returns after the last heartbeat.
+#: Its revision then stays lower than before.
+_LAST_RETURN_FRACTION = 0.5
 _PROXY_ADDRESS = '127.0.4.1'
 
 
@@ -52,6 +55,9 @@
     vms: int = 4
     #: Number of concurrent callers.
     callers: int = 8
+    #: Whether the store returns from a copy after the last heartbeat; None to
+    #: let the seed decide.
+    has_last_return: bool | None = None
 
 
 @dataclasses.dataclass
@@ -82,7 +88,10 @@
         self._folder = folder
         random_source = random.Random(params.seed)
         deployment_params = DeploymentParameters(vms=params.vms, replicas=3)
-        self._deployment = PlatformDeployment(deployment_params, random_source)
+        # Searchers draw when requests arrive, which no seed determines.
+        self._deployment = PlatformDeployment(
+            deployment_params, random.Random(params.seed)
+        )
         self._vms: list[SoakVm] = []
         self._faults = SoakFaults(self._deployment, self._vms, random_source)
         self._callers = SoakCallers(
@@ -92,13 +101,21 @@
         )
         store = self._deployment.store
         store.has_era_header = random_source.random() >= _NO_ERA_FRACTION
+        has_last_return = params.has_last_return
+        if has_last_return is None:
+            has_last_return = random_source.random() < _LAST_RETURN_FRACTION
+        self._has_last_return = has_last_return
 
     async def run(self) -> None:
         """Inject the faults and check the guarantees."""
         try:
             async with anyio.create_task_group() as tasks:
                 await self._start(tasks)
-                await self._faults.inject(self._params.seconds, tasks)
+                await self._faults.inject(
+                    self._params.seconds,
+                    tasks,
+                    has_last_return=self._has_last_return,
+                )
                 await self._recover(tasks)
                 tasks.cancel_scope.cancel()
         finally:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -175,3 +175,10 @@
         """
         report = run_soak(SoakParameters(seed=7, seconds=5, vms=3))
         self.assertEqual(report.violations, [])
+
+    def test_short_soak_with_a_last_return_has_no_violations(self) -> None:
+        """Guards against a fleet that ignores what follows a return."""
+        report = run_soak(
+            SoakParameters(seed=9, seconds=5, vms=3, has_last_return=True)
+        )
+        self.assertEqual(report.violations, [])
