List the versions that the store lost beside the faults of a soak

Cause: a request on a revoked key after its bound reads alike whether the VMs ignored the revocation or the store had lost it.

The proxy closes its streams also if it is cancelled.

--- a/jacinthcart_lab/soak/_proxy.py
+++ b/jacinthcart_lab/soak/_proxy.py
@@ -74,13 +74,15 @@
             return
         pair = {client, server}
         self._streams |= pair
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._forward, client, server, tasks, False)
-            tasks.start_soon(self._forward, server, client, tasks, True)
-        self._streams -= pair
-        with anyio.CancelScope(shield=True):
-            for stream in pair:
-                await anyio.aclose_forcefully(stream)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._forward, client, server, tasks, False)
+                tasks.start_soon(self._forward, server, client, tasks, True)
+        finally:
+            self._streams -= pair
+            with anyio.CancelScope(shield=True):
+                for stream in pair:
+                    await anyio.aclose_forcefully(stream)
 
     async def _forward(
         self,
--- a/jacinthcart_lab/soak/_version_checks.py
+++ b/jacinthcart_lab/soak/_version_checks.py
@@ -97,6 +97,15 @@
             former |= version.keys
         return revoked_at_by_key
 
+    def list_losses(self) -> list[str]:
+        """Return a line for each acknowledged version that the store lost."""
+        return [
+            f'{span.until:.3f} store lost version {span.number}, acknowledged '
+            f'at {span.since:.3f}'
+            for span in self._spans
+            if span.until < math.inf
+        ]
+
     def check(self, calls: Sequence[Call], ran_ids: set[str]) -> list[str]:
         """Return a line for each kind of violation of each VM.
 
