--- a/jacinthcart_lab/soak/_faults.py
+++ b/jacinthcart_lab/soak/_faults.py
@@ -179,7 +179,7 @@
         for _ in range(self._random.choice((1, 1, 2, 3))):
             if store.is_away:
                 return
-            # The first configuration stays.
+            # Faults start after the first configuration, so the copy has one.
             age_s = min(
                 self._random.uniform(0, _MAX_COPY_AGE_S),
                 anyio.current_time() - started_at,
