--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -156,7 +156,7 @@
         deployment.searchers_by_id = {'shard0-2': mock.Mock()}
         faults = SearcherFaults(deployment, random.Random(1), mock.Mock())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(faults.drain)
+            tasks.start_soon(faults.drain, 1)
             await anyio.sleep(0.1)
             deployment.searchers_by_id.clear()
         states = [
@@ -175,3 +175,10 @@
         """
         report = run_soak(SoakParameters(seed=7, seconds=5, vms=3))
         self.assertEqual(report.violations, [])
+
+    def test_short_soak_with_a_last_return_has_no_violations(self) -> None:
+        """Guards against a fleet that ignores what follows a return."""
+        report = run_soak(
+            SoakParameters(seed=9, seconds=5, vms=3, has_last_return=True)
+        )
+        self.assertEqual(report.violations, [])
