Ignore acknowledgements of pings of a former process

Change: the first number is random.

Result: test_acknowledgement_for_a_former_process_is_ignored fails without the change ("False is not true").

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -31,6 +31,7 @@
 
 KIND_PING = 'ping'
 KIND_ACK = 'ack'
+_FIRST_NUMBER_BITS = 32
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,7 +83,9 @@
         self.anti_entropy = AntiEntropy(
             members, seeds, self._clock, random_source, params.anti_entropy
         )
-        self._seq = 0
+        # Random, so that an acknowledgement of a ping of a former process of
+        # this VM answers none of this one.
+        self._seq = random.getrandbits(_FIRST_NUMBER_BITS)
         self._detector = FailureDetector(
             self._clock, members.log.get_change_time, params.detection
         )
--- a/tests/fleet/test_restarts.py
+++ b/tests/fleet/test_restarts.py
@@ -2,11 +2,13 @@
 
 import itertools
 import unittest
+from typing import Any
 
 import anyio
 
 from jacinthcart.fleet import MemberRecord, MemberState
-from tests.fleet.support import FakeVm, UnreliableNetwork
+from jacinthcart.fleet._messages import decode_fleet_message
+from tests.fleet.support import FakeNetwork, FakeVm, UnreliableNetwork
 from tests.support import create_member, run_in_virtual_time
 
 _DISCOVERY_S = 2.0
@@ -114,3 +116,39 @@
         await fleet.run_new()
         tasks.cancel_scope.cancel()
     return fleet
+
+
+class PingNumberTests(unittest.TestCase):
+    """Acknowledgements belong to the process that sent the ping."""
+
+    def test_acknowledgement_for_a_former_process_is_ignored(self) -> None:
+        """Guards against a proof that seems newer than it is."""
+        former, current = run_in_virtual_time(_ping_after_a_restart)
+        self.assertTrue(former.isdisjoint(current))
+
+
+async def _ping_after_a_restart() -> tuple[set[int], set[int]]:
+    """Return the numbers of the pings of a process and of its successor."""
+    numbers = []
+    for _ in range(2):
+        network = RecordingNetwork()
+        vm = FakeVm(network, '10.0.0.4', 'zone-1')
+        with anyio.move_on_after(2):
+            await vm.gossip.run()
+        numbers.append(network.ping_numbers)
+    return numbers[0], numbers[1]
+
+
+class RecordingNetwork(FakeNetwork):
+    """Records the numbers of pings and delivers none."""
+
+    def __init__(self) -> None:
+        """Start without pings."""
+        super().__init__()
+        self.ping_numbers: set[int] = set()
+
+    async def deliver(
+        self, source: str, target: str, message: dict[str, Any]
+    ) -> None:
+        """Record the number of a ping."""
+        self.ping_numbers.add(decode_fleet_message(message).seq)
