Test a watch without answer and evacuations that end at once

Longer runs of the model found two further schedules without a return: - test_watch_without_answer_in_an_outage: a watch that is sent or left waiting in an outage gets no answer, and its time-out of 3.2 s keeps changes of searchers back for longer than drain_ms, although reads of operators' keys are answered.

--- a/tests/readings/test_store_returns.py
+++ b/tests/readings/test_store_returns.py
@@ -99,6 +99,22 @@
         """
         self.check(3, (109, 146, 198), kinds=_WITHOUT_RETURNS)
 
+    def test_evacuations_that_start_and_end_again(self) -> None:
+        """Guards against a proof for a copy that only looks the same."""
+        kinds = frozenset((StepKind.EVACUATION,))
+        self.check(8, (2, 11), kinds=kinds)
+
+    def test_watch_without_answer_in_an_outage(self) -> None:
+        """Guards against searchers' changes that wait for its time-out."""
+        kinds = frozenset(
+            (
+                StepKind.OUTAGE,
+                StepKind.SEARCHER_DRAIN,
+                StepKind.SEARCHER_RESTART,
+            )
+        )
+        self.check(3, (21, 91, 95, 150), steps=12, kinds=kinds)
+
     def test_watch_at_beyond_its_events(self) -> None:
         """Guards against peers that are never sent a change."""
         store = StoreParameters(short_watch_fraction=0.3)
