Refuse the proof of a copy that is ahead

Seen in the model (test_evacuations_that_start_and_end_again): a VM without an evacuation took the proof of a peer that had seen it start and end, then merged the start alone. Its proof was newer than its copy.

Cause: the digest alone decided. Contents may change and change back between two positions.

--- a/jacinthcart/fleet/_gossip.py
+++ b/jacinthcart/fleet/_gossip.py
@@ -161,7 +161,7 @@
         sent_at = self._detector.record_ack(address, received.seq)
         if sent_at is None:
             return
-        is_covered = self._puller.is_covered(received.digest)
+        is_covered = self._puller.is_covered(received.newest, received.digest)
         if is_covered and received.age_s is not None:
             self._lease.record_peer_proof(sent_at, received.age_s)
         if self.anti_entropy.handle_answer(received, has_learned=has_learned):
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -117,13 +117,15 @@
         self._has_pulled = False
         self._repaired_at = -math.inf
 
-    def is_covered(self, digest: str | None) -> bool:
+    def is_covered(self, newest: Position, digest: str | None) -> bool:
         """Return whether a peer's proof also holds for this VM's copy.
 
-        `digest` is that of the contents that the proof covers. Positions would
-        not be enough: they tell what a copy should have, not what it has.
+        `newest` is the highest position that the peer knows and `digest` that
+        of the contents that the proof covers. Positions alone would not be
+        enough: they tell what a copy should have, not what it has. Nor would
+        digests: contents may change and change back between two positions.
         """
-        return digest == self.table.digest
+        return newest <= self.table.newest and digest == self.table.digest
 
     def must_repair(self, newest: Position, digest: str | None) -> bool:
         """Return whether to fetch all items of a peer.
@@ -216,7 +218,9 @@
             ),
             is_proof_newer=asked_at - age_s > self.lease.proof_at,
         )
-        if changes.age_s is not None and self.is_covered(changes.digest):
+        # After the merge, this copy has every change that the peer knew.
+        is_covered = changes.digest == self.table.digest
+        if changes.age_s is not None and is_covered:
             self.lease.record_peer_proof(asked_at, changes.age_s)
 
 
--- a/tests/readings/test_pull.py
+++ b/tests/readings/test_pull.py
@@ -77,13 +77,23 @@
 
     def test_proof_of_other_contents_is_refused(self) -> None:
         """Guards against a fresh proof for an old configuration."""
-        self.assertFalse(self.puller.is_covered(self.peer.digest))
+        newest = self.peer.newest
+        self.assertFalse(self.puller.is_covered(newest, self.peer.digest))
         self.table.merge([create_item('op/config', 8, b'new')])
-        self.assertTrue(self.puller.is_covered(self.peer.digest))
+        self.assertTrue(self.puller.is_covered(newest, self.peer.digest))
+
+    def test_proof_of_a_later_copy_is_refused(self) -> None:
+        """Guards against a proof that is newer than the copy.
+
+        The peer has seen a change and its end; the change alone comes later.
+        """
+        self.assertFalse(
+            self.puller.is_covered(Position(0, 11), self.table.digest)
+        )
 
     def test_proof_without_a_digest_is_refused(self) -> None:
         """Guards against proofs of VMs that do not say of what."""
-        self.assertFalse(self.puller.is_covered(None))
+        self.assertFalse(self.puller.is_covered(self.peer.newest, None))
 
     def test_copies_that_differ_at_one_position_are_repaired(self) -> None:
         """Guards against a mark ahead of the copy that lasts."""
