End a watch that reads of the store have overtaken

Seen in the model (test_watch_without_answer_in_an_outage): a watch whose connection returns nothing further held the changes of searchers back for its timeout of 3.2 s and the back-off, longer than `drain_ms`, while reads of the operator's keys succeeded and showed later revisions.

--- a/jacinthcart/readings/_reader.py
+++ b/jacinthcart/readings/_reader.py
@@ -103,11 +103,14 @@
         #: after the store lost its history and in a new era.
         self._watched_from: Position | None = None
         self._watch_scope: anyio.CancelScope | None = None
+        #: Where the watch stood at the last read that found later changes.
+        self._overtaken_from: Position | None = None
 
     def must_read(self) -> bool:
         """Return whether this VM must read the store now."""
         params = self._params
-        if not self._role.is_seed and self._is_starting():
+        running_s = self._lease.clock() - self._started_at
+        if not self._role.is_seed and running_s < params.start_s:
             return False
         rank = self._role.compute_rank()
         if rank < params.readers:
@@ -124,10 +127,6 @@
             tasks.start_soon(self._run_proof_renewal)
             tasks.start_soon(self._run_watch)
 
-    def _is_starting(self) -> bool:
-        age_s = self._lease.clock() - self._started_at
-        return age_s < self._params.start_s
-
     async def _run_proof_renewal(self) -> None:
         failures = 0
         while True:
@@ -166,12 +165,25 @@
         except StoreError as error:
             self._log.record_failure(error)
             return False
+        self._end_hanging_watch(position)
         # The copy is not current before all items have been read in this era:
         # until then, items outside the prefix may be missing.
         if self._is_watching(position.era) or prefix == _ALL:
             self._lease.record_own_read(sent_at)
         return True
 
+    def _end_hanging_watch(self, position: Position) -> None:
+        """End a watch that lacks the changes of two reads in a row."""
+        watched_from = self._watched_from
+        is_overtaken = watched_from is not None and watched_from < position
+        if is_overtaken and self._overtaken_from == watched_from:
+            self._end_watch()
+        self._overtaken_from = watched_from if is_overtaken else None
+
+    def _end_watch(self) -> None:
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+
     async def _read_changes(self) -> bool:
         try:
             if self._is_watching(self._table.newest.era):
@@ -204,8 +216,8 @@
         self._table.replace_prefix(
             prefix, items, position, None if prefix == _ALL else known
         )
-        if not self._is_watching(position.era) and self._watch_scope:
-            self._watch_scope.cancel()
+        if not self._is_watching(position.era):
+            self._end_watch()
         return position
 
     async def _watch(self) -> None:
