Compare entries of searchers only within one process over a return

Found by reading: a searcher that started again after its clock was set back, with the store returning in between, got no requests until its entry was removed once.

Cause: the order over a return compared `born`, a clock that may go back.

Change: writers' versions say whether one content is older than another, and entries of two processes have no order. One return is logged once per VM even if two reads find it, and a line names the keys that the store came back without.

--- a/jacinthcart/platform/_catalogue_updater.py
+++ b/jacinthcart/platform/_catalogue_updater.py
@@ -6,6 +6,7 @@
 from jacinthcart.platform._keys import (
     CONFIG_KEY,
     EVACUATE_PREFIX,
+    OPERATOR_PREFIX,
     SERVER_PREFIX,
 )
 from jacinthcart.readings import Item, ItemTable
@@ -28,6 +29,7 @@
         table.listeners.append(self._apply_items)
 
     def _apply_items(self, items: list[Item]) -> None:
+        self._log_missing(items)
         changes: dict[str, Searcher | None] = {}
         has_evacuations = False
         for item in items:
@@ -49,6 +51,17 @@
             },
         )
 
+    def _log_missing(self, items: list[Item]) -> None:
+        missing = [one.key for one in items if self._table.is_missing(one)]
+        if missing:
+            self._logger.warning(
+                'store came back without keys',
+                count=len(missing),
+                operator_keys=[
+                    key for key in missing if key.startswith(OPERATOR_PREFIX)
+                ],
+            )
+
     def _apply_evacuations(self) -> None:
         written: set[str] = set()
         missing: set[str] = set()
--- a/jacinthcart/readings/__init__.py
+++ b/jacinthcart/readings/__init__.py
@@ -29,7 +29,6 @@
 from jacinthcart.readings._table import Changes, ItemTable
 from jacinthcart.readings._versions import (
     BaseContentVersions,
-    ContentVersion,
     NoContentVersions,
 )
 
@@ -39,7 +38,6 @@
     'BaseContentVersions',
     'BaseStore',
     'Changes',
-    'ContentVersion',
     'FreshnessLease',
     'Item',
     'ItemTable',
--- a/jacinthcart/readings/_item.py
+++ b/jacinthcart/readings/_item.py
@@ -4,7 +4,7 @@
 
 from jacinthcart.readings._position import Position
 from jacinthcart.readings._source import StoredItem
-from jacinthcart.readings._versions import BaseContentVersions, ContentVersion
+from jacinthcart.readings._versions import BaseContentVersions
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,31 +35,31 @@
         one, which then gets the later position.
         """
         if item.position == known.position:
-            return max(known, item, key=self._rank)
+            return self._resolve_tie(known, item)
         earlier, later = (
             (known, item) if known.position < item.position else (item, known)
         )
         era = later.position.era
         if earlier.written_in == era and later.written_in == era:
             return later
-        if earlier.content is None or later.content is None:
-            return later
-        if self._get_version(earlier) > self._get_version(later):
+        if self._is_older(later, earlier):
             return dataclasses.replace(earlier, position=later.position)
         return later
 
-    def _rank(self, item: Item) -> tuple[bool, ContentVersion, int, bytes]:
-        return (
-            item.content is None,
-            self._get_version(item),
-            item.written_in,
-            item.content or b'',
-        )
+    def _resolve_tie(self, known: Item, item: Item) -> Item:
+        for older, newer in ((known, item), (item, known)):
+            if newer.content is None or self._is_older(older, newer):
+                return newer
+        return max(known, item, key=_rank)
+
+    def _is_older(self, item: Item, other: Item) -> bool:
+        if item.content is None or other.content is None:
+            return False
+        return self._versions.is_older(item.key, item.content, other.content)
+
 
-    def _get_version(self, item: Item) -> ContentVersion:
-        if item.content is None:
-            return ()
-        return self._versions.get_version(item.key, item.content) or ()
+def _rank(item: Item) -> tuple[int, bytes]:
+    return item.written_in, item.content or b''
 
 
 def create_item(stored: StoredItem, era: int) -> Item:
--- a/jacinthcart/readings/_store_log.py
+++ b/jacinthcart/readings/_store_log.py
@@ -19,6 +19,8 @@
         #: Whether the last call to the store succeeded.
         self._is_available = True
         self._has_stated_era = False
+        #: Era of the last logged return, which several calls may find.
+        self._logged_era = 0
 
     def record_failure(self, error: StoreError) -> None:
         """Record a failed call."""
@@ -57,7 +59,9 @@
                 position=str(position),
             )
         self._has_stated_era |= stated_era is not None
-        if position.era > known.era and known != START:
+        is_return = position.era > max(known.era, self._logged_era)
+        if is_return and known != START:
+            self._logged_era = position.era
             self._metrics.count('store', 'returned')
             self._logger.warning(
                 'store came back from an older copy',
--- a/jacinthcart/readings/_versions.py
+++ b/jacinthcart/readings/_versions.py
@@ -2,24 +2,22 @@
 
 import abc
 
-#: Version of content, compared as a tuple.
-ContentVersion = tuple[int, ...]
-
 
 class BaseContentVersions(abc.ABC):
-    """Reads the version that the writer of a key put into its content.
+    """Reads the order of writes from contents.
 
-    After the store has come back from an older copy, versions tell which of
-    two contents was written later.
+    After the store has come back from an older copy, it tells which of two
+    contents was written later.
     """
 
     @abc.abstractmethod
-    def get_version(self, key: str, content: bytes) -> ContentVersion | None:
-        """Return the version, or None if the content has none."""
+    def is_older(self, key: str, content: bytes, other: bytes) -> bool:
+        """Return whether `content` is known to be written before `other`."""
 
 
 class NoContentVersions(BaseContentVersions):
-    """For contents without versions."""
+    """For contents that tell no order."""
 
-    def get_version(self, key: str, content: bytes) -> ContentVersion | None:
-        """Return None."""
+    def is_older(self, key: str, content: bytes, other: bytes) -> bool:
+        """Return False."""
+        return False
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -248,6 +248,19 @@
         leaving = self.state.searchers_by_id['leaving']
         self.assertEqual(leaving.state, SearcherState.DRAINING)
 
+    def test_process_with_an_earlier_start_time_is_used(self) -> None:
+        """Guards against refusing a live searcher for good.
+
+        Its clock was set back before it started again, and the store came back
+        in between.
+        """
+        self._come_back()
+        entry = create_entry(born=5, sequence=1)
+        self.table.merge([create_item('servers/lost', 5, entry, era=1)])
+        self.clock.advance(4)
+        self.state.accept_earlier_processes()
+        self.assertEqual(self.state.searchers_by_id['lost'].born, 5)
+
     def test_earlier_configuration_is_neither_used_nor_logged(self) -> None:
         """Guards against a version that goes back."""
         with logbook.TestHandler() as handler:
--- a/tests/readings/test_table.py
+++ b/tests/readings/test_table.py
@@ -5,7 +5,6 @@
 
 from jacinthcart.readings import (
     BaseContentVersions,
-    ContentVersion,
     Item,
     ItemTable,
     Position,
@@ -86,9 +85,11 @@
 class NumberVersions(BaseContentVersions):
     """Contents that are numbers are their own versions."""
 
-    def get_version(self, key: str, content: bytes) -> ContentVersion | None:
-        """Return the number, or None for other contents."""
-        return (int(content),) if content.isdigit() else None
+    def is_older(self, key: str, content: bytes, other: bytes) -> bool:
+        """Compare numbers; other contents tell no order."""
+        if content.isdigit() and other.isdigit():
+            return int(content) < int(other)
+        return False
 
 
 class StoreReturnTests(unittest.TestCase):
