Repair copies that stay different, and forget what stays missing

A VM that starts long after a return used searchers and evacuations that all others had given up, for 2 and 30 s.

Cause: copies were repaired only between VMs at the same position, and the first repair waited for a peer that is not behind. Missing items stayed in the table for good.

Change: the first repair asks the first peer, and one whose contents have differed from those of all peers for 1 s asks any. Missing items are dropped after 30 s and taken from no peer afterwards. Two contradictory answers of the store more than 5 s apart don't add up to a return. Status and metrics tell the era of the operator's revision.

--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -80,6 +80,9 @@
 _DENIAL_LEASE_FRACTION = 0.8
 _DIRECTORY_TTL_S = 2.0
 _EXPIRY_INTERVAL_S = 0.5
+#: Seconds for which items that the store came back without are kept for peers
+#: that start: as long as evacuations stay in force without their key.
+_MISSING_RETENTION_S = 30.0
 
 
 class Node:
@@ -369,7 +372,14 @@
             await self._gossip.handle(message, source)
 
     async def _expire_searchers(self) -> None:
+        era = 0
+        era_began_at = self.clock()
         while True:
             await anyio.sleep(_EXPIRY_INTERVAL_S)
+            if self.table.complete_to.era != era:
+                era = self.table.complete_to.era
+                era_began_at = self.clock()
+            if self.clock() - era_began_at > _MISSING_RETENTION_S:
+                self.table.forget_missing()
             self.catalogue_state.remove_lapsed()
             self.catalogue_state.accept_earlier_processes()
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -13,7 +13,7 @@
 )
 from jacinthcart.node._handler import BaseNodeHandler
 from jacinthcart.node._node import Node
-from jacinthcart.readings import START, ItemTable
+from jacinthcart.readings import START, ItemTable, Position
 from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import encode_json
 
@@ -62,13 +62,15 @@
     """Return the current state of this VM."""
     catalogue = node.catalogue_state.catalogue
     age_s = node.lease.age_s
+    operator_position = _find_operator_position(node.table)
     return {
         'vm': node.settings.vm_id,
         'data_centre': node.settings.data_centre,
         'is_ready': node.is_ready,
         'version': catalogue.version if catalogue else None,
         'era': node.table.newest.era,
-        'operator_revision': _find_operator_revision(node.table),
+        'operator_era': operator_position.era,
+        'operator_revision': operator_position.revision,
         'newest_revision': node.table.newest.revision,
         'complete_to': node.table.complete_to.revision,
         'proof_age_s': round(age_s, 3) if math.isfinite(age_s) else None,
@@ -86,14 +88,14 @@
     }
 
 
-def _find_operator_revision(table: ItemTable) -> int:
-    """Return the highest revision of the keys that a proof must cover."""
+def _find_operator_position(table: ItemTable) -> Position:
+    """Return the highest position of the keys that a proof must cover."""
     positions = [
         item.position
         for item in table.list_changes(START).items
         if item.key.startswith(table.proof_prefix)
     ]
-    return max(positions, default=START).revision
+    return max(positions, default=START)
 
 
 def encode_metrics(node: Node) -> bytes:
@@ -130,6 +132,7 @@
             'proof_age_s',
             'version',
             'era',
+            'operator_era',
             'operator_revision',
             'newest_revision',
             'complete_to',
--- a/jacinthcart/readings/_eras.py
+++ b/jacinthcart/readings/_eras.py
@@ -1,5 +1,7 @@
 """Finds the era of the store's answers."""
 
+import math
+
 from jacinthcart.program import Clock
 from jacinthcart.readings._position import Position
 from jacinthcart.readings._source import StoreEraError
@@ -7,6 +9,9 @@
 #: Seconds for which answers may contradict the known history before the store
 #: counts as having come back from an older copy.
 _CONTRADICTION_S = 1.0
+#: Seconds between two contradictions after which they don't belong together.
+#: Reads are at most 1.6 s apart, with back-off.
+_CONTRADICTION_GAP_S = 5.0
 
 
 class EraTracker:
@@ -25,6 +30,7 @@
         #: What to add to a stated era.
         self._offset = 0
         self._contradicted_since: float | None = None
+        self._contradicted_at = -math.inf
 
     def convert(self, stated: int | None, default: int) -> int:
         """Return the era of a stated one, or `default` for None."""
@@ -52,7 +58,9 @@
         self, stated: int, revision: int, known: Position
     ) -> Position:
         now = self._clock()
-        if self._contradicted_since is None:
+        is_first = now - self._contradicted_at > _CONTRADICTION_GAP_S
+        self._contradicted_at = now
+        if self._contradicted_since is None or is_first:
             self._contradicted_since = now
         if now - self._contradicted_since < _CONTRADICTION_S:
             raise StoreEraError(
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -97,6 +97,28 @@
         return zlib.compress(encode_json(message))
 
 
+class _Disagreement:
+    """How long the contents of this VM have differed from those of peers."""
+
+    def __init__(self) -> None:
+        """Start without a disagreement."""
+        self._own_digest: str | None = None
+        self._since = math.inf
+
+    def record(self, own: str, other: str | None, now: float) -> float:
+        """Record the digest of a peer; return since when all have differed.
+
+        Return infinity if the last one was the same. A change of this VM's own
+        contents begins a new period.
+        """
+        if other == own:
+            self._since = math.inf
+        elif own != self._own_digest or math.isinf(self._since):
+            self._since = now
+        self._own_digest = own
+        return self._since
+
+
 class TablePuller:
     """Fetches items that this VM lacks from peers, one pull at a time."""
 
@@ -116,6 +138,7 @@
         self._is_busy = False
         self._has_pulled = False
         self._repaired_at = -math.inf
+        self._disagreement = _Disagreement()
 
     def is_covered(self, newest: Position, digest: str | None) -> bool:
         """Return whether a peer's proof also holds for this VM's copy.
@@ -130,17 +153,24 @@
     def must_repair(self, newest: Position, digest: str | None) -> bool:
         """Return whether to fetch all items of a peer.
 
-        This is so if the copies differ although neither is ahead, and for the
-        first pull: a VM that has read the store itself may lack what its peers
-        keep although the store came back without it.
+        This is so if the copies differ although neither is ahead, if this copy
+        differs from those of all peers for some time, and for the first pull:
+        a VM that has read the store itself may lack what its peers keep
+        although the store came back without it.
         """
-        if newest == START or newest < self.table.newest:
+        now = self.lease.clock()
+        disagrees_since = self._disagreement.record(
+            self.table.digest, digest, now
+        )
+        if newest == START or digest is None:
             return False
         if not self._has_pulled:
             return self.table.complete_to != START
-        is_due = self.lease.clock() - self._repaired_at >= _REPAIR_INTERVAL_S
         is_level = newest == self.table.newest
-        return is_due and is_level and digest not in {None, self.table.digest}
+        is_lasting = now - disagrees_since >= _REPAIR_INTERVAL_S
+        is_due = now - self._repaired_at >= _REPAIR_INTERVAL_S
+        is_different = digest != self.table.digest
+        return is_due and is_different and (is_level or is_lasting)
 
     def is_behind(self, newest: Position, complete_to: Position) -> bool:
         """Return whether a peer has items that this VM may lack.
--- a/jacinthcart/readings/_table.py
+++ b/jacinthcart/readings/_table.py
@@ -64,6 +64,8 @@
         #: Prefix of the keys that a proof must cover.
         self.proof_prefix = proof_prefix
         self._resolver = ItemResolver(versions or NoContentVersions())
+        #: Missing items of earlier eras have been dropped.
+        self._forgotten_era = 0
         self._newest = START
         self._item_by_key: dict[str, Item] = {}
         self._cached_digest: str | None = None
@@ -114,9 +116,17 @@
         self.complete_to = max(self.complete_to, position)
         if is_new_era:
             self._cached_digest = None
-            self._notify(
-                [one for one in self.list_existing('') if self.is_missing(one)]
-            )
+            missing = filter(self.is_missing, self.list_existing(''))
+            _notify(self.listeners, list(missing))
+
+    def forget_missing(self) -> None:
+        """Drop missing items, and take none from peers any more."""
+        if self._forgotten_era == self.complete_to.era:
+            return
+        self._forgotten_era = self.complete_to.era
+        for item in self.list_existing(''):
+            if self.is_missing(item):
+                self._item_by_key.pop(item.key)
 
     def merge(self, items: Iterable[Item]) -> int:
         """Store the items that are newer and return the number of changes.
@@ -228,21 +238,16 @@
             self._newest = max(self._newest, merged.position)
             if self._is_visible_change(known, merged):
                 changed.append(merged)
-        self._notify(changed)
+        _notify(self.listeners, changed)
         return len(changed)
 
-    def _notify(self, changed: list[Item]) -> None:
-        if not changed:
-            return
-        for listener in self.listeners:
-            listener(changed)
-
     def _is_known_removal(self, item: Item) -> bool:
-        return (
-            item.key not in self._item_by_key
-            and item.position.era == self.complete_to.era
-            and item.position <= self.complete_to
-        )
+        if item.key in self._item_by_key:
+            return False
+        if item.position.era < self._forgotten_era:
+            return True
+        is_current = item.position.era == self.complete_to.era
+        return is_current and item.position <= self.complete_to
 
     def _is_visible_change(self, known: Item | None, merged: Item) -> bool:
         if known is None or known.content != merged.content:
@@ -250,6 +255,13 @@
         return self.is_missing(known) and not self.is_missing(merged)
 
 
+def _notify(listeners: list[ItemListener], changed: list[Item]) -> None:
+    if not changed:
+        return
+    for listener in listeners:
+        listener(changed)
+
+
 def _describe(item: Item) -> bytes:
     content = item.content or b''
     return b'%s %d\n%s' % (item.key.encode(), len(content), content)
--- a/tests/node/test_operator_api.py
+++ b/tests/node/test_operator_api.py
@@ -41,6 +41,7 @@
         node.table.mark_complete_to(Position(0, 6))
         expected = {
             'era': 0,
+            'operator_era': 0,
             'operator_revision': 4,
             'newest_revision': 9,
             'complete_to': 6,
--- a/tests/readings/test_eras.py
+++ b/tests/readings/test_eras.py
@@ -66,3 +66,13 @@
                 self.eras.resolve(2, 890, Position(2, 900))
             self.eras.resolve(2, 900, Position(2, 900))
             self.clock.advance(60)
+
+    def test_contradictions_far_apart_do_not_add_up(self) -> None:
+        """Guards against a return because of two stray answers.
+
+        A VM that is no longer a reader gets no answer in between.
+        """
+        for _ in range(2):
+            with self.assertRaises(StoreEraError):
+                self.eras.resolve(2, 890, Position(2, 900))
+            self.clock.advance(3600)
--- a/tests/readings/test_table.py
+++ b/tests/readings/test_table.py
@@ -191,6 +191,14 @@
         self.table.merge([create_item('servers/b', 8, b'y')])
         self.assertTrue(self._is_missing('servers/b'))
 
+    def test_missing_items_are_forgotten_for_good(self) -> None:
+        """Guards against evacuations that end again on each new VM."""
+        self._read_without_entries(9)
+        self.table.forget_missing()
+        self.assertIsNone(self.table.get('servers/a'))
+        self.table.merge([create_item('servers/a', 7, b'x')])
+        self.assertIsNone(self.table.get('servers/a'))
+
     def test_removal_before_a_return_stands(self) -> None:
         """Guards against a paused VM that undoes a removal."""
         self.table.merge([create_item('servers/a', 8, None)])
