--- a/jacinthcart_lab/_store_writers.py
+++ b/jacinthcart_lab/_store_writers.py
@@ -107,7 +107,12 @@
         self._message_by_key.pop(key, None)
 
     async def play_return(
-        self, copy_age_s: float, away_s: float, tasks: TaskGroup
+        self,
+        copy_age_s: float,
+        away_s: float,
+        tasks: TaskGroup,
+        *,
+        keeps_history: bool = True,
     ) -> None:
         """Let the store be away and come back from a copy of earlier.
 
@@ -123,6 +128,8 @@
         await self._server.go_away()
         await anyio.sleep(away_s)
         self._store.return_from(copy)
+        if not keeps_history:
+            self._store.discard_history()
         await self._server.come_back()
         self.returns.append(
             ReturnRecord(copy.revision, away_at, time.monotonic())
--- a/jacinthcart_lab/soak/_disturbances.py
+++ b/jacinthcart_lab/soak/_disturbances.py
@@ -29,6 +29,8 @@
     def __init__(self) -> None:
         """Create without a disturbance."""
         self._disturbances: list[Disturbance] = []
+        #: Number of series that have not ended.
+        self._expected = 0
 
     @contextlib.contextmanager
     def record(self, vm: int | None) -> Iterator[None]:
@@ -46,8 +48,19 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether a disturbance lasts."""
-        return any(one.until == math.inf for one in self._disturbances)
+        """Whether a disturbance lasts or is still to come."""
+        return self._expected > 0 or any(
+            one.until == math.inf for one in self._disturbances
+        )
+
+    @contextlib.contextmanager
+    def expect_more(self) -> Iterator[None]:
+        """Count as active throughout, as disturbances come in series."""
+        self._expected += 1
+        try:
+            yield
+        finally:
+            self._expected -= 1
 
     def is_in_touch(self, vm: int, at: float) -> bool:
         """Return whether the bounds hold for a VM at a time."""
--- a/jacinthcart_lab/soak/_faults.py
+++ b/jacinthcart_lab/soak/_faults.py
@@ -176,24 +176,26 @@
     async def _return_store(self, tasks: TaskGroup, started_at: float) -> None:
         """Let the store come back from older copies, once or in series."""
         store = self._deployment.store
-        for _ in range(self._random.choice((1, 1, 2, 3))):
-            if store.is_away:
-                return
-            # Faults start after the first configuration, so the copy has one.
-            age_s = min(
-                self._random.uniform(0, _MAX_COPY_AGE_S),
-                anyio.current_time() - started_at,
-            )
-            away_s = self._random.uniform(0, _MAX_AWAY_S)
-            self._record(
-                f'store away for {away_s:.1f} s, back from a copy {age_s:.1f} '
-                's old',
-            )
-            with self.disturbances.record(None):
-                await self._deployment.writers.play_return(age_s, away_s, tasks)
-                if self._random.random() < _DISCARD_FRACTION:
-                    store.discard_history()
-            await anyio.sleep(self._random.uniform(0, 2))
+        with self.disturbances.expect_more():
+            for _ in range(self._random.choice((1, 1, 2, 3))):
+                if store.is_away:
+                    return
+                # Faults start after the first configuration: copies have one.
+                age_s = min(
+                    self._random.uniform(0, _MAX_COPY_AGE_S),
+                    anyio.current_time() - started_at,
+                )
+                away_s = self._random.uniform(0, _MAX_AWAY_S)
+                self._record(
+                    f'store away for {away_s:.1f} s, back from a copy '
+                    f'{age_s:.1f} s old',
+                )
+                keeps_history = self._random.random() >= _DISCARD_FRACTION
+                with self.disturbances.record(None):
+                    await self._deployment.writers.play_return(
+                        age_s, away_s, tasks, keeps_history=keeps_history
+                    )
+                await anyio.sleep(self._random.uniform(0, 2))
 
     async def _inject_proxy_fault(self) -> None:
         vm = self._random.choice(self._vms)
