--- a/tests/fleet/test_anti_entropy.py
+++ b/tests/fleet/test_anti_entropy.py
@@ -7,6 +7,7 @@
 from jacinthcart.fleet._anti_entropy import AntiEntropy, AntiEntropyParameters
 from jacinthcart.fleet._member_log import MemberLog
 from jacinthcart.fleet._messages import FleetMessage, MemberRecord
+from jacinthcart.readings import START
 from jacinthcart.telemetry import create_logger
 from tests.support import ManualClock, create_member
 
@@ -196,9 +197,10 @@
         kind='ack',
         seq=1,
         sender=create_member(address),
-        revision=0,
-        complete_to=0,
+        newest=START,
+        complete_to=START,
         age_s=None,
+        digest=None,
         described=described,
         records=tuple(records),
     )
