--- a/jacinthcart/readings/_item.py
+++ b/jacinthcart/readings/_item.py
@@ -47,6 +47,8 @@
         return later
 
     def _resolve_tie(self, known: Item, item: Item) -> Item:
+        if known == item:
+            return known
         for older, newer in ((known, item), (item, known)):
             if newer.content is None or self._is_older(older, newer):
                 return newer
