Add a play of bytes without end against VM processes

`python -m jacinthcart_lab endless` plays each form behind 200 and 500 on the paths of searchers, shards, the store, a peer, callers and datagrams against real VM processes, counts resident memory and the kernel's receive queues, and ends a process above its limit as the platform does. No product code changes.

--- a/jacinthcart_lab/__main__.py
+++ b/jacinthcart_lab/__main__.py
@@ -12,6 +12,7 @@
 from jacinthcart_lab._changes import post_to_service
 from jacinthcart_lab._demo import run_demo
 from jacinthcart_lab._demo_fleet import run_fleet
+from jacinthcart_lab.endless import Endless
 from jacinthcart_lab.soak import SoakParameters, run_soak
 
 ConfigServiceOption = Annotated[
@@ -145,7 +146,9 @@
 class Lab:
     """Demo, benchmarks and soak test of the query tier."""
 
-    command: cappa.Subcommands[Demo | Bench | DemoFleet | Put | Fault | Soak]
+    command: cappa.Subcommands[
+        Demo | Bench | DemoFleet | Put | Fault | Soak | Endless
+    ]
 
 
 if __name__ == '__main__':
