Let the faulty peer be pulled from, and close the processes of a play

A VM pulls only from a peer whose pings announce newer contents, so the first form of the stand-in was never asked. Its pings now do, and a play ends its sender processes. No product code changes.

--- a/jacinthcart_lab/endless/_channel.py
+++ b/jacinthcart_lab/endless/_channel.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import sys
 from typing import Any
 
@@ -25,7 +26,8 @@
         sys.stdin.readline, abandon_on_cancel=True
     )
     if not line:
-        sys.exit(1)
+        # Not SystemExit, which would wait for tasks and threads.
+        os._exit(1)
 
 
 async def read_report(process: asyncio.subprocess.Process) -> dict[str, Any]:
--- a/jacinthcart_lab/endless/_faulty.py
+++ b/jacinthcart_lab/endless/_faulty.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import os
 import random
 import re
 from collections.abc import Coroutine
@@ -65,6 +66,8 @@
             self._start(FaultyPeer(addresses, params.seed).run())
         await wait_for_line()
         report({'faulty_sends': self._sends})
+        # Nothing is left to do, and endless senders would log their end.
+        os._exit(0)
 
     async def _start_servers(self) -> None:
         addresses = self._plan.addresses
--- a/jacinthcart_lab/endless/_faulty_peer.py
+++ b/jacinthcart_lab/endless/_faulty_peer.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import time
+from typing import Any
 
 import anyio
 
@@ -20,6 +21,8 @@
 #: Revisions by which the claimed position is ahead of the newest known one.
 _LEAD = 1000
 _DIGEST_BITS = 64
+#: Fraction of the messages that claim to be ahead.
+_AHEAD_FRACTION = 0.5
 
 
 class FaultyPeer:
@@ -68,13 +71,17 @@
                 await self._send(KIND_ACK, received.seq, source)
 
     async def _send(self, kind: str, seq: int, peer: Endpoint) -> None:
-        ahead = Position(self._newest.era, self._newest.revision + _LEAD)
+        # A VM repairs its copy from a peer that is level but differs, and
+        # pulls from one that is ahead if that one is its source.
+        claim = self._newest
+        if self._random.random() < _AHEAD_FRACTION:
+            claim = Position(claim.era, claim.revision + _LEAD)
         message = FleetMessage(
             kind=kind,
             seq=seq,
             sender=self._record,
-            newest=ahead,
-            complete_to=ahead,
+            newest=claim,
+            complete_to=claim,
             age_s=0,
             digest=f'{self._random.getrandbits(_DIGEST_BITS):x}',
             described=None,
--- a/jacinthcart_lab/endless/_play.py
+++ b/jacinthcart_lab/endless/_play.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import pathlib
 import signal
 import subprocess
@@ -33,6 +34,8 @@
 _CLOSE_TIMEOUT_S = 5
 _MAX_SHOWN_FAILURES = 5
 _HALF = 0.5
+#: Longest time in seconds in which a VM that was stopped serves again.
+_RESTART_S = 3.0
 _OK = 200
 
 
@@ -64,9 +67,7 @@
             for vm in self._vms:
                 vm.end()
             for process in self._processes.values():
-                with contextlib.suppress(ProcessLookupError):
-                    process.kill()
-                await process.wait()
+                await _close(process)
 
     async def _run(self) -> dict[str, Any]:
         params = self._plan.params
@@ -167,16 +168,18 @@
         for stop in self._stops:
             if call.vm != stop.vm or call.status is not None:
                 continue
+            ended_at = stop.at + stop.took_s
             back_at = min(
                 (
                     one.sent_at
                     for one in calls
                     if one.vm == stop.vm
                     and one.status == _OK
-                    and one.sent_at > stop.at + stop.took_s
+                    and one.sent_at > ended_at
                 ),
-                default=stop.at,
+                default=math.inf,
             )
+            back_at = min(back_at, ended_at + _RESTART_S)
             if stop.at < call.sent_at < back_at:
                 return True
         return False
@@ -201,6 +204,17 @@
         return [reason for reason, is_broken in checks.items() if is_broken]
 
 
+async def _close(process: asyncio.subprocess.Process) -> None:
+    # A process ends by itself at the end of its input.
+    assert process.stdin is not None
+    process.stdin.close()
+    try:
+        await asyncio.wait_for(process.wait(), _CLOSE_TIMEOUT_S)
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+
+
 def run_play(
     params: EndlessParameters, keep: pathlib.Path | None = None
 ) -> dict[str, Any]:
