--- a/jacinthcart_emulator/endless.py
+++ b/jacinthcart_emulator/endless.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import time
 import types
@@ -11,6 +12,8 @@
 BLOCK_BYTES = 65536
 #: Bandwidth that all faulty senders of a process share, in bytes per second.
 LINK_BYTES_PER_S = 125_000_000
+#: Idle time in seconds that a link makes up for, as timers are coarse.
+_LINK_CREDIT_S = 0.01
 #: Name of the choice of another form for each connection.
 MIXED = 'mixed'
 _STEADY_PAUSE_S = 0.01
@@ -22,6 +25,8 @@
 #: Larger than the peers' longest message, and sent in one piece over loopback.
 _OVERSIZE_BYTES = 8000
 _RANDOM_BYTES = 1200
+#: Number of different datagrams of a kind.
+_DATAGRAM_COUNT = 64
 _LINE_END = b'\r\n'
 _CHUNKED = b'Transfer-Encoding: chunked\r\n'
 _REASONS = types.MappingProxyType({200: b'OK', 500: b'Internal Server Error'})
@@ -81,8 +86,8 @@
 
 _EVENT_FRAMING = b'%sContent-Type: text/event-stream\r\n' % _CHUNKED
 _ONE_CHUNK = EndlessForm(b'x', _CHUNKED, b'%x\r\n' % _HUGE_BYTES)
-_CHUNKS_OF_1_BYTE = EndlessForm(_encode_chunk(b'x'), _CHUNKED)
-_CHUNKS_OF_4_KB = EndlessForm(_encode_chunk(b'x' * _CHUNK_BYTES), _CHUNKED)
+_SMALL_CHUNKS = EndlessForm(_encode_chunk(b'x'), _CHUNKED)
+_LARGE_CHUNKS = EndlessForm(_encode_chunk(b'x' * _CHUNK_BYTES), _CHUNKED)
 _HEADER_LINE = EndlessForm(b'x', prefix=b'X-Filler: ', has_complete_head=False)
 _HEADER_LINES = EndlessForm(b'X-Filler: x\r\n', has_complete_head=False)
 _HUGE_LENGTH = EndlessForm(b'x', _create_length_framing(_HUGE_BYTES))
@@ -105,8 +110,8 @@
         'one-chunk-of-line-ends': dataclasses.replace(
             _ONE_CHUNK, unit=_LINE_END
         ),
-        'chunks-of-1-byte': _CHUNKS_OF_1_BYTE,
-        'chunks-of-4-kb': _CHUNKS_OF_4_KB,
+        'chunks-of-1-byte': _SMALL_CHUNKS,
+        'chunks-of-4-kb': _LARGE_CHUNKS,
         'whole-events': EndlessForm(
             _encode_chunk(b'data: x\n\n'), _EVENT_FRAMING
         ),
@@ -134,8 +139,8 @@
     {
         'header-line': _HEADER_LINE,
         'header-lines': _HEADER_LINES,
-        'chunks-of-1-byte': _CHUNKS_OF_1_BYTE,
-        'chunks-of-4-kb': _CHUNKS_OF_4_KB,
+        'chunks-of-1-byte': _SMALL_CHUNKS,
+        'chunks-of-4-kb': _LARGE_CHUNKS,
         'one-chunk': _ONE_CHUNK,
         'huge-length': _HUGE_LENGTH,
         'pipelined': EndlessForm(
@@ -150,11 +155,9 @@
 
 def create_datagrams(form: str, random_source: random.Random) -> list[bytes]:
     """Return some datagrams of a kind, to be sent over and over."""
-    return [_create_datagram(form, random_source) for _ in range(BLOCK_PARTS)]
-
-
-#: Number of different datagrams of a kind.
-BLOCK_PARTS = 64
+    return [
+        _create_datagram(form, random_source) for _ in range(_DATAGRAM_COUNT)
+    ]
 
 
 def _create_datagram(form: str, random_source: random.Random) -> bytes:
@@ -178,7 +181,8 @@
     async def reserve(self, amount: int) -> None:
         """Wait until `amount` bytes may be sent."""
         now = time.monotonic()
-        self._free_at = max(now, self._free_at) + amount / self._bytes_per_s
+        begins_at = max(now - _LINK_CREDIT_S, self._free_at)
+        self._free_at = begins_at + amount / self._bytes_per_s
         await asyncio.sleep(self._free_at - now)
 
 
@@ -227,6 +231,4 @@
 
 def _list_parts(form: EndlessForm, beginning: bytes) -> Iterator[bytes]:
     yield beginning
-    block = form.block
-    while True:
-        yield block
+    yield from itertools.repeat(form.block)
--- a/jacinthcart_lab/endless/_callers.py
+++ b/jacinthcart_lab/endless/_callers.py
@@ -20,8 +20,6 @@
 
 _B_INTERVAL_S = 0.1
 _BATCH_INTERVAL_S = 1.0
-#: Seconds after its time limit in which a request must be answered.
-_SLACK_S = 0.5
 #: Time in seconds from which an answer of B is late.
 _LATE_S = 1.0
 _START_TIMEOUT_S = 30
@@ -64,9 +62,7 @@
         """Wait until all VMs serve B, send, and report."""
         vms = range(self._plan.params.vms)
         async with asyncio.timeout(_START_TIMEOUT_S):
-            for vm in vms:
-                while (await self._call('b', vm)).status != _OK:
-                    await asyncio.sleep(_POLL_S)
+            await asyncio.gather(*map(self._wait_until_served, vms))
         report({'state': 'ready'})
         await wait_for_line()
         begun_at = time.monotonic()
@@ -84,6 +80,10 @@
         )
         await wait_for_line()
 
+    async def _wait_until_served(self, vm: int) -> None:
+        while (await self._call('b', vm)).status != _OK:
+            await asyncio.sleep(_POLL_S)
+
     async def _send_b(self, vm: int, ends_at: float) -> None:
         await asyncio.sleep(self._random.random() * _B_INTERVAL_S)
         await self._repeat('b', vm, 1, _B_INTERVAL_S, ends_at)
@@ -113,7 +113,9 @@
         status: int | None = None
         error = ''
         try:
-            async with asyncio.timeout(TIME_LIMIT_S + _SLACK_S):
+            async with asyncio.timeout(
+                TIME_LIMIT_S + self._plan.params.slack_s
+            ):
                 status = await self._exchange(route, vm)
         except TimeoutError:
             error = 'timeout'
@@ -129,22 +131,31 @@
             addresses.vms[vm], addresses.ports[0]
         )
         try:
-            writer.write(
-                f'GET /{route}/x HTTP/1.1\r\nHost: {HOST}\r\n'
-                f'X-Jacinthcart-Request-Id: {next(self._numbers):016x}\r\n'
-                f'X-Jacinthcart-Deadline-Ms: {TIME_LIMIT_S * _MS_PER_S:.0f}\r\n'
-                f'X-Jacinthcart-Credential: {KEY}\r\n\r\n'.encode()
-            )
-            head = await reader.readuntil(b'\r\n\r\n')
-            lines = head.lower().split(b'\r\n')
-            fields = dict(line.split(b': ', 1) for line in lines[1:-2])
-            await reader.readexactly(int(fields.get(b'content-length', b'0')))
-            return int(lines[0].split()[1])
+            writer.write(_encode_request(route, next(self._numbers)))
+            return await _read_status(reader)
         finally:
             with contextlib.suppress(OSError):
                 writer.close()
 
 
+def _encode_request(route: str, number: int) -> bytes:
+    deadline_ms = int(TIME_LIMIT_S * _MS_PER_S)
+    return (
+        f'GET /{route}/x HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'X-Jacinthcart-Request-Id: {number:016x}\r\n'
+        f'X-Jacinthcart-Deadline-Ms: {deadline_ms}\r\n'
+        f'X-Jacinthcart-Credential: {KEY}\r\n\r\n'
+    ).encode()
+
+
+async def _read_status(reader: asyncio.StreamReader) -> int:
+    head = await reader.readuntil(b'\r\n\r\n')
+    lines = head.lower().split(b'\r\n')
+    fields = dict(line.split(b': ', 1) for line in lines[1:-2])
+    await reader.readexactly(int(fields.get(b'content-length', b'0')))
+    return int(lines[0].split()[1])
+
+
 def summarize(calls: list[Call]) -> dict[str, Any]:
     """Return the figures of B and A; times are in seconds.
 
--- a/jacinthcart_lab/endless/_channel.py
+++ b/jacinthcart_lab/endless/_channel.py
@@ -16,8 +16,7 @@
 
 def report(fields: dict[str, Any]) -> None:
     """Write a report for the driver."""
-    sys.stdout.write(json.dumps(fields) + '\n')
-    sys.stdout.flush()
+    print(json.dumps(fields), flush=True)
 
 
 async def wait_for_line() -> None:
--- a/jacinthcart_lab/endless/_faulty.py
+++ b/jacinthcart_lab/endless/_faulty.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import itertools
 import os
 import random
 import re
@@ -12,6 +13,8 @@
 import anyio
 
 from jacinthcart_emulator.endless import (
+    DATAGRAM_FORMS,
+    MIXED,
     REQUEST_FORMS,
     RESPONSE_FORMS,
     FormChoice,
@@ -31,7 +34,6 @@
 _STORE_FRACTION = 0.5
 #: Time in seconds for which a faulty caller sends.
 _CALLER_TIME_S = 4.0
-_DATAGRAMS_AT_ONCE = 16
 
 
 class FaultySenders:
@@ -139,10 +141,7 @@
         )
         try:
             writer.write(head)
-            answer = await reader.readuntil(_HEAD_END)
-            length = _CONTENT_LENGTH.search(answer)
-            size = int(length.group(1)) if length else 0
-            return answer + await reader.readexactly(size)
+            return await _read_answer(reader)
         finally:
             writer.close()
 
@@ -190,21 +189,26 @@
         async with await anyio.create_udp_socket(
             local_host=addresses.faulty
         ) as source:
-            names = [params.form]
-            if params.form == 'mixed':
-                names = ['json-junk', 'random-bytes', 'oversize']
+            names = [params.form] if params.form != MIXED else DATAGRAM_FORMS
             datagrams = [
                 one
                 for name in names
                 for one in create_datagrams(name, self._random)
             ]
+            targets = itertools.cycle(addresses.vms)
             while True:
-                batch = self._random.sample(datagrams, _DATAGRAMS_AT_ONCE)
-                self._sends += len(batch)
-                await self._link.reserve(sum(map(len, batch)))
-                for number, datagram in enumerate(batch):
-                    address = addresses.vms[number % len(addresses.vms)]
-                    with contextlib.suppress(OSError):
-                        await source.sendto(
-                            datagram, address, addresses.ports[4]
-                        )
+                datagram = self._random.choice(datagrams)
+                self._sends += 1
+                await self._link.reserve(len(datagram))
+                with contextlib.suppress(OSError):
+                    await source.sendto(
+                        datagram, next(targets), addresses.ports[4]
+                    )
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> bytes:
+    head = await reader.readuntil(_HEAD_END)
+    length = _CONTENT_LENGTH.search(head)
+    return head + await reader.readexactly(
+        int(length.group(1)) if length else 0
+    )
--- a/jacinthcart_lab/endless/_faulty_peer.py
+++ b/jacinthcart_lab/endless/_faulty_peer.py
@@ -62,7 +62,7 @@
         )
 
     async def _handle(
-        self, message: dict[str, object], source: Endpoint, _: float
+        self, message: dict[str, Any], source: Endpoint, _: float
     ) -> None:
         with contextlib.suppress(InvalidMessageError):
             received = decode_fleet_message(message)
--- a/jacinthcart_lab/endless/_parameters.py
+++ b/jacinthcart_lab/endless/_parameters.py
@@ -48,6 +48,8 @@
     searchers: int = 4
     #: Slots of each searcher.
     slots: int = 16
+    #: Seconds after its time limit in which a request must be answered.
+    slack_s: float = 0.5
     #: Duration of the traffic in seconds.
     seconds: float = 16.0
     vms: int = 2
--- a/jacinthcart_lab/endless/_play.py
+++ b/jacinthcart_lab/endless/_play.py
@@ -88,7 +88,9 @@
             tasks.append(asyncio.create_task(self._stop_one(watcher)))
         if params.has_reload:
             tasks.append(asyncio.create_task(self._reload()))
-        async with asyncio.timeout(params.seconds + _END_TIMEOUT_S):
+        async with asyncio.timeout(
+            params.seconds + params.slack_s + _END_TIMEOUT_S
+        ):
             report = await read_report(self._processes['callers'])
         for task in tasks:
             # A watcher that failed would have measured nothing.
--- a/jacinthcart_lab/endless/_watcher.py
+++ b/jacinthcart_lab/endless/_watcher.py
@@ -65,7 +65,7 @@
         """Start the process, with its log in `folder`."""
         self.number = number
         self.usage = Usage()
-        #: Whether SIGTERM was sent and the next process isn't started yet.
+        #: Whether its process is ending and the next one isn't started yet.
         self.is_stopping = False
         self._settings_path = settings_path
         self._log = folder / f'vm-{number}.log'
@@ -139,18 +139,15 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        awaiting_restart: set[int] = set()
         while True:
             await asyncio.sleep(_POLL_S)
             queue_bytes_by_inode = _read_queues()
             for vm in self._vms:
-                if vm.is_stopping or vm.number in awaiting_restart:
-                    continue
-                if self._check(vm, queue_bytes_by_inode):
-                    awaiting_restart.add(vm.number)
-                    task = asyncio.create_task(_restart(vm, awaiting_restart))
-                    self._restarts.add(task)
-                    task.add_done_callback(self._restarts.discard)
+                if vm.is_stopping:
+                    # Its peaks count until it has ended.
+                    _measure(vm, queue_bytes_by_inode)
+                elif self._check(vm, queue_bytes_by_inode):
+                    self._start_later(vm)
 
     async def stop_and_start(self, vm: WatchedVm) -> int:
         """Stop a VM by SIGTERM, start it again and return the exit code."""
@@ -161,13 +158,17 @@
         vm.is_stopping = False
         return code
 
+    def _start_later(self, vm: WatchedVm) -> None:
+        vm.is_stopping = True
+        task = asyncio.create_task(_restart(vm))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     def _check(
         self, vm: WatchedVm, queue_bytes_by_inode: dict[str, int]
     ) -> bool:
         """Measure a VM; return whether its process has ended or was killed."""
-        sum_mb = 0.0
-        with contextlib.suppress(OSError, IndexError):
-            sum_mb = vm.measure(queue_bytes_by_inode)
+        sum_mb = _measure(vm, queue_bytes_by_inode)
         code = vm.process.poll()
         if code is None and sum_mb <= self._memory_mb:
             return False
@@ -177,10 +178,17 @@
         return True
 
 
-async def _restart(vm: WatchedVm, awaiting_restart: set[int]) -> None:
+def _measure(vm: WatchedVm, queue_bytes_by_inode: dict[str, int]) -> float:
+    with contextlib.suppress(OSError, IndexError):
+        return vm.measure(queue_bytes_by_inode)
+    # The process has ended.
+    return 0
+
+
+async def _restart(vm: WatchedVm) -> None:
     await asyncio.sleep(_RESTART_DELAY_S)
     vm.start()
-    awaiting_restart.discard(vm.number)
+    vm.is_stopping = False
 
 
 def _read_queues() -> dict[str, int]:
