--- a/tests/emulator/test_endless.py
+++ b/tests/emulator/test_endless.py
@@ -17,7 +17,7 @@
     SharedLink,
 )
 
-_BLOCKS = 3
+_UNITS = 200
 
 
 def _has_end(codec: h11.Connection, received: bytes) -> bool:
@@ -55,7 +55,7 @@
                 self.check(h11.SERVER, begin, form)
 
     def check(self, role: Any, begin: bytes, form: EndlessForm) -> None:
-        """Check the beginning of a message and some blocks of it."""
+        """Check the beginning of a message and some units of it."""
         codec = h11.Connection(role)
         if role is h11.CLIENT:
             request = h11.Request(
@@ -63,7 +63,7 @@
             )
             codec.send(request)
             codec.send(h11.EndOfMessage())
-        self.assertFalse(_has_end(codec, begin + form.block * _BLOCKS))
+        self.assertFalse(_has_end(codec, begin + form.unit * _UNITS))
 
     def test_mixed_forms_depend_on_the_seed(self) -> None:
         """Guards against plays that can't be repeated."""
