--- a/tests/node/test_endless_bytes.py
+++ b/tests/node/test_endless_bytes.py
@@ -72,9 +72,7 @@
 
     def test_peer_without_end_stops_no_requests(self) -> None:
         """Guards against pulls that hold the event loop."""
-        self.check(
-            path='peer', form='chunks-of-1-byte', seconds=_LONG_SECONDS
-        )
+        self.check(path='peer', form='chunks-of-1-byte', seconds=_LONG_SECONDS)
 
     def test_callers_without_end_stop_no_requests(self) -> None:
         """Guards against requests that hold the event loop or memory."""
