--- a/jacinthcart/telemetry/__init__.py
+++ b/jacinthcart/telemetry/__init__.py
@@ -7,6 +7,7 @@
     set_log_level,
     start_logging,
 )
+from jacinthcart.telemetry._loop_delay import LoopDelayRecorder
 from jacinthcart.telemetry._metrics import (
     MetricKey,
     Metrics,
@@ -18,6 +19,7 @@
     'Decision',
     'DecisionLog',
     'Logger',
+    'LoopDelayRecorder',
     'MetricKey',
     'Metrics',
     'NonBlockingOutput',
