Measure the traffic with each searcher

A searcher that sends without end could not be told from others, nor bytes that are counted from bytes that exist. By searcher id (at most 256, the rest under one label) there are now sends, received bytes, processor seconds of parsing and unfinished responses by reason. A response that is given up has a log line, at most one in ten seconds for a searcher and five a second in all. The logger keeps each limit key forever, so these limits are kept with the figures, which end with the searcher. Bodies of responses above 4096 bytes are listed by weak references, and open connections with the bytes in their kernel queues. No decision changes; a limit of a single response raises a subclass of the error it raised before.

--- a/jacinthcart/errors/__init__.py
+++ b/jacinthcart/errors/__init__.py
@@ -10,6 +10,7 @@
     OutcomeUnknownError,
     RefusalError,
     RequestMemoryError,
+    ResponseTooLargeError,
     SettingsError,
     WireError,
 )
@@ -25,6 +26,7 @@
     'RefusalCode',
     'RefusalError',
     'RequestMemoryError',
+    'ResponseTooLargeError',
     'SettingsError',
     'WireError',
 ]
--- a/jacinthcart/errors/_tree.py
+++ b/jacinthcart/errors/_tree.py
@@ -54,6 +54,10 @@
     """
 
 
+class ResponseTooLargeError(MalformedResponseError):
+    """A response exceeds a limit of a single response."""
+
+
 class RefusalError(JacinthcartError):
     """A request is refused; `ran` tells whether it may have run."""
 
--- a/jacinthcart/routing/__init__.py
+++ b/jacinthcart/routing/__init__.py
@@ -27,8 +27,10 @@
 from jacinthcart.routing._outcome import INTERNAL_ERROR, Outcome, OutcomeKind
 from jacinthcart.routing._pool import ConnectionParameters, SearcherPools
 from jacinthcart.routing._quantiles import QuantileParameters, QuantileTracker
+from jacinthcart.routing._response_progress import SearcherTraffic
 from jacinthcart.routing._service_times import ServiceTimes
 from jacinthcart.routing._table import RoutingTable, create_routing_table
+from jacinthcart.routing._traffic import TrafficTable
 
 __all__ = [
     'INTERNAL_ERROR',
@@ -56,8 +58,10 @@
     'SearcherHealth',
     'SearcherPools',
     'SearcherResponse',
+    'SearcherTraffic',
     'SelectionParameters',
     'ServiceTimes',
+    'TrafficTable',
     'create_routing_table',
     'estimate_cost_s',
 ]
--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from jacinthcart.errors import MalformedResponseError
+from jacinthcart.errors import MalformedResponseError, ResponseTooLargeError
 from jacinthcart.wire import BodyFraming, ParsedHead
 
 #: Limits of a body. A searcher in trouble may send without end.
@@ -28,6 +28,11 @@
         self._received_bytes = 0
         self._pieces = 0
 
+    @property
+    def pieces(self) -> int:
+        """Return the number of received pieces."""
+        return self._pieces
+
     def feed(self, received: bytes) -> bytes:
         """Add bytes; return those after the body.
 
@@ -39,7 +44,7 @@
             self._received_bytes > _MAX_BODY_BYTES
             or self._pieces > _MAX_BODY_PIECES
         ):
-            raise MalformedResponseError('body is too large')
+            raise ResponseTooLargeError('body is too large')
         return rest
 
     def finish(self) -> None:
@@ -134,5 +139,5 @@
     if head.framing is BodyFraming.CLOSE:
         return _CloseDelimitedBody()
     if head.content_length > _MAX_BODY_BYTES:
-        raise MalformedResponseError('body is too large')
+        raise ResponseTooLargeError('body is too large')
     return _LengthBody(head.content_length)
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -26,6 +26,7 @@
 from jacinthcart.routing._report_recorder import ReportRecorder
 from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
+from jacinthcart.routing._traffic import TrafficTable
 from jacinthcart.telemetry import Logger, Metrics
 
 #: Seconds within which an abandoned attempt may still finish, so that its
@@ -143,6 +144,7 @@
         self._metrics = metrics
         self._logger = logger
         self._log = SearcherLog(metrics, logger)
+        self.traffic = TrafficTable(self._log, clock)
         self._reports = ReportRecorder(table, self._log)
         self._tasks: TaskGroup | None = None
         self._attempts = 0
@@ -280,7 +282,8 @@
             return Outcome(OutcomeKind.NOT_RUN, str(error), was_sent=False)
         idle_timeout_s = None
         try:
-            response = await self._exchange(connection, attempt, context)
+            with self.traffic.observe(searcher, connection.progress):
+                response = await self._exchange(connection, attempt, context)
             idle_timeout_s = response.idle_timeout_s
         except NotSentError as error:
             connection.is_usable = True
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 connections to searchers."""
 
 import dataclasses
+import weakref
 from collections.abc import Callable
 
 import anyio
@@ -21,7 +22,12 @@
 )
 from jacinthcart.routing._request_memory import RequestMemory
 from jacinthcart.routing._response_memory import ResponseMemory
-from jacinthcart.streams import STREAM_FAILURES, is_readable
+from jacinthcart.routing._response_progress import ResponseProgress
+from jacinthcart.streams import (
+    STREAM_FAILURES,
+    count_queue_bytes,
+    is_readable,
+)
 from jacinthcart.wire import ParsedHead, ResponseHeadParser
 
 _RECEIVE_BYTES = 65536
@@ -74,6 +80,7 @@
         self.failure: OutcomeUnknownError | None = None
         #: Whether another response may follow the last complete one.
         self.keeps_open = True
+        self.progress = ResponseProgress(memory.bodies)
         self._heads = ResponseHeadParser()
         self._head: ParsedHead | None = None
         self._body: BaseResponseBody | None = None
@@ -106,6 +113,7 @@
 
     def release(self) -> None:
         """Drop the response in progress, which no one needs any more."""
+        self.progress.end_body(self._body)
         # Neither its last bytes nor the end of the stream may complete it.
         self._head = None
         self._body = None
@@ -114,6 +122,7 @@
 
     def discard(self) -> None:
         """Give up the response in progress and all that follow."""
+        self.progress.was_discarded = True
         self._fail(OutcomeUnknownError('response is too large to be held'))
 
     def finish(self) -> None:
@@ -145,6 +154,7 @@
                     ResponseHead(head.status, head.headers)
                 ),
             )
+            self.progress.begin_body(head, self._body)
         self._complete_response()
         return rest
 
@@ -217,6 +227,11 @@
         #: Id of the request in progress if its response has no body.
         self._bodyless_id: str | None = None
 
+    @property
+    def progress(self) -> ResponseProgress:
+        """Return what has arrived in the last exchange."""
+        return self._parser.progress
+
     def may_carry(self, request_id: str) -> bool:
         """Return whether a send of the request may use this connection.
 
@@ -230,6 +245,14 @@
         """Return whether neither data nor end of stream arrived while idle."""
         return not is_readable(self._socket)
 
+    def is_open(self) -> bool:
+        """Return whether the connection has a socket."""
+        return self._socket.fileno() >= 0
+
+    def count_queue_bytes(self) -> int:
+        """Return the received bytes that the kernel still holds."""
+        return count_queue_bytes(self._socket)
+
     async def exchange(
         self, message: bytes, request_id: str, *, expects_body: bool = True
     ) -> SearcherResponse:
@@ -304,7 +327,7 @@
         while not parser.complete:
             if parser.failure is not None:
                 raise parser.failure
-            parser.feed(await self._receive_bytes())
+            parser.progress.feed(parser.feed, await self._receive_bytes())
         return parser.pop_complete()
 
     async def _receive_bytes(self) -> bytes:
@@ -367,6 +390,22 @@
             tuple[str, int],
             list[SearcherConnection],
         ] = {}
+        self._connections: weakref.WeakSet[SearcherConnection] = (
+            weakref.WeakSet()
+        )
+
+    @property
+    def response_held_bytes(self) -> int:
+        """Return the bytes counted for responses in progress."""
+        return self._memory.held_bytes
+
+    def list_bodies(self) -> list[BaseResponseBody]:
+        """Return the bodies of large responses that exist in memory."""
+        return list(self._memory.bodies)
+
+    def list_open_connections(self) -> list[SearcherConnection]:
+        """Return the connections in use and those that are idle."""
+        return [one for one in self._connections if one.is_open()]
 
     async def acquire(
         self,
@@ -464,9 +503,11 @@
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f'connect: {error!r}') from error
-        return SearcherConnection(
+        connection = SearcherConnection(
             stream, self._codec, self._memory, self._clock()
         )
+        self._connections.add(connection)
+        return connection
 
 
 def _pop_newest(
--- a/jacinthcart/routing/_response_memory.py
+++ b/jacinthcart/routing/_response_memory.py
@@ -1,7 +1,10 @@
 """Limit on the memory of all responses that are being received."""
 
+import weakref
 from collections.abc import Callable
 
+from jacinthcart.routing._body import BaseResponseBody
+
 
 class ResponseAccount:
     """The received bytes that one connection holds."""
@@ -36,6 +39,8 @@
     def __init__(self, limit_bytes: int) -> None:
         """Create the limit; nothing is held."""
         self.held_bytes = 0
+        #: Bodies of large responses that exist, whether held or not.
+        self.bodies: weakref.WeakSet[BaseResponseBody] = weakref.WeakSet()
         self._limit_bytes = limit_bytes
         self._holding: set[ResponseAccount] = set()
 
--- a/jacinthcart/routing/_searcher_log.py
+++ b/jacinthcart/routing/_searcher_log.py
@@ -2,9 +2,11 @@
 
 from jacinthcart.catalogue import Searcher
 from jacinthcart.errors import MalformedResponseError, RequestMemoryError
+from jacinthcart.routing._response_progress import ResponseProgress
 from jacinthcart.telemetry import Logger, Metrics
 
 _METRIC = 'searcher'
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class SearcherLog:
@@ -28,6 +30,33 @@
             error=str(error),
         )
 
+    def log_unfinished_response(
+        self,
+        searcher: Searcher,
+        progress: ResponseProgress,
+        reason: str,
+        elapsed_s: float,
+        suppressed: int,
+    ) -> None:
+        """Log a response that was given up before its end.
+
+        `elapsed_s` is the time in seconds since its request was sent,
+        `suppressed` the number of such lines left out for the searcher. The
+        caller limits the rate.
+        """
+        self._logger.warning(
+            'response given up',
+            searcher=searcher.searcher_id,
+            born=searcher.born,
+            reason=reason,
+            status=progress.status,
+            framing=progress.framing,
+            received_bytes=progress.received_bytes,
+            pieces=progress.pieces,
+            elapsed_ms=round(elapsed_s * _MILLISECONDS_PER_SECOND),
+            suppressed=suppressed,
+        )
+
     def log_malformed_load(self, searcher: Searcher) -> None:
         """Log a load report with an unusable figure."""
         self._metrics.count(_METRIC, 'malformed_load')
--- a/jacinthcart/streams/__init__.py
+++ b/jacinthcart/streams/__init__.py
@@ -2,8 +2,14 @@
 
 from jacinthcart.streams._idle import (
     STREAM_FAILURES,
+    count_queue_bytes,
     is_closed_by_peer,
     is_readable,
 )
 
-__all__ = ['STREAM_FAILURES', 'is_closed_by_peer', 'is_readable']
+__all__ = [
+    'STREAM_FAILURES',
+    'count_queue_bytes',
+    'is_closed_by_peer',
+    'is_readable',
+]
--- a/jacinthcart/wire/_head.py
+++ b/jacinthcart/wire/_head.py
@@ -9,7 +9,7 @@
 import enum
 import re
 
-from jacinthcart.errors import MalformedResponseError
+from jacinthcart.errors import MalformedResponseError, ResponseTooLargeError
 
 #: Limits of a head. A server in trouble may send without end.
 _MAX_HEAD_BYTES = 65536
@@ -114,7 +114,7 @@
         while head is not None and head.is_interim:
             self._interim_responses += 1
             if self._interim_responses > _MAX_INTERIM_RESPONSES:
-                raise MalformedResponseError('too many interim responses')
+                raise ResponseTooLargeError('too many interim responses')
             head = self._parse_lines()
         if head is not None:
             self._interim_responses = 0
@@ -179,9 +179,9 @@
 
     def _check_size(self, head_bytes: int) -> None:
         if len(self._headers) > _MAX_HEADERS:
-            raise MalformedResponseError('too many headers')
+            raise ResponseTooLargeError('too many headers')
         if head_bytes > _MAX_HEAD_BYTES:
-            raise MalformedResponseError('head is too large')
+            raise ResponseTooLargeError('head is too large')
 
     def _complete(self) -> ParsedHead:
         self._check_size(len(self._raw))
--- a/tests/overload/support.py
+++ b/tests/overload/support.py
@@ -1,5 +1,6 @@
 """A played load of several VMs that share searchers, in virtual time."""
 
+import weakref
 import collections
 import dataclasses
 import enum
@@ -38,6 +39,7 @@
     Shutdown,
 )
 from jacinthcart.telemetry import Metrics, create_logger
+from jacinthcart.routing._response_progress import ResponseProgress
 from tests.serving.support import QueuedSearcher, create_client
 from tests.support import (
     create_catalogue,
@@ -219,6 +221,7 @@
         self, searcher: SharedSearcher, service_time_s: float, is_deaf: bool
     ) -> None:
         """Create a usable connection."""
+        self.progress = ResponseProgress(weakref.WeakSet())
         self._searcher = searcher
         self._service_time_s = service_time_s
         self._is_deaf = is_deaf
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+import weakref
 from collections.abc import Callable, Mapping
 from typing import Any
 from unittest import mock
@@ -37,6 +38,7 @@
     Shutdown,
 )
 from jacinthcart.telemetry import Metrics, create_logger
+from jacinthcart.routing._response_progress import ResponseProgress
 from tests.support import (
     create_catalogue,
     create_member,
@@ -150,6 +152,7 @@
 
     def __init__(self, searcher: QueuedSearcher) -> None:
         """Create a usable connection."""
+        self.progress = ResponseProgress(weakref.WeakSet())
         self.is_usable = True
         self._searcher = searcher
 
