Show memory, loop delay and searcher traffic to operators

The hypotheses about endless responses could not be told apart with the figures of a VM. /metrics and /v1/status show the bytes of each account beside the bodies that exist, the kernel queues, resident memory and its limit; /metrics has the traffic by searcher, without those that left. The node runs the recorder of the event loop's delay.

Measured: tests of the operators' page pass.

--- a/jacinthcart/node/_memory.py
+++ b/jacinthcart/node/_memory.py
@@ -1,9 +1,14 @@
 """Division of a VM's memory."""
 
 from jacinthcart.front import CallerMemory, CallerMemoryParameters
+from jacinthcart.node._diagnostics import Diagnostics
 from jacinthcart.program import Clock
-from jacinthcart.routing import ConnectionParameters
-from jacinthcart.telemetry import Logger, Metrics
+from jacinthcart.routing import (
+    ConnectionParameters,
+    SearcherPools,
+    TrafficTable,
+)
+from jacinthcart.telemetry import Logger, LoopDelayRecorder, Metrics
 
 #: Fraction of the memory that requests and answers of callers may hold.
 _CALLER_FRACTION = 0.15
@@ -38,3 +43,21 @@
             max_held_bytes=int(self._memory_bytes * _RESPONSE_FRACTION),
             max_request_bytes=int(self._memory_bytes * _REQUEST_FRACTION),
         )
+
+    def create_diagnostics(
+        self,
+        caller_memory: CallerMemory,
+        pools: SearcherPools,
+        traffic: TrafficTable,
+        clock: Clock,
+        metrics: Metrics,
+        logger: Logger,
+    ) -> Diagnostics:
+        """Return what tells how memory and processor time are used."""
+        return Diagnostics(
+            caller_memory,
+            pools,
+            traffic,
+            LoopDelayRecorder(metrics, logger, clock),
+            self._memory_bytes,
+        )
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -46,7 +46,6 @@
     ReaderRole,
     StoreReader,
     TablePuller,
-    TableServer,
 )
 from jacinthcart.routing import (
     BaseSearcherCodec,
@@ -133,7 +132,6 @@
         self.directory_params = DirectoryParameters(
             ttl_s=min(_DIRECTORY_TTL_S, bounds.directory_ttl_s),
         )
-        self.table_server = TableServer(self.table, self.lease)
         self._request_log = RequestLog(
             self.catalogue_state,
             self.table,
@@ -210,6 +208,7 @@
         tasks.start_soon(self._reader.run)
         tasks.start_soon(self._searcher_client.run)
         tasks.start_soon(self._expire_searchers)
+        tasks.start_soon(self.diagnostics.run)
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed settings.
@@ -332,6 +331,14 @@
             self.metrics,
             self.logger,
         )
+        self.diagnostics = self._memory_bounds.create_diagnostics(
+            self.caller_memory,
+            self._pools,
+            self._searcher_client.traffic,
+            clock,
+            self.metrics,
+            self.logger,
+        )
         self._server = RequestServer(
             self._searcher_client,
             ExtraSendBudget(
@@ -383,3 +390,6 @@
                 self.table.forget_missing()
             self.catalogue_state.remove_lapsed()
             self.catalogue_state.accept_earlier_processes()
+            self.diagnostics.traffic.retain(
+                self.catalogue_state.searchers_by_id
+            )
--- a/jacinthcart/node/_operator_api.py
+++ b/jacinthcart/node/_operator_api.py
@@ -12,7 +12,9 @@
     RawResponse,
 )
 from jacinthcart.node._handler import BaseNodeHandler
+from jacinthcart.node._diagnostics import MEMORY_NAMES
 from jacinthcart.node._node import Node
+from jacinthcart.node._traffic_metrics import collect_traffic
 from jacinthcart.readings import START, ItemTable, Position
 from jacinthcart.telemetry import Metrics
 from jacinthcart.wire import encode_json
@@ -84,7 +86,7 @@
         'cold_searchers': node.list_cold_searchers(),
         'evacuated': sorted(node.catalogue_state.evacuated),
         'allotments': node.describe_quotas(),
-        'caller_held_bytes': node.caller_memory.held_bytes,
+        **node.diagnostics.describe_memory(),
     }
 
 
@@ -124,6 +126,9 @@
         yield self._collect_counters(self._node.metrics)
         yield self._collect_latencies(self._node.metrics)
         yield self._collect_ratios(self._node.metrics)
+        yield from collect_traffic(
+            self._node.diagnostics.traffic.traffic_by_label, self._core
+        )
 
     def _collect_gauges(self) -> Iterator[Any]:
         status = describe_node(self._node)
@@ -138,7 +143,7 @@
             'complete_to',
             'searchers',
             'members_counted',
-            'caller_held_bytes',
+            *MEMORY_NAMES,
         ):
             status_value = status[name]
             yield gauge(
--- a/jacinthcart/node/_peer_api.py
+++ b/jacinthcart/node/_peer_api.py
@@ -5,7 +5,8 @@
     RawResponse,
 )
 from jacinthcart.node._handler import BaseNodeHandler
-from jacinthcart.readings import PULL_PATH
+from jacinthcart.node._node import Node
+from jacinthcart.readings import PULL_PATH, TableServer
 
 _COMPRESSED = ((b'Content-Type', b'application/zlib'),)
 
@@ -13,6 +14,11 @@
 class PeerHandler(BaseNodeHandler):
     """Serves pulls of store data."""
 
+    def __init__(self, node: Node) -> None:
+        """Serve the copy of the node."""
+        super().__init__(node)
+        self._table_server = TableServer(node.table, node.lease)
+
     async def handle(self, request: RawRequest) -> RawResponse:
         """Return the changes that the peer lacks."""
         if request.path != PULL_PATH:
@@ -24,5 +30,5 @@
         except ValueError:
             return RawResponse(400)
         return RawResponse(
-            200, _COMPRESSED, self._node.table_server.answer(after, era)
+            200, _COMPRESSED, self._table_server.answer(after, era)
         )
--- a/tests/node/test_operator_api.py
+++ b/tests/node/test_operator_api.py
@@ -52,3 +52,27 @@
             with self.subTest(name):
                 self.assertEqual(status.get(name), revision)
                 self.assertIn(f'jacinthcart_{name} {revision}.0', lines)
+
+    def test_memory_and_traffic_are_shown(self) -> None:
+        """Guards against a searcher that sends without end unseen."""
+        node = create_node(decode_settings(create_fields()))[0]
+        traffic = node.diagnostics.traffic.get('s-1')
+        traffic.sends = 3
+        traffic.parse_s = 0.5
+        traffic.received_bytes = 70_000
+        traffic.unfinished_by_reason['too large'] += 2
+        status = describe_node(node)
+        lines = encode_metrics(node).decode().splitlines()
+        for line in (
+            'jacinthcart_searcher_sends_total{searcher="s-1"} 3.0',
+            'jacinthcart_searcher_parse_seconds_total{searcher="s-1"} 0.5',
+            'jacinthcart_searcher_received_bytes_total{searcher="s-1"} 70000.0',
+            'jacinthcart_searcher_unfinished_responses_total'
+            '{reason="too large",searcher="s-1"} 2.0',
+            'jacinthcart_memory_limit_bytes 2e+08',
+            'jacinthcart_response_body_bytes 0.0',
+        ):
+            with self.subTest(line):
+                self.assertIn(line, lines)
+        self.assertGreater(status['resident_bytes'], 1_000_000)
+        self.assertEqual(status['searcher_queue_bytes'], 0)
