Free a response that is given up without the cyclic collector

Callers saw VMs end for memory while a searcher sent without end. A response that was given up left the count of held bytes at once, and its bytes stayed until the cyclic garbage collector ran.

Cause: reference cycles. The parser of a chunked body held methods of the body that owned it; the parser of a connection held a method of the connection, and its account a method of the parser; a kept failure held, through its traceback, the frames of the objects that kept it, with the received bytes; an attempt and its listener held each other with the response.

Change: chunks go to a sink that refers to neither body nor parser. The rule for bodies is an object of its own, the account refers weakly to the parser, failures are kept and raised without an earlier traceback, and an attempt drops its listener when it ends.

--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -87,25 +87,42 @@
         return b''
 
 
+class _ChunkSink:
+    """Collects the pieces that the parser of a chunked body finds.
+
+    It refers neither to the parser nor to the body: the parser refers to it,
+    and a reference cycle would keep a body that is given up in memory until
+    the cyclic garbage collector runs.
+    """
+
+    def __init__(self, content: bytearray) -> None:
+        """Create a sink that appends to `content`."""
+        self.pieces = 0
+        self.is_complete = False
+        self._content = content
+
+    def on_body(self, piece: bytes) -> None:
+        """Add a piece of a chunk."""
+        self._content += piece
+        self.pieces += 1
+
+    def on_message_complete(self) -> None:
+        """Complete the body."""
+        self.is_complete = True
+
+
 class _ChunkedBody(BaseResponseBody):
     """Body in chunks."""
 
     def __init__(self) -> None:
         """Create a body of which no chunk has arrived."""
         super().__init__()
-        self._parser: Any = httptools.HttpResponseParser(self)
+        self._sink = _ChunkSink(self.content)
+        self._parser: Any = httptools.HttpResponseParser(self._sink)
         self._parser.feed_data(_CHUNKED_HEAD)
         #: Last bytes that the parser was given, of a possible end.
         self._tail = b''
 
-    def on_body(self, piece: bytes) -> None:
-        """Add a piece of a chunk."""
-        self._append(piece)
-
-    def on_message_complete(self) -> None:
-        """Complete the body."""
-        self.is_complete = True
-
     def _feed(self, received: bytes) -> bytes:
         # The parser does not tell where a body ends. It is given no byte
         # after one that may be the last.
@@ -125,6 +142,8 @@
             self._parser.feed_data(piece)
         except httptools.HttpParserError as error:
             raise MalformedResponseError(f'chunked body: {error}') from error
+        self.is_complete = self._sink.is_complete
+        self._pieces = self._sink.pieces
 
 
 def create_body(head: ParsedHead, *, has_body: bool) -> BaseResponseBody:
--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -112,8 +112,12 @@
     def end(self, outcome: Outcome) -> None:
         """Set the outcome and call the listener."""
         self.outcome = outcome
-        if self._on_end is not None:
-            self._on_end(self)
+        # The listener is a method of what holds this attempt. As a reference
+        # cycle both would remain in memory, with the response.
+        on_end = self._on_end
+        self._on_end = None
+        if on_end is not None:
+            on_end(self)
 
     def detach_listener(self) -> None:
         """Prevent the attempt from calling its listener when it ends."""
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -20,6 +20,7 @@
     ResponseHead,
     SearcherResponse,
 )
+from jacinthcart.routing._failure import copy_without_traceback
 from jacinthcart.routing._request_memory import RequestMemory
 from jacinthcart.routing._response_memory import ResponseMemory
 from jacinthcart.routing._response_progress import ResponseProgress
@@ -63,6 +64,23 @@
     max_request_bytes: int = 32 * 1024 * 1024
 
 
+class _BodyRule:
+    """Decides whether the body that a head announces follows it."""
+
+    def __init__(self, codec: BaseSearcherCodec) -> None:
+        """Create the rule of a connection that has carried no request."""
+        #: Id of the request in progress if its response has no body.
+        self.bodyless_id: str | None = None
+        self._codec = codec
+
+    def has_body(self, head: ResponseHead) -> bool:
+        """Return whether the announced body follows the head."""
+        # A late response to another request may arrive first.
+        if self.bodyless_id is None:
+            return True
+        return self._codec.find_request_id(head) != self.bodyless_id
+
+
 class _ResponseParser:
     """Collects the complete responses that arrive on a connection."""
 
@@ -85,7 +103,8 @@
         self._head: ParsedHead | None = None
         self._body: BaseResponseBody | None = None
         self._has_body = has_body
-        self._account = memory.open(self.discard)
+        # A strong reference would make the account and the parser a cycle.
+        self._account = memory.open(weakref.WeakMethod(self.discard))
 
     @property
     def is_in_response(self) -> bool:
@@ -135,7 +154,8 @@
             self._complete_response()
 
     def _fail(self, failure: OutcomeUnknownError) -> None:
-        self.failure = failure
+        # The traceback of an error that was raised refers to this parser.
+        self.failure = copy_without_traceback(failure)
         self.release()
 
     def _parse(self, received: bytes) -> bytes:
@@ -220,12 +240,13 @@
         self.was_used = True
         self._stream = stream
         self._codec = codec
-        self._parser = _ResponseParser(memory, self._has_body)
+        # The parser refers to no connection: as a cycle they would remain in
+        # memory after the close, with what the stream has received.
+        self._body_rule = _BodyRule(codec)
+        self._parser = _ResponseParser(memory, self._body_rule.has_body)
         self._socket = stream.extra(SocketAttribute.raw_socket)
         #: Ids of requests that this connection answered without success.
         self._failed_ids: set[str] = set()
-        #: Id of the request in progress if its response has no body.
-        self._bodyless_id: str | None = None
 
     @property
     def progress(self) -> ResponseProgress:
@@ -265,7 +286,7 @@
         self.is_usable = False
         self.was_used = True
         if not expects_body:
-            self._bodyless_id = request_id
+            self._body_rule.bodyless_id = request_id
         if len(message) > _SEND_BYTES:
             return await self._exchange_large(message, request_id)
         await self._send(message)
@@ -294,14 +315,16 @@
             try:
                 response = await self._receive_response(request_id)
             except OutcomeUnknownError as error:
-                failure = error
+                failure = copy_without_traceback(error)
             # The searcher still expects the rest of a request that is cut
             # short, also if this attempt is cancelled during the next wait.
             is_reusable = self.is_usable
             self.is_usable = False
             tasks.cancel_scope.cancel()
         if response is None:
-            raise sender.failure or failure or OutcomeUnknownError('cancelled')
+            raise copy_without_traceback(
+                sender.failure or failure or OutcomeUnknownError('cancelled')
+            )
         self.is_usable = is_reusable and sender.is_finished
         return response
 
@@ -326,7 +349,7 @@
         parser = self._parser
         while not parser.complete:
             if parser.failure is not None:
-                raise parser.failure
+                raise copy_without_traceback(parser.failure)
             parser.progress.feed(parser.feed, await self._receive_bytes())
         return parser.pop_complete()
 
@@ -341,17 +364,10 @@
             raise OutcomeUnknownError(f'receive: {error!r}') from error
         return b''
 
-    def _has_body(self, head: ResponseHead) -> bool:
-        # A late response to another request may arrive first.
-        request_id = self._bodyless_id
-        if request_id is None:
-            return True
-        return self._codec.find_request_id(head) != request_id
-
     def _is_reusable(self, response: SearcherResponse) -> bool:
         # A late copy of a response without its body could not be told from
         # one with a body, nor a body sent nevertheless from a next response.
-        if self._bodyless_id is not None:
+        if self._body_rule.bodyless_id is not None:
             return False
         parser = self._parser
         has_more = bool(parser.complete) or parser.is_in_response
--- a/jacinthcart/routing/_response_memory.py
+++ b/jacinthcart/routing/_response_memory.py
@@ -10,7 +10,9 @@
     """The received bytes that one connection holds."""
 
     def __init__(
-        self, memory: 'ResponseMemory', discard: Callable[[], None]
+        self,
+        memory: 'ResponseMemory',
+        discard: weakref.WeakMethod[Callable[[], None]],
     ) -> None:
         """Create an empty account; ResponseMemory.open does this."""
         self.held_bytes = 0
@@ -44,10 +46,13 @@
         self._limit_bytes = limit_bytes
         self._holding: set[ResponseAccount] = set()
 
-    def open(self, discard: Callable[[], None]) -> ResponseAccount:
+    def open(
+        self, discard: weakref.WeakMethod[Callable[[], None]]
+    ) -> ResponseAccount:
         """Return the account of a connection.
 
         `discard` must drop what the connection holds and clear the account.
+        It must be alive while the account holds bytes.
         """
         return ResponseAccount(self, discard)
 
@@ -60,7 +65,11 @@
         self._holding.add(account)
         while self.held_bytes > self._limit_bytes:
             largest = max(self._holding, key=_get_held_bytes)
-            largest.discard()
+            discard = largest.discard()
+            if discard is None:
+                largest.clear()
+            else:
+                discard()
 
 
 def _get_held_bytes(account: ResponseAccount) -> int:
