Bound the processor time that long messages take together

Callers of sound services waited for seconds while a faulty searcher sent without end: what is read of one response is bounded, but not the processor time that all responses in progress take together.

ProcessingBudget is a token bucket of processor seconds, filled at 0.15 of a processor with a burst of 50 ms. A message is parsed without a limit up to 4 KB (64 KB where bytes are only copied), and then in slices whose processor time is measured and drawn from the bucket. While it is empty, messages wait unread, so that TCP holds their senders back. The next turn is given to the source that has recently used least and, within it, to the message that has used least, so that a sound long message passes endless ones. A message gives other tasks a turn after 0.5 ms of its own processor time. Nothing uses the budget yet.

Each test was seen failing without its mechanism: without the check of the bucket the tests of endless messages do not end (the first hangs); without turns, the order of sources, the order of messages, the free bytes, the removal of cancelled waiters, the release of an unused turn, the handing on of the lead, recording after an error, the bound of a debt, the bound on sources and retain_only, the test of each fails; with trio's checkpoint the test on asyncio fails.

--- a/jacinthcart/streams/__init__.py
+++ b/jacinthcart/streams/__init__.py
@@ -1,4 +1,4 @@
-"""Detects stream connections that failed or must not be reused."""
+"""Streams: failed or used connections, the cost of reading long messages."""
 
 from jacinthcart.streams._idle import (
     STREAM_FAILURES,
@@ -6,9 +6,21 @@
     is_closed_by_peer,
     is_readable,
 )
+from jacinthcart.streams._processing import (
+    COPY_SLICE_BYTES,
+    SLICE_BYTES,
+    MessageProcessing,
+    ProcessingBudget,
+    ProcessingParameters,
+)
 
 __all__ = [
+    'COPY_SLICE_BYTES',
+    'SLICE_BYTES',
     'STREAM_FAILURES',
+    'MessageProcessing',
+    'ProcessingBudget',
+    'ProcessingParameters',
     'count_queue_bytes',
     'is_closed_by_peer',
     'is_readable',
--- a/tests/streams/__init__.py
+++ b/tests/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `jacinthcart.streams`."""
