Bound what the answer of a peer expands to

A VM in trouble could end each VM that pulled its table: an answer of 97 KB that expands to 100 MB of blanks allocated 1,300,186,070 bytes at the peak, 900 KB of `{}` items 500,489,675, on VMs of 200 or 300 MB. A list of malformed items also gave one error message for each of them: 1.4 MB in the log for 3,000 items.

Cause: the only bound was 512 MB, above the memory of a VM, for the bytes received and for the text, and none for the objects made from it. A text that was cut at the bound was decoded all the same.

Change: an answer takes at most an eighth of the VM's memory, compressed and decompressed. Validation stops at the first malformed item. A table that fits is merged as before: each VM holds the table and the configuration made from it, so a larger one would not fit.

--- a/jacinthcart/node/_memory.py
+++ b/jacinthcart/node/_memory.py
@@ -18,6 +18,11 @@
 _REQUEST_FRACTION = 0.1
 #: Fraction of the memory that responses in progress may hold.
 _RESPONSE_FRACTION = 0.2
+#: Fraction of the memory that one answer of the store or of a peer may take.
+#: While it is decoded, its objects take up to twice that besides. Each VM
+#: holds the whole table and the configuration made from it, which takes
+#: several times the bytes, so a larger table would not fit any way.
+_TABLE_FRACTION = 0.125
 
 
 class MemoryBounds:
@@ -26,6 +31,8 @@
     def __init__(self, memory_bytes: int) -> None:
         """Divide `memory_bytes`, the memory available to the process."""
         self._memory_bytes = memory_bytes
+        #: Maximum size in bytes of an answer of the store or of a peer.
+        self.max_table_bytes = int(memory_bytes * _TABLE_FRACTION)
 
     def create_caller_memory(
         self, clock: Clock, metrics: Metrics, logger: Logger
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -155,6 +155,7 @@
                 self.lease,
                 self.logger,
                 self.metrics,
+                self._memory_bounds.max_table_bytes,
             ),
             seeds=settings.seeds,
             port=settings.peer_port,
--- a/jacinthcart/readings/_pull.py
+++ b/jacinthcart/readings/_pull.py
@@ -3,7 +3,7 @@
 import base64
 import math
 import zlib
-from typing import Any
+from typing import Annotated, Any, cast
 
 import anyio
 import pydantic
@@ -25,8 +25,14 @@
 _CONNECT_TIMEOUT_S = 0.3
 #: Minimum time in seconds between two repairs.
 _REPAIR_INTERVAL_S = 1.0
-#: Maximum size of a decompressed table in bytes: 500 of the largest values.
-_MAX_TABLE_BYTES = 1 << 29
+#: Maximum size of a peer's answer in bytes unless a puller states another
+#: one, compressed and decompressed.
+_MAX_TABLE_BYTES = 32 * 1024 * 1024
+#: Bytes that the objects of an answer may take for each byte of that maximum.
+#: The contents of a table are text, which takes no more than its bytes.
+_DECODED_FACTOR = 2
+#: Bytes that are decompressed before other tasks run.
+_DECOMPRESS_BYTES = 262_144
 
 
 class _ItemMessage(pydantic.BaseModel):
@@ -63,7 +69,8 @@
     digest: str | None = None
     #: Whether the items are all that the sender knows.
     is_full: bool = False
-    items: list[_ItemMessage]
+    #: The first malformed item is enough to refuse the message.
+    items: Annotated[list[_ItemMessage], pydantic.FailFast()]
 
 
 class TableServer:
@@ -128,9 +135,14 @@
         lease: FreshnessLease,
         logger: Logger,
         metrics: Metrics,
+        max_table_bytes: int = _MAX_TABLE_BYTES,
     ) -> None:
-        """Initialise with the table and the lease to update."""
+        """Initialise with the table and the lease to update.
+
+        An answer above `max_table_bytes` is refused.
+        """
         self.table = table
+        self._max_table_bytes = max_table_bytes
         self.lease = lease
         self._merge_log = MergeLog(table, logger, metrics)
         self._logger = logger
@@ -210,26 +222,31 @@
             self._is_busy = False
 
     async def _pull(self, endpoint: Endpoint, is_repair: bool) -> None:
+        asked_at = self.lease.clock()
+        after = START if is_repair else self.table.complete_to
+        self._merge(asked_at, await self._fetch(endpoint, after))
+        self._has_pulled = True
+        if is_repair:
+            self._repaired_at = asked_at
+
+    async def _fetch(self, endpoint: Endpoint, after: Position) -> Any:
+        """Return the decoded answer of a peer."""
         connection = await HttpConnection.open(
             endpoint.address,
             endpoint.port,
             _CONNECT_TIMEOUT_S,
         )
         try:
-            after = START if is_repair else self.table.complete_to
-            asked_at = self.lease.clock()
             response = await connection.request(
                 'GET',
                 f'{PULL_PATH}?after={after.revision}&era={after.era}',
-                max_body_bytes=_MAX_TABLE_BYTES,
+                max_body_bytes=self._max_table_bytes,
             )
         finally:
             with anyio.CancelScope(shield=True):
                 await connection.close()
-        self._merge(asked_at, _decompress(response.body))
-        self._has_pulled = True
-        if is_repair:
-            self._repaired_at = asked_at
+        text = await _decompress(response.body, self._max_table_bytes)
+        return decode_json(text, _DECODED_FACTOR * self._max_table_bytes)
 
     def _merge(self, asked_at: float, message: Any) -> None:
         try:
@@ -254,13 +271,28 @@
             self.lease.record_peer_proof(asked_at, changes.age_s)
 
 
-def _decompress(body: bytes) -> Any:
+async def _decompress(body: bytes, max_bytes: int) -> bytearray:
+    """Return the text; raise InvalidMessageError if it is not complete."""
     codec = zlib.decompressobj()
+    text = bytearray()
+    for start in range(0, len(body), _DECOMPRESS_BYTES):
+        rest = body[start : start + _DECOMPRESS_BYTES]
+        while rest and not codec.eof:
+            text += _decompress_part(codec, rest)
+            if len(text) > max_bytes:
+                raise InvalidMessageError('table is too large')
+            rest = codec.unconsumed_tail
+            await anyio.sleep(0)
+    if not codec.eof:
+        raise InvalidMessageError('zlib data of the answer ends early')
+    return text
+
+
+def _decompress_part(codec: Any, body: bytes) -> bytes:
     try:
-        text = codec.decompress(body, _MAX_TABLE_BYTES)
+        return cast(bytes, codec.decompress(body, _DECOMPRESS_BYTES))
     except zlib.error as error:
         raise InvalidMessageError('pull answer is not zlib data') from error
-    return decode_json(text)
 
 
 def _encode_item(item: Item) -> dict[str, Any]:
--- a/tests/readings/test_pull.py
+++ b/tests/readings/test_pull.py
@@ -1,6 +1,8 @@
 """Tests of pulls of store data from other VMs."""
 
-import unittest
+import tracemalloc
+import zlib
+from unittest import TestCase, mock
 
 import anyio
 
@@ -13,35 +15,45 @@
     TablePuller,
     TableServer,
 )
-from jacinthcart.telemetry import Metrics, create_logger
+from jacinthcart.telemetry import Logger, Metrics, create_logger
 from jacinthcart_emulator.malformed import MALFORMATIONS_BY_NAME
 from tests.scripted_server import ScriptedServer
 from tests.support import ManualClock, create_item
 
 
-def _create_response() -> bytes:
+_MAX_TABLE_BYTES = 1_000_000
+_WHOLE_TEXT = b'{"complete_to": 7, "age_s": null, "items": []}'
+
+
+def _create_response(content: bytes = b'{}') -> bytes:
     """Return a peer's response with one item."""
     table = ItemTable()
-    table.merge([create_item('op/config', 3, b'{}')])
-    body = TableServer(table, FreshnessLease(read_boot_clock)).answer(0)
+    table.merge([create_item('op/config', 3, content)])
+    return _create_head_and_body(
+        TableServer(table, FreshnessLease(read_boot_clock)).answer(0)
+    )
+
+
+def _create_head_and_body(body: bytes) -> bytes:
     return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body) + body
 
 
-async def _pull(response: bytes) -> int:
+async def _pull(response: bytes, logger: Logger | None = None) -> int:
     """Return the highest revision that a pull brings."""
     table = ItemTable()
     puller = TablePuller(
         table,
         FreshnessLease(read_boot_clock),
-        create_logger('test'),
+        logger or create_logger('test'),
         Metrics(),
+        _MAX_TABLE_BYTES,
     )
     async with ScriptedServer([response], len(response)).listen() as port:
         await puller.pull('peer', Endpoint(address='127.0.0.1', port=port))
     return table.newest.revision
 
 
-class MalformedResponseTests(unittest.TestCase):
+class MalformedResponseTests(TestCase):
     """A malformed response of a peer changes nothing."""
 
     def test_malformed_response_is_ignored(self) -> None:
@@ -56,7 +68,57 @@
         self.assertEqual(anyio.run(_pull, _create_response()), 3)
 
 
-class ProofTests(unittest.TestCase):
+class LargeResponseTests(TestCase):
+    """The objects of a peer's response are bounded, not only its bytes."""
+
+    def test_response_that_expands_is_refused(self) -> None:
+        """Guards against a small response that takes all memory.
+
+        A response of 100 KB may expand to 100 MB of text, and a text to
+        objects of 20 times its bytes.
+        """
+        texts = (
+            b' ' * 100_000_000,
+            b'{"items": [%s{}]}' % (b'{},' * 300_000),
+            b'[%s[]]' % (b'[],' * 300_000),
+            b'["%s\xf0\x9f\x98\x80"]' % (b'a' * 900_000),
+        )
+        for text in texts:
+            response = _create_head_and_body(zlib.compress(text))
+            with self.subTest(text[:20]):
+                self.assertEqual(anyio.run(_pull, response), 0)
+                tracemalloc.start()
+                anyio.run(_pull, response)
+                peak_bytes = tracemalloc.get_traced_memory()[1]
+                tracemalloc.stop()
+                self.assertLess(peak_bytes, 6 * _MAX_TABLE_BYTES)
+
+    def test_table_of_nearly_the_maximum_is_merged(self) -> None:
+        """Guards against a bound that refuses a table that fits."""
+        # The content is written in base64, with the other members beside it.
+        content = b'x' * int(0.74 * _MAX_TABLE_BYTES)
+        self.assertEqual(anyio.run(_pull, _create_response(content)), 3)
+
+    def test_response_that_ends_early_is_refused(self) -> None:
+        """Guards against a cut response that is taken for a whole one."""
+        body = zlib.compress(_WHOLE_TEXT)
+        whole, cut = (
+            anyio.run(_pull, _create_head_and_body(one))
+            for one in (body, body[:-1])
+        )
+        self.assertEqual((whole, cut), (7, 0))
+
+    def test_malformed_items_cost_one_error(self) -> None:
+        """Guards against an error that describes each of many items."""
+        text = b'{"complete_to": 7, "age_s": null, "items": [%s{}]}'
+        response = _create_head_and_body(zlib.compress(text % (b'{},' * 3000)))
+        logger = mock.create_autospec(Logger, instance=True)
+        anyio.run(_pull, response, logger)
+        logged = logger.warning.call_args.kwargs['error']
+        self.assertLess(len(logged), 4000)
+
+
+class ProofTests(TestCase):
     """A proof holds for the contents that it names, not for others."""
 
     def setUp(self) -> None:
