End reads of the store that never end

A store that says `has_more` for ever made the reader collect its pages until the memory was used up, also where each page was the same one, and the proof was never renewed meanwhile. An answer of 900 KB with malformed items gave an error message of more than 60 MB, which was logged.

Cause: a page's bytes and time were bounded, the pages of a read were not, nor the objects made from a page.

Answers are decoded with a bound of their objects, and validation stops at the first malformed item. Pages may overlap, as before.

Evidence: three tests of tests/platform/test_store.py failed before: 20 equal pages, 300 pages of 1 KB with a bound of 200,000 bytes, and 300,000 empty lists, whose error was longer than 62 million characters.

--- a/jacinthcart/node/__init__.py
+++ b/jacinthcart/node/__init__.py
@@ -6,12 +6,14 @@
 """
 
 from jacinthcart.node._handler import BaseNodeHandler
+from jacinthcart.node._memory import MemoryBounds
 from jacinthcart.node._node import Node
 from jacinthcart.node._run import run_node
 from jacinthcart.node._settings import NodeBounds, NodeSettings
 
 __all__ = [
     'BaseNodeHandler',
+    'MemoryBounds',
     'Node',
     'NodeBounds',
     'NodeSettings',
--- a/jacinthcart/platform/_store.py
+++ b/jacinthcart/platform/_store.py
@@ -2,7 +2,7 @@
 
 import base64
 import re
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import urlencode
 
 import pydantic
@@ -32,6 +32,13 @@
 _WATCH_SLACK_S = 0.7
 #: Connections to the store: one for a watch, one for reads.
 _CONNECTIONS = 2
+#: Maximum size in bytes of the items of one read or watch unless a store is
+#: created with another one.
+_MAX_TABLE_BYTES = 32 * 1024 * 1024
+#: Bytes that the objects of one answer may take for each byte of that maximum.
+_DECODED_FACTOR = 2
+#: Bytes of the objects that hold one item, in addition to its key and content.
+_ITEM_OVERHEAD_BYTES = 512
 
 _Body = TypeVar('_Body', bound=pydantic.BaseModel)
 
@@ -45,23 +52,73 @@
     removed: bool = False
 
 
+#: The first malformed item is enough to refuse an answer.
+_ItemBodies = Annotated[list[_ItemBody], pydantic.FailFast()]
+
+
 class _RangeBody(pydantic.BaseModel):
-    items: list[_ItemBody]
+    items: _ItemBodies
     has_more: bool = False
     #: Revision of the store at the call.
     at: int
 
 
 class _WatchBody(pydantic.BaseModel):
-    events: list[_ItemBody]
+    events: _ItemBodies
     at: int
 
 
+class _Pages:
+    """The pages of one read."""
+
+    def __init__(self, max_bytes: int) -> None:
+        """Start without a page; all may hold `max_bytes` together."""
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
+        self._pages: list[ReadResult] = []
+        #: Keys after which a page was read.
+        self._ends: set[str] = set()
+
+    def add(self, page: ReadResult, after: str | None) -> None:
+        """Add a page; raise StoreError if the read must not go on.
+
+        `after` is the key after which the next page starts, if there is one.
+        """
+        if self._pages and (
+            page.era != self._pages[0].era
+            or page.revision < self._pages[-1].revision
+        ):
+            raise StoreEraError('kv-range: pages of different eras')
+        self._pages.append(page)
+        self._held_bytes += sum(map(_compute_size, page.items))
+        if self._held_bytes > self._max_bytes:
+            raise StoreError('kv-range: table is too large')
+        if after in self._ends:
+            raise StoreError('kv-range: pages do not advance')
+        if after is not None:
+            self._ends.add(after)
+
+    def join(self) -> ReadResult:
+        """Return the items of all pages, as of the first one."""
+        first = self._pages[0]
+        return ReadResult(
+            tuple(item for page in self._pages for item in page.items),
+            first.revision,
+            first.era,
+        )
+
+
 class PlatformStore(BaseStore):
     """Reads the store over persistent connections."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
-        """Initialise; connections are opened on demand."""
+    def __init__(
+        self, endpoint: Endpoint, max_table_bytes: int = _MAX_TABLE_BYTES
+    ) -> None:
+        """Initialise; connections are opened on demand.
+
+        A read whose items take more than `max_table_bytes` fails.
+        """
+        self._max_table_bytes = max_table_bytes
         self._pool = ConnectionPool(
             endpoint.address,
             endpoint.port,
@@ -71,21 +128,12 @@
 
     async def read(self, prefix: str, timeout_s: float) -> ReadResult:
         """Return all items with `prefix`; see the base class."""
-        pages: list[ReadResult] = []
+        pages = _Pages(self._max_table_bytes)
         after: str | None = ''
         while after is not None:
             page, after = await self._read_page(prefix, after, timeout_s)
-            is_return = bool(pages) and (
-                page.era != pages[0].era or page.revision < pages[-1].revision
-            )
-            if is_return:
-                raise StoreEraError('kv-range: pages of different eras')
-            pages.append(page)
-        return ReadResult(
-            tuple(item for page in pages for item in page.items),
-            pages[0].revision,
-            pages[0].era,
-        )
+            pages.add(page, after)
+        return pages.join()
 
     async def watch(self, after: int, wait_s: float) -> WatchResult:
         """Return the changes after a revision; see the base class."""
@@ -95,7 +143,7 @@
             'wait_ms': str(int(wait_s * _MS_PER_S)),
         }
         response = await self._get('kv-watch', query, wait_s + _WATCH_SLACK_S)
-        changes = _decode(_WatchBody, response)
+        changes = self._decode(_WatchBody, response)
         return WatchResult(
             tuple(_decode_item(event) for event in changes.events),
             changes.at,
@@ -112,7 +160,7 @@
         """Return a page and the key after which the next one starts."""
         query = {'prefix': prefix, **({'after': after} if after else {})}
         response = await self._get('kv-range', query, timeout_s)
-        body = _decode(_RangeBody, response)
+        body = self._decode(_RangeBody, response)
         page = ReadResult(
             tuple(_decode_item(item) for item in body.items),
             body.at,
@@ -138,15 +186,19 @@
             raise StoreError(f'{call}: status {response.status}')
         return response
 
+    def _decode(self, model: type[_Body], response: HttpResponse) -> _Body:
+        max_bytes = _DECODED_FACTOR * self._max_table_bytes
+        try:
+            return model.model_validate(decode_json(response.body, max_bytes))
+        except (pydantic.ValidationError, InvalidMessageError) as error:
+            raise StoreError(
+                f'malformed answer of the store: {error}'
+            ) from error
 
-def _decode(
-    model: type[_Body],
-    response: HttpResponse,
-) -> _Body:
-    try:
-        return model.model_validate(decode_json(response.body))
-    except (pydantic.ValidationError, InvalidMessageError) as error:
-        raise StoreError(f'malformed answer of the store: {error}') from error
+
+def _compute_size(item: StoredItem) -> int:
+    content = item.content or b''
+    return _ITEM_OVERHEAD_BYTES + len(item.key) + len(content)
 
 
 def _decode_era(response: HttpResponse) -> int | None:
--- a/jacinthcart/platform/assembly.py
+++ b/jacinthcart/platform/assembly.py
@@ -4,7 +4,7 @@
 
 from jacinthcart.front import BaseRequestHandler, HttpServer
 from jacinthcart.network import Endpoint
-from jacinthcart.node import Node, NodeSettings
+from jacinthcart.node import MemoryBounds, Node, NodeSettings
 from jacinthcart.platform._catalogue_updater import CatalogueUpdater
 from jacinthcart.platform._document_versions import DocumentVersions
 from jacinthcart.platform._handlers import (
@@ -19,9 +19,10 @@
 
 def create_node(settings: NodeSettings) -> tuple[Node, list[HttpServer]]:
     """Return a node and the servers of its public addresses."""
+    memory = MemoryBounds(settings.memory_bytes)
     node = Node(
         settings,
-        PlatformStore(settings.store),
+        PlatformStore(settings.store, memory.max_table_bytes),
         PlatformSearcherCodec(),
         proof_prefix=OPERATOR_PREFIX,
         versions=DocumentVersions(),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,8 @@
 """Tests of the client of the platform's store."""
 
+import base64
 import unittest
+from collections.abc import Iterable
 
 import anyio
 
@@ -85,6 +87,65 @@
                 self.assertEqual(eras, [None, None])
 
 
+class EndlessReadTests(unittest.TestCase):
+    """A read ends although the store always has more."""
+
+    def test_pages_that_do_not_advance_are_an_error(self) -> None:
+        """Guards against a read that collects the same page for ever."""
+        pages = [_create_page('op/a') for _ in range(20)]
+        self.assertIsInstance(anyio.run(_read, pages), StoreError)
+
+    def test_table_above_the_maximum_is_an_error(self) -> None:
+        """Guards against pages of new items until the memory is used up."""
+        pages = [_create_page(f'op/{n:03}') for n in range(300)]
+        self.assertIsInstance(anyio.run(_read, pages), StoreError)
+
+    def test_table_that_fits_is_read(self) -> None:
+        """Guards against a bound that refuses a table that fits."""
+        pages = [_create_page(f'op/{n:03}') for n in range(40)]
+        outcome = anyio.run(_read, pages)
+        self.assertIsInstance(outcome, ReadResult)
+
+    def test_answer_of_many_objects_is_an_error(self) -> None:
+        """Guards against objects of many times the bytes of an answer."""
+        body = b'{"items": [%s[]], "at": 7}' % (b'[],' * 300_000)
+        outcomes = anyio.run(_list_outcomes, _add_head(body))
+        for outcome in outcomes:
+            self.assertTrue('too much memory' in str(outcome)[:200])
+
+
+_MAX_TABLE_BYTES = 200_000
+
+
+async def _read(pages: Iterable[bytes]) -> ReadResult | StoreError:
+    """Return the outcome of a read whose last page is another one."""
+    last = _add_head(b'{"items": [], "at": 7}')
+    async with ScriptedServer([*pages, last], 100_000).listen() as port:
+        store = PlatformStore(
+            Endpoint(address='127.0.0.1', port=port), _MAX_TABLE_BYTES
+        )
+        try:
+            return await store.read('op/', 5)
+        except StoreError as error:
+            return error
+        finally:
+            await store.close()
+
+
+def _create_page(key: str) -> bytes:
+    content = base64.b64encode(bytes(1000)).decode()
+    item = f'{{"key": "{key}", "revision": 3, "value": "{content}"}}'
+    body = f'{{"items": [{item}], "has_more": true, "at": 7}}'
+    return _add_head(body.encode())
+
+
+def _add_head(body: bytes) -> bytes:
+    return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (
+        len(body),
+        body,
+    )
+
+
 def _create_response(era: str) -> bytes:
     head, separator, body = _RESPONSE.partition(b'\r\n\r\n')
     header = b'\r\nStore-Era: %s' % era.encode()
