Check each byte of a response's head once

A server or searcher that sent one header line byte by byte stopped the process that read it: 65,536 bytes took 75.6 s of processor time before the head was refused as too large (trial, all 8 cores busy). Heads of searchers, of the store and of peers are all parsed here.

Cause: each read searched the whole incomplete line again, with three patterns. The number of headers was checked after all lines of a read had been parsed.

Change: a read without a line feed only has its own bytes checked, as the line before them has been, and the headers are counted as they are parsed.

Both tests of HeadCostTests failed before: 12,517,503 bytes searched for 5,000 received, and 10,000 headers parsed.

--- a/jacinthcart/wire/_head.py
+++ b/jacinthcart/wire/_head.py
@@ -17,6 +17,7 @@
 #: Interim responses before one response.
 _MAX_INTERIM_RESPONSES = 32
 _LINE_END = b'\r\n'
+_LINE_FEED = b'\n'
 #: RFC 9112, section 4, with the statuses of RFC 9110, section 15.
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.([0-9]) ([1-5][0-9]{2}) [\t\x20-\x7e\x80-\xff]*+\r\n',
@@ -96,6 +97,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._raw = bytearray()
         self._interim_responses = 0
+        #: Bytes of an incomplete line that have been checked.
+        self._checked_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -110,6 +113,11 @@
         be the start of a head.
         """
         self._pending += received
+        if self._checked_bytes and _LINE_FEED not in received:
+            # Nothing but the end of a line that was checked before.
+            self._check_line(self._pending)
+            return None
+        self._checked_bytes = 0
         head = self._parse_lines()
         while head is not None and head.is_interim:
             self._interim_responses += 1
@@ -124,6 +132,7 @@
         """Remove and return the bytes after the head."""
         rest = bytes(self._pending)
         self._pending.clear()
+        self._checked_bytes = 0
         return rest
 
     def _parse_lines(self) -> ParsedHead | None:
@@ -161,25 +170,31 @@
             name, content = match.groups()
             self._headers.append((name.lower(), content.rstrip(_WHITE_SPACE)))
             start = match.end()
+            if len(self._headers) > _MAX_HEADERS:
+                raise ResponseTooLargeError('too many headers')
             match = _FIELD_LINE.match(self._pending, start)
         return start
 
     def _check_incomplete_line(self) -> None:
         line, line_end, _ = self._pending.partition(_LINE_END)
-        if line_end or _FORBIDDEN_BYTES.search(line):
-            shown = bytes(line[:_MAX_SHOWN_BYTES])
-            raise MalformedResponseError(
-                f'malformed line in the head: {shown!r}'
-            )
+        if line_end:
+            raise _create_line_error(line)
+        self._check_line(line)
+
+    def _check_line(self, line: bytearray) -> None:
+        """Check a line without its end, of which a part may be checked."""
+        # A line end may have been cut after its first byte.
+        start = max(0, self._checked_bytes - 1)
+        if _FORBIDDEN_BYTES.search(line, start):
+            raise _create_line_error(line)
         if not self._status:
             length = len(_VERSION_START)
             if not _VERSION_START.startswith(line[:length]):
                 raise MalformedResponseError('no status line')
         self._check_size(len(self._raw) + len(line))
+        self._checked_bytes = len(line)
 
     def _check_size(self, head_bytes: int) -> None:
-        if len(self._headers) > _MAX_HEADERS:
-            raise ResponseTooLargeError('too many headers')
         if head_bytes > _MAX_HEAD_BYTES:
             raise ResponseTooLargeError('head is too large')
 
@@ -197,6 +212,11 @@
         return head
 
 
+def _create_line_error(line: bytearray) -> MalformedResponseError:
+    shown = bytes(line[:_MAX_SHOWN_BYTES])
+    return MalformedResponseError(f'malformed line in the head: {shown!r}')
+
+
 def _create_head(
     status: int,
     headers: tuple[tuple[bytes, bytes], ...],
--- a/tests/wire/test_head.py
+++ b/tests/wire/test_head.py
@@ -1,7 +1,7 @@
 """Tests of the heads of responses; the clients' tests cover each rule."""
 
 import itertools
-import unittest
+from unittest import TestCase, mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -35,7 +35,7 @@
     return parsed
 
 
-class ResponseHeadParserTests(unittest.TestCase):
+class ResponseHeadParserTests(TestCase):
     """Each head is accepted or rejected as the standards require."""
 
     def test_every_malformation_is_detected(self) -> None:
@@ -136,3 +136,40 @@
         parser.feed(_RESPONSE)
         self.assertEqual(parser.take_rest(), b'ok')
         self.assertFalse(parser.is_started)
+
+
+class HeadCostTests(TestCase):
+    """The cost of a head grows with its bytes, however they arrive."""
+
+    def test_line_is_searched_once(self) -> None:
+        """Guards against a search of the whole line at each byte.
+
+        A head of 64 KB that arrived byte by byte took 75 s of processor time.
+        """
+        searched = _CountingPattern()
+        parser = ResponseHeadParser()
+        name = 'jacinthcart.wire._head._FORBIDDEN_BYTES'
+        with mock.patch(name, searched):
+            parser.feed(b'HTTP/1.1 200 OK\r\nx: ')
+            for _ in range(5000):
+                parser.feed(b'a')
+        self.assertLess(searched.total_bytes, 4 * 5000)
+
+    def test_headers_beyond_the_maximum_are_not_parsed(self) -> None:
+        """Guards against the cost of all lines that arrived at once."""
+        parser = ResponseHeadParser()
+        with self.assertRaisesRegex(MalformedResponseError, 'too many'):
+            parser.feed(b'HTTP/1.1 200 OK\r\n%b' % (b'a:\r\n' * 10_000))
+        self.assertLess(len(parser._headers), 600)
+
+
+class _CountingPattern:
+    """Counts the bytes that a search for forbidden bytes looks at."""
+
+    def __init__(self) -> None:
+        """Start without a search."""
+        self.total_bytes = 0
+
+    def search(self, line: bytearray, start: int = 0) -> None:
+        """Count the bytes; none of them is forbidden."""
+        self.total_bytes += len(line) - start
