--- a/jacinthcart/wire/__init__.py
+++ b/jacinthcart/wire/__init__.py
@@ -7,6 +7,7 @@
     ParsedHead,
     ResponseHeadParser,
 )
+from jacinthcart.wire._limits import set_max_held_bytes
 from jacinthcart.wire._pool import ConnectionPool
 from jacinthcart.wire._server import AsgiApplication, serve_application
 
@@ -21,4 +22,5 @@
     'decode_json',
     'encode_json',
     'serve_application',
+    'set_max_held_bytes',
 ]
