Free the requests of a connection with its account

Cause: the parser of httptools and its object refer to each other, and so do a connection and its account.

Change: a parser that is stopped drops the one of httptools, and a closed account its connection. Both happen when the connection ends, the first already when a request is refused.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -171,6 +171,9 @@
     def stop(self, status: int) -> None:
         """Drop the request in progress and all that follow."""
         self.violation_status = status
+        # It refers to this object, which would be kept with all that it holds
+        # until the cyclic collector runs.
+        self._parser = None
         self._target = b''
         self._headers = []
         self._chunks = []
@@ -328,6 +331,12 @@
     return len(waiting) >= _MAX_WAITING_REQUESTS
 
 
+def _release(parser: _RequestParser, account: ConnectionAccount) -> None:
+    """Drop what a connection that ends holds, and close its account."""
+    parser.stop(_STATUS_NOT_RUN)
+    account.close()
+
+
 class _Writer:
     """Writes messages to the client of a connection."""
 
@@ -407,7 +416,7 @@
                     await self._serve()
                     tasks.cancel_scope.cancel()
         finally:
-            self._account.close()
+            _release(self._parser, self._account)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
--- a/jacinthcart/front/_memory.py
+++ b/jacinthcart/front/_memory.py
@@ -40,6 +40,16 @@
         """Close the connection at once."""
 
 
+class _ClosedHolder(BaseAccountHolder):
+    """Stands for a connection that is closed."""
+
+    def refuse_incoming(self) -> None:
+        """Do nothing."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+
 class ConnectionAccount:
     """The bytes that one connection holds for its caller."""
 
@@ -55,7 +65,7 @@
         self.answer_bytes = 0
         #: Clock time in seconds at which the caller last took a part of it.
         self.progress_at = 0.0
-        self.holder = holder
+        self.holder: BaseAccountHolder = holder
         self._memory = memory
 
     def receive(self, received_bytes: int) -> None:
@@ -106,6 +116,9 @@
         self.release_answer()
         self.release_complete(self.complete_bytes)
         self._memory.remove(self)
+        # The connection refers to its account, too. Without this, it would be
+        # kept until the cyclic collector runs.
+        self.holder = _ClosedHolder()
 
 
 class CallerMemory:
