Count what responses of searchers hold for as long as they hold it

Callers saw VMs end for memory although the count of held bytes was within its limit. The count was kept beside the bytes: it fell when a response was given up or complete, whatever still held the bytes.

Cause: complete parts that wait for the other shards were not counted, a complete body was copied, the unused part of a growing buffer and the buffers of the connection were not counted, and at the limit each block searched all connections for the largest response.

Change: the owner of a response's bytes owns a hold, and the bytes leave the count when the hold is gone. The hold passes from the body to the head of the complete response. Complete responses are never discarded; a response for which they leave no room fails. A body of more than 64 KB counts with the buffers that its connection may fill, at most the bytes it still lacks. The body is written to BytesIO, which hands out its buffer. Responses in progress are kept by the number of bits of their size, and one of the largest class is discarded without a search.

--- a/jacinthcart/node/_diagnostics.py
+++ b/jacinthcart/node/_diagnostics.py
@@ -63,7 +63,7 @@
             pools.request_memory.held_bytes,
             pools.response_held_bytes,
             len(bodies),
-            sum(len(body.content) for body in bodies),
+            sum(body.compute_held_bytes() for body in bodies),
             len(connections),
             sum(connection.count_queue_bytes() for connection in connections),
             _read_resident_bytes(),
--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -1,11 +1,15 @@
 """Collects the bodies of searchers' responses."""
 
 import abc
+import io
+import sys
 from typing import Any
 
 import httptools
 
 from jacinthcart.errors import MalformedResponseError, ResponseTooLargeError
+from jacinthcart.routing._receive_buffer import RECEIVE_BUFFER_BYTES
+from jacinthcart.routing._response_memory import BaseHeldBody, ResponseHold
 from jacinthcart.wire import BodyFraming, ParsedHead
 
 #: Limits of a body. A searcher in trouble may send without end.
@@ -13,17 +17,24 @@
 #: Pieces of a body, such as chunks. Each costs processor time.
 _MAX_BODY_PIECES = 131_072
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+#: Received bytes of a body above which its connection's buffers count too.
+_SMALL_BODY_BYTES = 65536
+#: Bytes that the buffers of a connection hold at most: the kernel's, which is
+#: twice SO_RCVBUF, and what the event loop has read of it in one go.
+_CONNECTION_BUFFER_BYTES = 4 * RECEIVE_BUFFER_BYTES
 #: The last bytes of each chunked body.
 _CHUNKED_END = b'\r\n\r\n'
 
 
-class BaseResponseBody(abc.ABC):
+class BaseResponseBody(BaseHeldBody):
     """The body of one response while it arrives."""
 
     def __init__(self) -> None:
         """Create a body of which nothing has arrived."""
-        self.content = bytearray()
+        #: Counts the body as held while it exists; None if it is not counted.
+        self.hold: ResponseHold | None = None
         self.is_complete = False
+        self._content = io.BytesIO()
         #: Received bytes, including those of chunk headers and trailers.
         self._received_bytes = 0
         self._pieces = 0
@@ -50,12 +61,34 @@
     def finish(self) -> None:
         """Handle the end of the connection, which may complete the body."""
 
+    def export_content(self) -> bytes:
+        """Return what has arrived, without a copy."""
+        # BytesIO hands out the buffer that it writes to.
+        return self._content.getvalue()
+
+    def compute_held_bytes(self) -> int:
+        """Return the bytes of memory that the body takes.
+
+        They include the unused part of its buffer and, unless it is small,
+        what the buffers of its connection may hold.
+        """
+        held_bytes = sys.getsizeof(self._content)
+        if self._received_bytes <= _SMALL_BODY_BYTES:
+            return held_bytes
+        return held_bytes + min(
+            _CONNECTION_BUFFER_BYTES, self._compute_missing_bytes()
+        )
+
+    def _compute_missing_bytes(self) -> int:
+        """Return the bytes that the body still lacks at most."""
+        return _MAX_BODY_BYTES
+
     @abc.abstractmethod
     def _feed(self, received: bytes) -> bytes:
         """Add bytes; return those after the body."""
 
     def _append(self, piece: bytes) -> None:
-        self.content += piece
+        self._content.write(piece)
         self._pieces += 1
 
 
@@ -69,11 +102,14 @@
         self.is_complete = not content_length
 
     def _feed(self, received: bytes) -> bytes:
-        missing = self._content_length - len(self.content)
+        missing = self._compute_missing_bytes()
         self._append(received[:missing])
         self.is_complete = len(received) >= missing
         return received[missing:]
 
+    def _compute_missing_bytes(self) -> int:
+        return self._content_length - self._content.tell()
+
 
 class _CloseDelimitedBody(BaseResponseBody):
     """Body that ends with the connection."""
@@ -95,15 +131,15 @@
     the cyclic garbage collector runs.
     """
 
-    def __init__(self, content: bytearray) -> None:
-        """Create a sink that appends to `content`."""
+    def __init__(self, content: io.BytesIO) -> None:
+        """Create a sink that writes to `content`."""
         self.pieces = 0
         self.is_complete = False
         self._content = content
 
     def on_body(self, piece: bytes) -> None:
         """Add a piece of a chunk."""
-        self._content += piece
+        self._content.write(piece)
         self.pieces += 1
 
     def on_message_complete(self) -> None:
@@ -117,7 +153,7 @@
     def __init__(self) -> None:
         """Create a body of which no chunk has arrived."""
         super().__init__()
-        self._sink = _ChunkSink(self.content)
+        self._sink = _ChunkSink(self._content)
         self._parser: Any = httptools.HttpResponseParser(self._sink)
         self._parser.feed_data(_CHUNKED_HEAD)
         #: Last bytes that the parser was given, of a possible end.
--- a/jacinthcart/routing/_codec.py
+++ b/jacinthcart/routing/_codec.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from jacinthcart.routing._load_report import LoadReport
+from jacinthcart.routing._response_memory import ResponseHold
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +39,11 @@
     status: int
     #: Headers in order, names in lower case.
     headers: tuple[tuple[bytes, bytes], ...]
+    #: Counts the whole response as held while it exists; None if it is not
+    #: counted.
+    hold: ResponseHold | None = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -23,7 +23,11 @@
 from jacinthcart.routing._failure import copy_without_traceback
 from jacinthcart.routing._receive_buffer import limit_receive_buffer
 from jacinthcart.routing._request_memory import RequestMemory
-from jacinthcart.routing._response_memory import ResponseMemory
+from jacinthcart.routing._response_memory import (
+    BaseHeldBody,
+    ResponseHold,
+    ResponseMemory,
+)
 from jacinthcart.routing._response_progress import ResponseProgress
 from jacinthcart.streams import (
     STREAM_FAILURES,
@@ -104,8 +108,10 @@
         self._head: ParsedHead | None = None
         self._body: BaseResponseBody | None = None
         self._has_body = has_body
-        # A strong reference would make the account and the parser a cycle.
-        self._account = memory.open(weakref.WeakMethod(self.discard))
+        self._memory = memory
+        #: Of the response in progress.
+        self._hold: ResponseHold | None = None
+        self._discard = weakref.WeakMethod(self.discard)
 
     @property
     def is_in_response(self) -> bool:
@@ -116,20 +122,21 @@
         """Parse bytes; a failure does not discard complete responses."""
         if self.failure is not None:
             return
-        self._account.add(len(received))
+        # A response that this read completes is counted as it is complete.
+        if self._hold is not None:
+            self._record_received(len(received))
         rest = received
         try:
             while rest and self.failure is None:
                 rest = self._parse(rest)
         except MalformedResponseError as error:
             self._fail(error)
+        if self.is_in_response:
+            self._record_received(0)
 
     def pop_complete(self) -> tuple[ResponseHead, bytes]:
         """Return the first complete response and stop holding it."""
-        response = self.complete.pop(0)
-        if not self.complete and not self.is_in_response:
-            self._account.clear()
-        return response
+        return self.complete.pop(0)
 
     def release(self) -> None:
         """Drop the response in progress, which no one needs any more."""
@@ -138,7 +145,7 @@
         self._head = None
         self._body = None
         self._heads = ResponseHeadParser()
-        self._account.clear()
+        self._hold = None
 
     def discard(self) -> None:
         """Give up the response in progress and all that follow."""
@@ -187,10 +194,43 @@
         self._head = None
         self._body = None
         self.keeps_open = head.keeps_open
+        content = body.export_content()
+        hold = self._count_complete(head.held_bytes + len(content))
+        if hold is None:
+            self.discard()
+            return
         self.complete.append(
-            (ResponseHead(head.status, head.headers), bytes(body.content))
+            (ResponseHead(head.status, head.headers, hold), content)
         )
 
+    def _count_complete(self, held_bytes: int) -> ResponseHold | None:
+        """Return the hold of a complete response; None if there is no room."""
+        hold = self._hold
+        memory = self._memory
+        if hold is not None:
+            self._hold = None
+            memory.complete(hold.reference, held_bytes)
+            return hold
+        hold = memory.open_complete(held_bytes)
+        if memory.is_full:
+            memory.make_room()
+        return None if memory.is_full else hold
+
+    def _record_received(self, received_bytes: int) -> None:
+        """Record what is held, with bytes that are not parsed yet.
+
+        This may discard the response in progress.
+        """
+        held_bytes = self._heads.held_bytes + received_bytes
+        if self._head is not None and self._body is not None:
+            held_bytes += self._head.held_bytes
+            held_bytes += self._body.compute_held_bytes()
+        if self._hold is None:
+            self._hold = self._memory.open(self._discard, 0)
+        if self._body is not None:
+            self._body.hold = self._hold
+        self._memory.resize(self._hold.reference, held_bytes)
+
 
 class _RequestSender:
     """Sends a large request in parts."""
@@ -416,7 +456,7 @@
         """Return the bytes counted for responses in progress."""
         return self._memory.held_bytes
 
-    def list_bodies(self) -> list[BaseResponseBody]:
+    def list_bodies(self) -> list[BaseHeldBody]:
         """Return the bodies of large responses that exist in memory."""
         return list(self._memory.bodies)
 
--- a/jacinthcart/routing/_response_memory.py
+++ b/jacinthcart/routing/_response_memory.py
@@ -1,76 +1,137 @@
-"""Limit on the memory of all responses that are being received."""
+"""Limit on the memory of all responses of searchers."""
 
+import abc
 import weakref
 from collections.abc import Callable
 
-from jacinthcart.routing._body import BaseResponseBody
+#: Classes of sizes: one for each number of bits that a size may have.
+_SIZE_CLASSES = 64
 
 
-class ResponseAccount:
-    """The received bytes that one connection holds."""
+class BaseHeldBody(abc.ABC):
+    """The body of a response, which takes memory while it exists."""
+
+    @abc.abstractmethod
+    def compute_held_bytes(self) -> int:
+        """Return the bytes of memory that the body takes."""
+
+
+class ResponseHold:
+    """Counts a response as held for as long as this object exists.
+
+    Whatever owns the bytes of the response owns its hold. So they are counted
+    until they are gone, also if something else still refers to them.
+    """
+
+    __slots__ = ('__weakref__', 'reference')
 
     def __init__(
-        self,
-        memory: 'ResponseMemory',
-        discard: weakref.WeakMethod[Callable[[], None]],
+        self, forget: Callable[[weakref.ref['ResponseHold']], None]
     ) -> None:
-        """Create an empty account; ResponseMemory.open does this."""
-        self.held_bytes = 0
-        self.discard = discard
-        self._memory = memory
+        """Create the hold; ResponseMemory.open does this."""
+        #: Identifies the hold without keeping it.
+        self.reference = weakref.ref(self, forget)
 
-    def add(self, received_bytes: int) -> None:
-        """Add received bytes, which may discard the largest response."""
-        self.held_bytes += received_bytes
-        self._memory.record(received_bytes, self)
 
-    def clear(self) -> None:
-        """Release all bytes."""
-        self._memory.record(-self.held_bytes, self)
-        self.held_bytes = 0
+_Reference = weakref.ref[ResponseHold]
+_Discard = weakref.WeakMethod[Callable[[], None]]
+_Responses = dict[_Reference, _Discard]
 
 
 class ResponseMemory:
-    """Bounds the bytes that all connections to searchers hold together.
+    """Bounds the bytes that all responses of searchers hold together.
 
     Searchers in trouble may send without end on many connections. While all
-    responses together exceed the limit, the largest one is discarded, so
-    that small ones of other searchers still arrive.
+    responses together exceed the limit, one of the largest in progress is
+    discarded, so that small ones of other searchers still arrive. Complete
+    responses are counted until they are dropped, and are never discarded: if
+    they leave no room, a response that arrives is.
     """
 
     def __init__(self, limit_bytes: int) -> None:
         """Create the limit; nothing is held."""
         self.held_bytes = 0
         #: Bodies of large responses that exist, whether held or not.
-        self.bodies: weakref.WeakSet[BaseResponseBody] = weakref.WeakSet()
+        self.bodies: weakref.WeakSet[BaseHeldBody] = weakref.WeakSet()
         self._limit_bytes = limit_bytes
-        self._holding: set[ResponseAccount] = set()
+        self._bytes_by_hold: dict[_Reference, int] = {}
+        #: The responses in progress by number of bits of their size, so that
+        #: no search among all of them is needed for each block received.
+        self._discards: list[_Responses] = [{} for _ in range(_SIZE_CLASSES)]
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether more than the limit is held."""
+        return self.held_bytes > self._limit_bytes
+
+    def open(self, discard: _Discard, held_bytes: int) -> ResponseHold:
+        """Return the hold of a response in progress.
+
+        `discard` must drop what holds the response, and its hold. The limit
+        is not applied; as soon as the hold has its owner, that calls
+        `make_room`.
+        """
+        hold = ResponseHold(self._forget)
+        self._bytes_by_hold[hold.reference] = held_bytes
+        self.held_bytes += held_bytes
+        self._discards[held_bytes.bit_length()][hold.reference] = discard
+        return hold
+
+    def open_complete(self, held_bytes: int) -> ResponseHold:
+        """Return the hold of a response that arrived as a whole.
+
+        The limit is not applied, as with `open`.
+        """
+        hold = ResponseHold(self._forget)
+        self._bytes_by_hold[hold.reference] = held_bytes
+        self.held_bytes += held_bytes
+        return hold
+
+    def make_room(self) -> None:
+        """Discard responses in progress while more than the limit is held.
+
+        The caller keeps no other reference to a hold than the owner's.
+        """
+        while self.is_full:
+            if not self._discard_largest():
+                break
 
-    def open(
-        self, discard: weakref.WeakMethod[Callable[[], None]]
-    ) -> ResponseAccount:
-        """Return the account of a connection.
+    def resize(self, reference: _Reference, held_bytes: int) -> None:
+        """Set the bytes that a response holds and apply the limit.
 
-        `discard` must drop what the connection holds and clear the account.
-        It must be alive while the account holds bytes.
+        This may discard any response in progress, also this one; see
+        `make_room`.
         """
-        return ResponseAccount(self, discard)
-
-    def record(self, change_bytes: int, account: ResponseAccount) -> None:
-        """Record a change of an account and apply the limit."""
-        self.held_bytes += change_bytes
-        if change_bytes <= 0:
-            self._holding.discard(account)
-            return
-        self._holding.add(account)
-        while self.held_bytes > self._limit_bytes:
-            largest = max(self._holding, key=_get_held_bytes)
-            discard = largest.discard()
-            if discard is None:
-                largest.clear()
-            else:
-                discard()
-
-
-def _get_held_bytes(account: ResponseAccount) -> int:
-    return account.held_bytes
+        previous_bytes = self._bytes_by_hold[reference]
+        self._bytes_by_hold[reference] = held_bytes
+        self.held_bytes += held_bytes - previous_bytes
+        size_class = held_bytes.bit_length()
+        previous_class = previous_bytes.bit_length()
+        if size_class != previous_class:
+            discard = self._discards[previous_class].pop(reference, None)
+            if discard is not None:
+                self._discards[size_class][reference] = discard
+        if self.is_full:
+            self.make_room()
+
+    def complete(self, reference: _Reference, held_bytes: int) -> None:
+        """Set the bytes of a complete response, which is not discarded."""
+        previous_bytes = self._bytes_by_hold[reference]
+        self._bytes_by_hold[reference] = held_bytes
+        self.held_bytes += held_bytes - previous_bytes
+        self._discards[previous_bytes.bit_length()].pop(reference, None)
+
+    def _discard_largest(self) -> bool:
+        """Discard a response of the largest class; return whether one is."""
+        for responses in reversed(self._discards):
+            if responses:
+                discard = responses.pop(next(iter(responses)))()
+                if discard is not None:
+                    discard()
+                return True
+        return False
+
+    def _forget(self, reference: _Reference) -> None:
+        held_bytes = self._bytes_by_hold.pop(reference)
+        self._discards[held_bytes.bit_length()].pop(reference, None)
+        self.held_bytes -= held_bytes
--- a/jacinthcart/routing/_response_progress.py
+++ b/jacinthcart/routing/_response_progress.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from jacinthcart.routing._body import BaseResponseBody
+from jacinthcart.routing._response_memory import BaseHeldBody
 from jacinthcart.wire import ParsedHead
 
 #: Received bytes of a response beyond which the processor time of parsing is
@@ -39,7 +40,7 @@
 class ResponseProgress:
     """Measures the responses on one connection, one exchange at a time."""
 
-    def __init__(self, bodies: weakref.WeakSet[BaseResponseBody]) -> None:
+    def __init__(self, bodies: weakref.WeakSet[BaseHeldBody]) -> None:
         """Start without an exchange; large bodies are added to `bodies`."""
         #: Bytes received during the exchange.
         self.received_bytes = 0
--- a/jacinthcart/wire/_head.py
+++ b/jacinthcart/wire/_head.py
@@ -16,6 +16,8 @@
 _MAX_HEADERS = 512
 #: Interim responses before one response.
 _MAX_INTERIM_RESPONSES = 32
+#: Bytes of memory of the objects of a header besides its text.
+_HEADER_OBJECT_BYTES = 200
 _LINE_END = b'\r\n'
 _LINE_FEED = b'\n'
 #: RFC 9112, section 4, with the statuses of RFC 9110, section 15.
@@ -79,6 +81,12 @@
     #: The head as received, with the empty line at its end.
     raw: bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of memory that the head takes."""
+        object_bytes = len(self.headers) * _HEADER_OBJECT_BYTES
+        return 2 * len(self.raw) + object_bytes
+
     @property
     def is_interim(self) -> bool:
         """Return whether another response to the same request follows."""
@@ -105,6 +113,12 @@
         """Return whether a part of a response has arrived."""
         return bool(self._pending or self._raw or self._interim_responses)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of memory that the head in progress takes."""
+        pending_bytes = len(self._pending) + len(self._raw)
+        return pending_bytes + len(self._headers) * _HEADER_OBJECT_BYTES
+
     def feed(self, received: bytes) -> ParsedHead | None:
         """Parse bytes; return the head if they complete one.
 
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -313,3 +313,5 @@
         memory = memory or ResponseMemory(64_000_000)
         connection = SearcherConnection(stream, codec, memory, 0)
         await connection.exchange(b'', 'id')
+        # The mock keeps its arguments, which hold the response.
+        codec.reset_mock()
