Lower the limit of responses so that all bounds fit into a VM

Callers saw VMs of 300 MB end for memory although each bound held.

Cause: the bounds were never added up. With 20 % of the memory for responses, the process took up to 149 MB more than at its start, with what malloc keeps and the receive queues; with all other bounds that is 359 MB.

Measured (160 endless responses, 4 s, limit 36 MB, peak of resident memory plus receive queues above the start): one endless chunk 78 MB, chunks of 4 KB 74 MB, with the collector off 83 MB; with 45 MB 84 and 96 MB. A VM's process takes 42.7 MB after its start. The sum is 293 MB of 300; it was added up, not reached in one run. A VM of 150 MB is still above its memory by this sum.

--- a/jacinthcart/node/_memory.py
+++ b/jacinthcart/node/_memory.py
@@ -16,13 +16,15 @@
 _CONNECTION_FRACTION = 0.25
 #: Fraction of the memory that requests in progress to searchers may hold.
 _REQUEST_FRACTION = 0.1
-#: Fraction of the memory that responses in progress may hold.
-_RESPONSE_FRACTION = 0.2
 #: Fraction of the memory that one answer of the store or of a peer may take.
 #: While it is decoded, its objects take up to twice that besides. Each VM
 #: holds the whole table and the configuration made from it, which takes
 #: several times the bytes, so a larger table would not fit any way.
 _TABLE_FRACTION = 0.125
+#: Fraction of the memory that responses of searchers may hold. At this limit
+#: the process takes up to 2.3 times as much, with what malloc keeps and the
+#: kernel's queues (docs/design/memory-bounds.md).
+_RESPONSE_FRACTION = 0.12
 
 
 class MemoryBounds:
