Parse long responses of searchers within the processor budget

Requests to sound services were late by seconds while a faulty searcher sent without end on 160 connections: a read of 64 KB may hold 10,900 chunks and was parsed without a pause, for each connection.

A read of up to 4 KB that begins a response is parsed at once, as before. All else is parsed in slices through the ProcessingBudget of the pools, 4 KB long where pieces cost calls. Slices of bytes that are only copied may have 64 KB, and so may those of large chunks: a slice with few pieces doubles the next. Received bytes count as held before they are parsed. A waiting connection is not read; a time limit or a discard for lack of memory ends its wait.

--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -32,6 +32,9 @@
 class BaseResponseBody(BaseHeldBody):
     """The body of one response while it arrives."""
 
+    #: Whether the received bytes are the content.
+    is_plain = False
+
     def __init__(self) -> None:
         """Create a body of which nothing has arrived."""
         #: Counts the body as held while it exists; None if it is not counted.
@@ -40,12 +43,8 @@
         self._content = io.BytesIO()
         #: Received bytes, including those of chunk headers and trailers.
         self._received_bytes = 0
-        self._pieces = 0
-
-    @property
-    def pieces(self) -> int:
-        """Return the number of received pieces."""
-        return self._pieces
+        #: Pieces of the content that were added, such as parts of chunks.
+        self.pieces = 0
 
     def feed(self, received: bytes) -> bytes:
         """Add bytes; return those after the body.
@@ -56,7 +55,7 @@
         self._received_bytes += len(received) - len(rest)
         if (
             self._received_bytes > _MAX_BODY_BYTES
-            or self._pieces > _MAX_BODY_PIECES
+            or self.pieces > _MAX_BODY_PIECES
         ):
             raise ResponseTooLargeError('body is too large')
         return rest
@@ -92,12 +91,14 @@
 
     def _append(self, piece: bytes) -> None:
         self._content.write(piece)
-        self._pieces += 1
+        self.pieces += 1
 
 
 class _LengthBody(BaseResponseBody):
     """Body of a known length."""
 
+    is_plain = True
+
     def __init__(self, content_length: int) -> None:
         """Create a body of `content_length` bytes."""
         super().__init__()
@@ -117,6 +118,8 @@
 class _CloseDelimitedBody(BaseResponseBody):
     """Body that ends with the connection."""
 
+    is_plain = True
+
     def finish(self) -> None:
         """Complete the body."""
         self.is_complete = True
@@ -182,7 +185,7 @@
         except httptools.HttpParserError as error:
             raise MalformedResponseError(f'chunked body: {error}') from error
         self.is_complete = self._sink.is_complete
-        self._pieces = self._sink.pieces
+        self.pieces = self._sink.pieces
 
 
 def _find_chunked_end(window: bytes, start: int) -> int:
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 connections to searchers."""
 
 import dataclasses
+import functools
 import weakref
 from collections.abc import Callable
 
@@ -21,6 +22,12 @@
     SearcherResponse,
 )
 from jacinthcart.routing._failure import copy_without_traceback
+from jacinthcart.routing._long_responses import (
+    LongResponses,
+    ResponseReading,
+    SearcherReading,
+    create_single_reading,
+)
 from jacinthcart.routing._receive_buffer import limit_receive_buffer
 from jacinthcart.routing._request_memory import RequestMemory
 from jacinthcart.routing._response_memory import (
@@ -30,13 +37,19 @@
 )
 from jacinthcart.routing._response_progress import ResponseProgress
 from jacinthcart.streams import (
+    COPY_SLICE_BYTES,
+    SLICE_BYTES,
     STREAM_FAILURES,
+    ProcessingBudget,
     count_queue_bytes,
     is_readable,
 )
 from jacinthcart.wire import ParsedHead, ResponseHeadParser
 
 _RECEIVE_BYTES = 65536
+#: Pieces of a slice up to which the next slice may be twice as large.
+_MAX_CHEAP_PIECES = 16
+_HEAD_END = b'\r\n\r\n'
 #: Bytes of a request that are handed to the transport at once. It copies what
 #: the searcher does not take.
 _SEND_BYTES = 16384
@@ -86,6 +99,20 @@
         return self._codec.find_request_id(head) != self.bodyless_id
 
 
+def _choose_slice_bytes(last_bytes: int, pieces: int) -> int:
+    """Return the bytes to parse after a slice that had `pieces`.
+
+    Large pieces cost little more than copying them.
+    """
+    if pieces > _MAX_CHEAP_PIECES:
+        return SLICE_BYTES
+    return min(2 * last_bytes, COPY_SLICE_BYTES)
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 class _ResponseParser:
     """Collects the complete responses that arrive on a connection."""
 
@@ -104,6 +131,8 @@
         #: Whether another response may follow the last complete one.
         self.keeps_open = True
         self.progress = ResponseProgress(memory.bodies)
+        #: Called as the response in progress is given up.
+        self.on_discard: Callable[[], None] = _do_nothing
         self._heads = ResponseHeadParser()
         self._head: ParsedHead | None = None
         self._body: BaseResponseBody | None = None
@@ -112,27 +141,73 @@
         #: Of the response in progress.
         self._hold: ResponseHold | None = None
         self._discard = weakref.WeakMethod(self.discard)
+        #: Received bytes that are parsed from `_parsed` on.
+        self._received = b''
+        self._parsed = 0
+        self._slice_bytes = SLICE_BYTES
 
     @property
     def is_in_response(self) -> bool:
         """Return whether a part of a response has arrived."""
+        if self._parsed < len(self._received):
+            return True
         return self._body is not None or self._heads.is_started
 
+    @property
+    def is_copying(self) -> bool:
+        """Return whether the next bytes are only copied."""
+        return self._body is not None and self._body.is_plain
+
+    def compute_next_length(self) -> int:
+        """Return how many of the received bytes are to be parsed next."""
+        left = len(self._received) - self._parsed
+        if self.is_copying:
+            return min(left, COPY_SLICE_BYTES)
+        if left <= SLICE_BYTES:
+            return left
+        end = min(self._parsed + self._slice_bytes, len(self._received))
+        if self._body is None:
+            # The bytes after a head may be only copied.
+            found = self._received.find(_HEAD_END, self._parsed, end)
+            end = end if found < 0 else found + len(_HEAD_END)
+        return end - self._parsed
+
+    def add(self, received: bytes) -> None:
+        """Hold received bytes; all earlier ones must be parsed."""
+        if self.failure is not None:
+            return
+        self._received = received
+        self._parsed = 0
+        self._record_held()
+
     def feed(self, received: bytes) -> None:
-        """Parse bytes; a failure does not discard complete responses."""
+        """Parse bytes at once; all earlier ones must be parsed."""
         if self.failure is not None:
             return
         # A response that this read completes is counted as it is complete.
         if self._hold is not None:
-            self._record_received(len(received))
-        rest = received
-        try:
-            while rest and self.failure is None:
-                rest = self._parse(rest)
-        except MalformedResponseError as error:
-            self._fail(error)
+            self._record_held(len(received))
+        self._parse_all(received)
         if self.is_in_response:
-            self._record_received(0)
+            self._record_held()
+
+    def parse_next(self) -> None:
+        """Parse the next of the bytes that are held."""
+        body = self._body
+        pieces = body.pieces if body else 0
+        end = self._parsed + self.compute_next_length()
+        rest = self._received[self._parsed : end]
+        self._parsed = end
+        if end == len(self._received):
+            self._received = b''
+            self._parsed = 0
+        self._parse_all(rest)
+        if body is not None and body is self._body:
+            self._slice_bytes = _choose_slice_bytes(
+                self._slice_bytes, body.pieces - pieces
+            )
+        if self.is_in_response:
+            self._record_held()
 
     def pop_complete(self) -> tuple[ResponseHead, bytes]:
         """Return the first complete response and stop holding it."""
@@ -145,12 +220,15 @@
         self._head = None
         self._body = None
         self._heads = ResponseHeadParser()
+        self._received = b''
+        self._parsed = 0
         self._hold = None
 
     def discard(self) -> None:
         """Give up the response in progress and all that follow."""
         self.progress.was_discarded = True
         self._fail(OutcomeUnknownError('response is too large to be held'))
+        self.on_discard()
 
     def finish(self) -> None:
         """Handle the end of the stream.
@@ -161,6 +239,15 @@
             self._body.finish()
             self._complete_response()
 
+    def _parse_all(self, received: bytes) -> None:
+        """Parse bytes; a failure does not discard complete responses."""
+        rest = received
+        try:
+            while rest and self.failure is None:
+                rest = self._parse(rest)
+        except MalformedResponseError as error:
+            self._fail(error)
+
     def _fail(self, failure: OutcomeUnknownError) -> None:
         # The traceback of an error that was raised refers to this parser.
         self.failure = copy_without_traceback(failure)
@@ -193,6 +280,7 @@
             return
         self._head = None
         self._body = None
+        self._slice_bytes = SLICE_BYTES
         self.keeps_open = head.keeps_open
         content = body.export_content()
         hold = self._count_complete(head.held_bytes + len(content))
@@ -216,12 +304,12 @@
             memory.make_room()
         return None if memory.is_full else hold
 
-    def _record_received(self, received_bytes: int) -> None:
-        """Record what is held, with bytes that are not parsed yet.
+    def _record_held(self, added_bytes: int = 0) -> None:
+        """Record what is held, with bytes that are about to be parsed.
 
         This may discard the response in progress.
         """
-        held_bytes = self._heads.held_bytes + received_bytes
+        held_bytes = self._heads.held_bytes + len(self._received) + added_bytes
         if self._head is not None and self._body is not None:
             held_bytes += self._head.held_bytes
             held_bytes += self._body.compute_held_bytes()
@@ -271,8 +359,13 @@
         codec: BaseSearcherCodec,
         memory: ResponseMemory,
         now: float,
+        reading: SearcherReading | None = None,
     ) -> None:
-        """Wrap a connected stream."""
+        """Wrap a connected stream.
+
+        `reading` limits the processor time for long responses; by default it
+        is a limit of this connection alone.
+        """
         self.used_at = now
         self.idle_until = now
         self.is_usable = True
@@ -280,6 +373,7 @@
         #: into its pool.
         self.was_used = True
         self._stream = stream
+        self._reading = reading or create_single_reading()
         self._codec = codec
         # The parser refers to no connection: as a cycle they would remain in
         # memory after the close, with what the stream has received.
@@ -388,12 +482,62 @@
 
     async def _receive(self) -> tuple[ResponseHead, bytes]:
         parser = self._parser
-        while not parser.complete:
-            if parser.failure is not None:
-                raise copy_without_traceback(parser.failure)
-            parser.progress.feed(parser.feed, await self._receive_bytes())
+        parsed_bytes = await self._receive_small()
+        if parser.complete:
+            return parser.pop_complete()
+        reading = self._reading.begin_response(parsed_bytes)
+        while not parser.complete and not reading.processing.is_long:
+            await self._receive_part(reading)
+        if not parser.complete:
+            await self._receive_long(reading)
         return parser.pop_complete()
 
+    async def _receive_small(self) -> int:
+        """Receive once; return the bytes parsed, none if they are many."""
+        parser = self._parser
+        if parser.complete or parser.compute_next_length():
+            return 0
+        if parser.failure is not None:
+            raise copy_without_traceback(parser.failure)
+        received = await self._receive_bytes()
+        if len(received) > SLICE_BYTES:
+            self._add(received)
+            return 0
+        parser.progress.feed(parser.feed, received)
+        return len(received)
+
+    async def _receive_long(self, reading: ResponseReading) -> None:
+        parser = self._parser
+        try:
+            with anyio.CancelScope() as scope:
+                # A response that waits is given up at once, too.
+                parser.on_discard = scope.cancel
+                while not parser.complete:
+                    await self._receive_part(reading)
+        finally:
+            parser.on_discard = _do_nothing
+        if parser.failure is not None and not parser.complete:
+            raise copy_without_traceback(parser.failure)
+
+    async def _receive_part(self, reading: ResponseReading) -> None:
+        parser = self._parser
+        if parser.failure is not None:
+            raise copy_without_traceback(parser.failure)
+        length = parser.compute_next_length()
+        if not length:
+            self._add(await self._receive_bytes())
+            length = parser.compute_next_length()
+        if length:
+            await reading.processing.process(
+                length,
+                functools.partial(parser.progress.parse, parser.parse_next),
+                is_copied=parser.is_copying,
+            )
+
+    def _add(self, received: bytes) -> None:
+        self._parser.progress.record_received(len(received))
+        self._parser.add(received)
+
     async def _receive_bytes(self) -> bytes:
         try:
             return await self._stream.receive(_RECEIVE_BYTES)
@@ -431,11 +575,15 @@
         clock: Clock,
         params: ConnectionParameters,
         compute_share: Callable[[], float] = _get_whole,
+        processing: ProcessingBudget | None = None,
     ) -> None:
         """Create empty pools.
 
         `compute_share` returns this VM's share of what a searcher holds.
+        `processing` limits the processor time for long responses; by default
+        it is a budget of these pools alone.
         """
+        self.processing = processing or ProcessingBudget()
         self.request_memory = RequestMemory(
             params.max_request_bytes, compute_share
         )
@@ -443,6 +591,7 @@
         self._clock = clock
         self._params = params
         self._memory = ResponseMemory(params.max_held_bytes)
+        self._long_responses = LongResponses(self.processing)
         self._idle_by_process: dict[
             tuple[str, int],
             list[SearcherConnection],
@@ -562,7 +711,11 @@
             raise NotSentError(f'connect: {error!r}') from error
         limit_receive_buffer(stream)
         connection = SearcherConnection(
-            stream, self._codec, self._memory, self._clock()
+            stream,
+            self._codec,
+            self._memory,
+            self._clock(),
+            self._long_responses.open(searcher),
         )
         self._connections.add(connection)
         return connection
--- a/jacinthcart/routing/_response_progress.py
+++ b/jacinthcart/routing/_response_progress.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import time
 import weakref
 from collections.abc import Callable
@@ -82,15 +83,26 @@
         if body is not None:
             self._ended_pieces = body.pieces
 
+    def record_received(self, received_bytes: int) -> None:
+        """Count received bytes, which may be parsed later."""
+        self.received_bytes += received_bytes
+        self._traffic.received_bytes += received_bytes
+
     def feed(self, parse: Callable[[bytes], None], received: bytes) -> None:
-        """Parse received bytes and measure that."""
-        self.received_bytes += len(received)
-        self._traffic.received_bytes += len(received)
+        """Count and parse received bytes and measure that."""
+        self.record_received(len(received))
         if self.received_bytes <= _MEASURED_BYTES:
             parse(received)
+        else:
+            self.parse(functools.partial(parse, received))
+
+    def parse(self, parse: Callable[[], None]) -> None:
+        """Parse bytes that were counted and measure that."""
+        if self.received_bytes <= _MEASURED_BYTES:
+            parse()
             return
         started_s = time.thread_time()
-        parse(received)
+        parse()
         self._traffic.parse_s += time.thread_time() - started_s
         body = self._get_body()
         if body is not None:
--- a/jacinthcart/streams/_processing.py
+++ b/jacinthcart/streams/_processing.py
@@ -264,13 +264,17 @@
         self._source = source
         #: The part of the free bytes that is used up, from 0 to 1.
         self._free_used = 0.0
-        self._used_in_turn_s = math.inf
+        self._used_in_turn_s = 0.0
 
     @property
     def is_long(self) -> bool:
         """Return whether the message has used its free bytes."""
         return self.limited_bytes > 0
 
+    def record_free(self, length: int) -> None:
+        """Record that `length` of the free bytes were parsed elsewhere."""
+        self._free_used += length / self._budget.params.free_bytes
+
     async def process(
         self,
         length: int,
@@ -281,9 +285,9 @@
         """Call `parse`, which parses the next `length` bytes.
 
         Wait before it for the message's turn, which may be cancelled, unless
-        the bytes are within the free ones. `parse` must not take more bytes
-        than SLICE_BYTES or, with `is_copied`, which states that it only copies
-        them, COPY_SLICE_BYTES. Return what it returns.
+        the bytes are within the free ones. `is_copied` states that they are
+        only copied. `parse` must be short: SLICE_BYTES, or COPY_SLICE_BYTES
+        if they are copied or have shown to be cheap. Return what it returns.
         """
         if self._take_free(length, is_copied=is_copied):
             return parse()
