Read few long responses of one searcher process at once

A searcher that sent without end on many connections had each of them read up to the limit of a body, as bytes that are only copied cost little processor time, so responses in progress filled the memory for all searchers.

A response takes one of eight slots of its searcher process when 256 KB beyond its free bytes are parsed, and waits unread while there is none. The slot is released when the response ends or is cut off. Slots are forgotten with the last connection to the process.

In the test, 8 of 20 endless responses are read beyond that.

Seen failing: without slots, with slots for each connection and with slots for all processes together, a test fails; if slots are not released, the test of a slot of a response that was cut off does not end.

--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -509,10 +509,11 @@
     async def _receive_long(self, reading: ResponseReading) -> None:
         parser = self._parser
         try:
-            with anyio.CancelScope() as scope:
+            with anyio.CancelScope() as scope, reading.release_slot():
                 # A response that waits is given up at once, too.
                 parser.on_discard = scope.cancel
                 while not parser.complete:
+                    await reading.take_slot()
                     await self._receive_part(reading)
         finally:
             parser.on_discard = _do_nothing
