Record a long response that is cut off as a failure of its searcher

A faulty searcher that sent without end got requests at the same rate for as long as it did so, beside sound searchers. An attempt that the time limit of its request or the winner of a hedge cut off ended as cancelled, which does not change the health of its searcher.

Such an attempt is now a failure of the searcher if its response was in progress beyond the free bytes of the processor budget (4 KB; 64 KB where bytes are only copied), so the existing backoff applies. A searcher that sent nothing or less than that stays as it was, and so does one whose long response to an earlier request has ended. The stand-ins of connections in tests have the new attribute.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -40,6 +40,11 @@
 _MIN_PREDICTED_S = 0.001
 #: Number of attempts of which one is compared with its prediction.
 _PREDICTION_INTERVAL = 8
+#: Outcome of an attempt that is cancelled, usually as its time is over.
+_CANCELLED = Outcome(OutcomeKind.UNKNOWN, 'cancelled', affects_health=False)
+#: Outcome of such an attempt whose response was long and had not ended. A
+#: searcher that sends without end must not get requests at the full rate.
+_UNFINISHED = Outcome(OutcomeKind.UNKNOWN, 'response did not end')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +88,8 @@
         self.outcome: Outcome | None = None
         #: Whether a latency was recorded when the attempt was abandoned.
         self.is_latency_recorded = False
+        #: Whether a long response was in progress when the exchange ended.
+        self.has_unfinished_response = False
         self.scope = anyio.CancelScope()
         self._may_be_sent = False
         self._on_end: Callable[[Attempt], None] | None = on_end
@@ -254,14 +261,15 @@
         context: CallContext,
         health: SearcherHealth,
     ) -> Outcome:
-        outcome = Outcome(
-            OutcomeKind.UNKNOWN, 'cancelled', affects_health=False
-        )
+        outcome = _CANCELLED
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, context)
         finally:
             health.started_at_by_attempt.pop(attempt.number, None)
+        if outcome is _CANCELLED and attempt.has_unfinished_response:
+            self._metrics.count('searcher', 'unfinished_response')
+            return _UNFINISHED
         return outcome
 
     def _record_internal_error(self, event: str, error: Exception) -> None:
@@ -330,11 +338,16 @@
             attempt.started_at = self.clock()
             # Once cancelled after this, the attempt counts as sent.
             attempt.begin_sending()
-            return await connection.exchange(
-                message,
-                context.request.request_id,
-                expects_body=context.request.method != 'HEAD',
-            )
+            try:
+                return await connection.exchange(
+                    message,
+                    context.request.request_id,
+                    expects_body=context.request.method != 'HEAD',
+                )
+            finally:
+                attempt.has_unfinished_response = (
+                    connection.has_unfinished_response
+                )
 
     def _create_withheld(
         self, searcher: Searcher, error: NotSentError
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -372,6 +372,8 @@
         #: Whether this was opened or carried a request since it was last put
         #: into its pool.
         self.was_used = True
+        #: Whether the response to the last request was long and did not end.
+        self.has_unfinished_response = False
         self._stream = stream
         self._reading = reading or create_single_reading()
         self._codec = codec
@@ -420,6 +422,7 @@
         """
         self.is_usable = False
         self.was_used = True
+        self.has_unfinished_response = False
         if not expects_body:
             self._body_rule.bodyless_id = request_id
         if len(message) > _SEND_BYTES:
@@ -508,6 +511,7 @@
 
     async def _receive_long(self, reading: ResponseReading) -> None:
         parser = self._parser
+        self.has_unfinished_response = True
         try:
             with anyio.CancelScope() as scope, reading.release_slot():
                 # A response that waits is given up at once, too.
@@ -519,6 +523,7 @@
             parser.on_discard = _do_nothing
         if parser.failure is not None and not parser.complete:
             raise copy_without_traceback(parser.failure)
+        self.has_unfinished_response = False
 
     async def _receive_part(self, reading: ResponseReading) -> None:
         parser = self._parser
--- a/tests/overload/support.py
+++ b/tests/overload/support.py
@@ -216,6 +216,7 @@
     """A connection of one VM to a shared searcher."""
 
     is_usable = True
+    has_unfinished_response = False
 
     def __init__(
         self, searcher: SharedSearcher, service_time_s: float, is_deaf: bool
--- a/tests/routing/test_call.py
+++ b/tests/routing/test_call.py
@@ -37,7 +37,9 @@
 
     def __init__(self, clock: Clock) -> None:
         """Create a client that is not running."""
-        self.connection = mock.Mock(exchange=mock.AsyncMock())
+        self.connection = mock.Mock(
+            exchange=mock.AsyncMock(), has_unfinished_response=False
+        )
         self.metrics = Metrics()
         self.logger = mock.Mock()
         self.on_end = mock.Mock()
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -154,6 +154,7 @@
         """Create a usable connection."""
         self.progress = ResponseProgress(weakref.WeakSet())
         self.is_usable = True
+        self.has_unfinished_response = False
         self._searcher = searcher
 
     async def exchange(
