--- a/jacinthcart/node/_memory.py
+++ b/jacinthcart/node/_memory.py
@@ -9,6 +9,7 @@
     TrafficTable,
 )
 from jacinthcart.telemetry import Logger, LoopDelayRecorder, Metrics
+from jacinthcart.wire import set_max_held_bytes
 
 #: Fraction of the memory that requests and answers of callers may hold.
 _CALLER_FRACTION = 0.15
@@ -36,6 +37,10 @@
         #: Maximum size in bytes of an answer of the store or of a peer.
         self.max_table_bytes = int(memory_bytes * _TABLE_FRACTION)
 
+    def bound_responses(self) -> None:
+        """Bound what all responses of the store and of peers hold."""
+        set_max_held_bytes(self.max_table_bytes)
+
     def create_caller_memory(
         self, clock: Clock, metrics: Metrics, logger: Logger
     ) -> CallerMemory:
--- a/jacinthcart/node/_node.py
+++ b/jacinthcart/node/_node.py
@@ -68,7 +68,6 @@
     Shutdown,
 )
 from jacinthcart.telemetry import Metrics, create_logger
-from jacinthcart.wire import set_max_held_bytes
 
 #: Limits in force until a configuration is known.
 _DEFAULT_LIMITS = FrontLimits()
@@ -204,7 +203,7 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks; raise OSError if a port is in use."""
-        set_max_held_bytes(self._memory_bounds.max_table_bytes)
+        self._memory_bounds.bound_responses()
         await self._datagrams.start()
         tasks.start_soon(self._datagrams.run, self._handle_datagram)
         tasks.start_soon(self._gossip.run)
