Parse the requests of a caller in turns if they have many pieces

One caller that sent chunks of one byte made a server's event loop 250 ms late at the median, eight 1,406 ms, and requests of another caller took 807 ms or were not answered within 6 s (trial over loopback sockets).

Cause: a read of 256 KB holds 43,000 such chunks, each of which is a call of Python, and was parsed without a pause; the part of 16 KB was a bound of the requests, not of the time.

Change: after a part with more than 128 callbacks, parts of 4 KB draw on a ProcessingBudget that all connections of a server share. What is received and not parsed counts in the caller's account meanwhile. Other parts are parsed as before, without a budget, so large bodies of many callers are not held back. Each server has its own budget, so the check of readiness does not wait for callers.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -2,6 +2,7 @@
 
 import abc
 import dataclasses
+import functools
 import http
 import types
 from collections.abc import Callable
@@ -19,7 +20,14 @@
     ConnectionAccount,
 )
 from jacinthcart.program import Clock
-from jacinthcart.streams import STREAM_FAILURES, is_closed_by_peer, is_readable
+from jacinthcart.streams import (
+    SLICE_BYTES,
+    STREAM_FAILURES,
+    MessageProcessing,
+    ProcessingBudget,
+    is_closed_by_peer,
+    is_readable,
+)
 from jacinthcart.telemetry import Logger
 
 #: As many bytes as the event loop reads at once. With fewer, the rest would
@@ -28,6 +36,9 @@
 #: Bytes that are parsed at once. Requests in them may take many times their
 #: bytes, so reading pauses in between if enough requests wait.
 _PARSE_BYTES = 16384
+#: Callbacks in a part above which the next part is parsed in turns. Each takes
+#: some microseconds, and the smallest request or chunk takes 6 bytes or more.
+_MAX_SPARSE_PIECES = 128
 #: Bytes of an answer that are handed to the transport at once. It copies what
 #: the caller does not take.
 _SEND_BYTES = 32768
@@ -144,6 +155,8 @@
         self._has_head = False
         self.header_bytes = 0
         self.body_bytes = 0
+        #: Callbacks of the part that was parsed last.
+        self.pieces = 0
         #: Whether the client waits for an interim response before it sends the
         #: body of the request in progress.
         self._expects_continue = False
@@ -164,6 +177,7 @@
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise httptools.HttpParserError."""
         rest = received
+        self.pieces = 0
         while rest and not self.violation_status:
             rest = self._parse(rest)
         self._record()
@@ -198,6 +212,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self._pending_bytes = 0
+        self.pieces += 1
         self.is_receiving = True
         self._begun_at = self._clock()
         self._has_head = False
@@ -224,6 +239,7 @@
         if self.violation_status:
             return
         self._pending_bytes = 0
+        self.pieces += 1
         lowered = name.lower()
         size = len(name) + len(content)
         self.header_bytes += size + 4
@@ -243,6 +259,7 @@
         if self.violation_status:
             return
         self._pending_bytes = 0
+        self.pieces += 1
         self.body_bytes += len(chunk)
         self._unrecorded_bytes += len(chunk) + _CHUNK_OVERHEAD_BYTES
         self._chunks.append(chunk)
@@ -326,11 +343,51 @@
         self._parser.feed_data(b'%b\r\n\r\n' % b'\r\n'.join(lines))
 
 
+class _PartParser:
+    """Parses what is received in parts, in turns if it has many pieces."""
+
+    def __init__(
+        self, parser: _RequestParser, processing: MessageProcessing
+    ) -> None:
+        """Initialise with the parser and the processing of a connection."""
+        self._parser = parser
+        self._processing = processing
+
+    async def parse(self, received: bytes, start: int) -> int:
+        """Parse the next part and return its end."""
+        is_dense = self._parser.pieces > _MAX_SPARSE_PIECES
+        end = start + (SLICE_BYTES if is_dense else _PARSE_BYTES)
+        part = received[start:end]
+        if is_dense:
+            # What was received, but not parsed, gives way like a request that
+            # is not complete.
+            self._parser.account.receive(len(received))
+            await self._processing.process(
+                len(part),
+                functools.partial(self._parse_held, part, len(received)),
+            )
+        else:
+            self._parser.feed(part)
+        return end
+
+    def _parse_held(self, part: bytes, held_bytes: int) -> None:
+        # A request that was refused meanwhile holds nothing.
+        if not self._parser.violation_status:
+            self._parser.account.receive(-held_bytes)
+            self._parser.feed(part)
+
+
 def _has_enough(waiting: list[RawRequest]) -> bool:
     """Return whether no more is to be parsed until a request is taken."""
     return len(waiting) >= _MAX_WAITING_REQUESTS
 
 
+def _describe_caller(stream: ByteStream) -> str:
+    """Return the address of a caller, without its port."""
+    address = stream.extra(SocketAttribute.remote_address)
+    return str(address[0]) if address else ''
+
+
 def _release(parser: _RequestParser, account: ConnectionAccount) -> None:
     """Drop what a connection that ends holds, and close its account."""
     parser.stop(_STATUS_NOT_RUN)
@@ -383,8 +440,13 @@
         clock: Clock,
         logger: Logger,
         memory: CallerMemory,
+        processing: ProcessingBudget | None = None,
     ) -> None:
-        """Wrap an accepted stream."""
+        """Wrap an accepted stream.
+
+        Connections may share `processing`; by default, it has one of its own.
+        """
+        budget = processing or ProcessingBudget()
         self.is_busy = False
         self.is_draining = False
         self._stream = stream
@@ -394,6 +456,9 @@
         self._account = memory.open(self)
         self._writer = _Writer(stream, self._account)
         self._parser = _RequestParser(clock, handler.get_limits, self._account)
+        self._parts = _PartParser(
+            self._parser, budget.open(_describe_caller(stream))
+        )
         self._changed = anyio.Event()
         #: Set when a request is taken, after which more may be read.
         self._taken = anyio.Event()
@@ -544,9 +609,7 @@
     async def _parse(self, received: bytes) -> None:
         parsed_bytes = 0
         while parsed_bytes < len(received) and not self._error_status:
-            end = parsed_bytes + _PARSE_BYTES
-            self._parser.feed(received[parsed_bytes:end])
-            parsed_bytes = end
+            parsed_bytes = await self._parts.parse(received, parsed_bytes)
             self._error_status = self._parser.violation_status
             self._changed.set()
             if _has_enough(self._parser.completed):
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -11,7 +11,7 @@
 from jacinthcart.front._memory import CallerMemory, CallerMemoryParameters
 from jacinthcart.network import Endpoint
 from jacinthcart.program import Clock
-from jacinthcart.streams import accept, is_readable
+from jacinthcart.streams import ProcessingBudget, accept, is_readable
 from jacinthcart.telemetry import Logger, Metrics
 
 _BACKLOG = 512
@@ -53,6 +53,9 @@
             Metrics(),
             logger,
         )
+        #: Shared by the connections of this server only, so that callers do
+        #: not delay the platform's check of readiness.
+        self._processing = ProcessingBudget()
         self._connections: set[ServerConnection] = set()
         self._accepting: anyio.CancelScope | None = None
         self._listener_closed = anyio.Event()
@@ -139,6 +142,7 @@
             self._clock,
             self._logger,
             self._memory,
+            self._processing,
         )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
--- a/jacinthcart/streams/_accepted.py
+++ b/jacinthcart/streams/_accepted.py
@@ -22,18 +22,20 @@
     This one leaves what it is not asked for to the kernel.
     """
 
-    def __init__(self, accepted: socket.socket) -> None:
-        """Take over a connected socket."""
+    def __init__(self, accepted: socket.socket, address: Any) -> None:
+        """Take over a connected socket with the address of its peer."""
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = accepted
+        # The socket no longer tells it once the peer has reset it.
+        self._address = address
 
     @property
     def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
         """The socket and the address of its peer."""
         return {
             SocketAttribute.raw_socket: lambda: self._socket,
-            SocketAttribute.remote_address: self._socket.getpeername,
+            SocketAttribute.remote_address: lambda: self._address,
         }
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
@@ -90,7 +92,7 @@
     Return None if none waits any more; raise OSError if none can be accepted.
     """
     try:
-        accepted, _ = listening.accept()
+        accepted, address = listening.accept()
     except BlockingIOError:
         return None
-    return AcceptedStream(accepted)
+    return AcceptedStream(accepted, address)
--- /dev/null
+++ b/tests/front/test_processing.py
@@ -0,0 +1,68 @@
+"""Tests of the processor time that parsing of requests takes."""
+
+import itertools
+from unittest import TestCase, mock
+
+import anyio
+
+from jacinthcart.front import HttpServer
+from jacinthcart.front._connection import _RequestParser
+from jacinthcart.streams import ProcessingBudget, ProcessingParameters
+from tests.front.test_server import FakeHandler, run_scenario
+
+_CHUNK = b'1\r\na\r\n'
+_CHUNKS = 1500
+_REQUEST = b'%b%b0\r\n\r\n' % (
+    b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
+    _CHUNK * _CHUNKS,
+)
+
+
+class ProcessingTests(TestCase):
+    """Other tasks run while the requests of one caller are parsed."""
+
+    def test_chunks_of_one_byte_are_parsed_in_turns(self) -> None:
+        """Guards against a read whose chunks stop all other tasks.
+
+        A read of 256 KB holds 43,000 chunks, which took more than 100 ms.
+        """
+        counted = [0, 0]
+        take = _RequestParser.on_body
+
+        def on_body(parser: _RequestParser, chunk: bytes) -> None:
+            counted[0] += 1
+            counted[1] = max(counted)
+            take(parser, chunk)
+
+        async def run_beside() -> None:
+            while True:
+                counted[0] = 0
+                await anyio.sleep(0)
+
+        async def scenario(
+            handler: FakeHandler, server: HttpServer, port: int
+        ) -> None:
+            server._processing = _create_fast_budget()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run_beside)
+                stream = await anyio.connect_tcp('127.0.0.1', port)
+                await stream.send(_REQUEST * 5)
+                while len(handler.bodies) < 5:
+                    await anyio.sleep(0)
+                await stream.aclose()
+                tasks.cancel_scope.cancel()
+            self.assertEqual(set(map(len, handler.bodies)), {_CHUNKS})
+            self.assertEqual(server._memory.held_bytes, 0)
+
+        with mock.patch.object(_RequestParser, 'on_body', on_body):
+            run_scenario(scenario)
+        # A part of 16 KB before the first turn, and a slice of 4 KB.
+        self.assertLess(counted[1], (16_384 + 4096) / len(_CHUNK) + 10)
+
+
+def _create_fast_budget() -> ProcessingBudget:
+    """Return a budget in which each slice takes a turn and none waits."""
+    return ProcessingBudget(
+        ProcessingParameters(processor_share=1_000_000),
+        read_processor_s=itertools.count(0, 0.001).__next__,
+    )
--- a/tests/front/test_release.py
+++ b/tests/front/test_release.py
@@ -18,6 +18,7 @@
 )
 from jacinthcart.front._connection import ServerConnection
 from jacinthcart.program import read_boot_clock
+from jacinthcart.streams import ProcessingBudget
 from jacinthcart.telemetry import Metrics, create_logger
 
 _HEAD = b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -93,7 +94,12 @@
     # The mock would keep an error, whose traceback refers to the connection.
     stream.receive = _create_receive(beginning)
     connection = ServerConnection(
-        stream, _Handler(), read_boot_clock, logger, memory
+        stream,
+        _Handler(),
+        read_boot_clock,
+        logger,
+        memory,
+        ProcessingBudget(),
     )
     references = [
         weakref.ref(connection),
