Blame no searcher for responses that a leaving caller cut off

Cause: each response beyond the free bytes that was cut off counted as a failure, whoever cut it off. Now it counts if its deadline has passed, or if it has not ended some time after it was no longer needed.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -90,6 +90,8 @@
         self.is_latency_recorded = False
         #: Whether a long response was in progress when the exchange ended.
         self.has_unfinished_response = False
+        #: Whether its response was no longer needed.
+        self.is_abandoned = False
         self.scope = anyio.CancelScope()
         self._may_be_sent = False
         self._on_end: Callable[[Attempt], None] | None = on_end
@@ -222,6 +224,7 @@
         if attempt.outcome is not None:
             return
         attempt.detach_listener()
+        attempt.is_abandoned = True
         elapsed_s = self.clock() - attempt.started_at
         health = self.table.get_health(attempt.searcher)
         median_s = self.estimate_median_s(route)
@@ -267,7 +270,13 @@
                 outcome = await self._send(attempt, context)
         finally:
             health.started_at_by_attempt.pop(attempt.number, None)
-        if outcome is _CANCELLED and attempt.has_unfinished_response:
+        # A caller that leaves early says nothing about the searcher.
+        had_time = attempt.is_abandoned or self.clock() >= context.deadline
+        if (
+            outcome is _CANCELLED
+            and attempt.has_unfinished_response
+            and had_time
+        ):
             self._metrics.count('searcher', 'unfinished_response')
             return _UNFINISHED
         return outcome
