Answer requests that were read and wait to be parsed

Review finding: a planned stop, or the idle time limit, closed a connection whose bytes were received and waited for their turn of the processor budget.

Cause: such bytes were in neither the parser nor the socket, where the stop looks for requests. They count as a request now, and the caller's time does not end while they wait.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -464,6 +464,8 @@
         self._taken = anyio.Event()
         self._read_ended = anyio.Event()
         self._is_disconnected = False
+        #: Whether bytes were received that are not parsed yet.
+        self._has_unparsed = False
         #: Whether the connection was idle when it was last to be closed.
         self._was_idle = False
         self._error_status = 0
@@ -502,6 +504,7 @@
         """
         parser = self._parser
         has_request = parser.is_receiving or bool(parser.completed)
+        has_request = has_request or self._has_unparsed
         is_idle = not (self.is_busy or has_request or is_readable(self._socket))
         if is_idle and self._was_idle:
             self._scope.cancel()
@@ -531,7 +534,7 @@
             if parser.take_expectation():
                 # Sent here, so that it follows the answers to earlier requests.
                 await self._writer.write(_CONTINUE)
-            if not await self._wait_for_change(parser.compute_wait_s()):
+            if not await self._wait_for_caller():
                 if parser.is_receiving:
                     await self._refuse(_STATUS_TIMEOUT)
                 return None
@@ -549,15 +552,21 @@
         await self._writer.write(encode_response(response, keep_alive=False))
         if self._error_status and self._parser.is_receiving:
             with anyio.move_on_after(_DISCARD_TIMEOUT_S):
-                await self._discard_rest()
+                await self._read_ended.wait()
+                await _discard_rest(self._stream)
 
-    async def _discard_rest(self) -> None:
-        await self._read_ended.wait()
-        try:
-            while True:
-                await self._stream.receive(_RECEIVE_BYTES)
-        except _CONNECTION_FAILURES:
-            return
+    async def _wait_for_caller(self) -> bool:
+        """Return whether something changed before the caller's time is over.
+
+        The time doesn't end while this process has not parsed what the caller
+        has sent.
+        """
+        wait_s = self._parser.compute_wait_s()
+        while not await self._wait_for_change(wait_s):
+            if not self._has_unparsed:
+                return False
+            wait_s = _DISCONNECT_CHECK_S
+        return True
 
     async def _wait_for_change(self, wait_s: float) -> bool:
         with anyio.move_on_after(wait_s):
@@ -608,12 +617,15 @@
 
     async def _parse(self, received: bytes) -> None:
         parsed_bytes = 0
+        self._has_unparsed = True
         while parsed_bytes < len(received) and not self._error_status:
             parsed_bytes = await self._parts.parse(received, parsed_bytes)
             self._error_status = self._parser.violation_status
+            self._has_unparsed = parsed_bytes < len(received)
             self._changed.set()
             if _has_enough(self._parser.completed):
                 await self._wait_until_taken(len(received))
+        self._has_unparsed = False
 
     async def _wait_until_taken(self, held_bytes: int) -> None:
         # What was received, but not parsed, gives way like a request that is
@@ -629,6 +641,15 @@
             self._account.receive(-held_bytes)
 
 
+async def _discard_rest(stream: ByteStream) -> None:
+    """Receive and drop everything until the caller closes."""
+    try:
+        while True:
+            await stream.receive(_RECEIVE_BYTES)
+    except _CONNECTION_FAILURES:
+        return
+
+
 def encode_response(
     response: RawResponse,
     *,
--- a/tests/front/test_processing.py
+++ b/tests/front/test_processing.py
@@ -1,5 +1,6 @@
 """Tests of the processor time that parsing of requests takes."""
 
+import contextlib
 import itertools
 from unittest import TestCase, mock
 
@@ -17,6 +18,10 @@
     _CHUNK * _CHUNKS,
 )
 
+#: Several of them fill a slice with many pieces.
+_SMALL_REQUEST = b'GET /aaaaa HTTP/1.1\r\nhost: h\r\n\r\n'
+_SMALL_REQUESTS = 1024
+
 
 class ProcessingTests(TestCase):
     """Other tasks run while the requests of one caller are parsed."""
@@ -60,6 +65,36 @@
         self.assertLess(counted[1], (16_384 + 4096) / len(_CHUNK) + 10)
 
 
+class UnparsedRequestTests(TestCase):
+    """Requests that wait to be parsed are requests that have arrived."""
+
+    def test_stop_answers_requests_that_wait_to_be_parsed(self) -> None:
+        """Guards against a planned stop that drops requests already read."""
+
+        async def scenario(
+            handler: FakeHandler, server: HttpServer, port: int
+        ) -> None:
+            budget = server._processing
+            budget.record('other', 0.1, None)
+            stream = await anyio.connect_tcp('127.0.0.1', port)
+            await stream.send(_SMALL_REQUEST * _SMALL_REQUESTS)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_count_answers, stream)
+                while not handler.requests:
+                    await anyio.sleep(0)
+                await server.close()
+                tasks.cancel_scope.cancel()
+            self.assertEqual(len(handler.requests), _SMALL_REQUESTS)
+
+        run_scenario(scenario)
+
+
+async def _count_answers(stream: anyio.abc.SocketStream) -> None:
+    with contextlib.suppress(anyio.EndOfStream):
+        while True:
+            await stream.receive()
+
+
 def _create_fast_budget() -> ProcessingBudget:
     """Return a budget in which each slice takes a turn and none waits."""
     return ProcessingBudget(
