Parse callers' requests in turns by their pieces for each byte

Review finding: uploads in chunks of 28 to 127 bytes evaded the processor budget. A part of 16 KB with more than 128 pieces made the next part one of 4 KB, which has fewer, so the part after it was unlimited again.

Change: the pieces are compared with the bytes of the part, and others run before the first limited part.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -12,6 +12,7 @@
 import anyio
 import httptools
 from anyio.abc import ByteStream, SocketAttribute
+from anyio.lowlevel import checkpoint
 
 from jacinthcart.catalogue import FrontLimits
 from jacinthcart.front._memory import (
@@ -352,10 +353,11 @@
         """Initialise with the parser and the processing of a connection."""
         self._parser = parser
         self._processing = processing
+        self._is_dense = False
 
     async def parse(self, received: bytes, start: int) -> int:
         """Parse the next part and return its end."""
-        is_dense = self._parser.pieces > _MAX_SPARSE_PIECES
+        is_dense = self._is_dense
         end = start + (SLICE_BYTES if is_dense else _PARSE_BYTES)
         part = received[start:end]
         if is_dense:
@@ -368,6 +370,10 @@
             )
         else:
             self._parser.feed(part)
+        self._is_dense = self._parser.pieces > _compute_sparse_pieces(len(part))
+        if self._is_dense and not is_dense:
+            # The part was parsed in one go. Others run before the next one.
+            await checkpoint()
         return end
 
     def _parse_held(self, part: bytes, held_bytes: int) -> None:
@@ -377,6 +383,16 @@
             self._parser.feed(part)
 
 
+def _compute_sparse_pieces(part_bytes: int) -> int:
+    """Return the pieces up to which the part after this one takes no turn.
+
+    A head is shorter than a slice and has many pieces for its bytes.
+    """
+    if part_bytes < SLICE_BYTES:
+        return _MAX_SPARSE_PIECES
+    return _MAX_SPARSE_PIECES * part_bytes // _PARSE_BYTES
+
+
 def _has_enough(waiting: list[RawRequest]) -> bool:
     """Return whether no more is to be parsed until a request is taken."""
     return len(waiting) >= _MAX_WAITING_REQUESTS
