Count the first slice of a response against its free bytes

Cause: the client of the store, the peers and the former tier decodes the first 4 KB of a body together with the head. This slice was not counted against the bytes that a message may have parsed without a turn, so a response had twice the free bytes and a dense one held up other tasks for 1,543 chunks.

Change: the slice is recorded before the rest is processed.

--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -170,11 +170,16 @@
             raise h11.RemoteProtocolError('response body is too large')
         decoder = _BodyDecoder(self._codec, held, max_body_bytes)
         rest = self._heads.take_rest()
-        decoder.decode(rest[:SLICE_BYTES])
+        first = rest[:SLICE_BYTES]
+        decoder.decode(first)
         rest = rest[SLICE_BYTES:]
         if rest or not decoder.is_complete:
+            processing = self._limits.processing.open(self._source)
+            processing.record_free(len(first))
             is_chunked = head.framing is BodyFraming.CHUNKED
-            await self._receive_rest(decoder, rest, is_chunked=is_chunked)
+            await self._receive_rest(
+                decoder, rest, processing, is_chunked=is_chunked
+            )
         return HttpResponse(
             head.status,
             dict(head.headers),
@@ -197,10 +202,14 @@
         return head
 
     async def _receive_rest(
-        self, decoder: '_BodyDecoder', rest: bytes, *, is_chunked: bool
+        self,
+        decoder: '_BodyDecoder',
+        rest: bytes,
+        processing: MessageProcessing,
+        *,
+        is_chunked: bool,
     ) -> None:
         """Decode `rest` and what else arrives of a body."""
-        processing = self._limits.processing.open(self._source)
         await decoder.feed(rest, processing, is_chunked=is_chunked)
         while not decoder.is_complete:
             try:
