Bound the bodies that the former tier reads

Callers saw nothing so far; a peer or an entry in trouble that sent a body without end to the control or gather process, or to the client library or the load generator, had it read until memory ended.

Cause: request.body() and response.aread() have no limit, and nothing bounded all connections together. A compressed answer was expanded, too.

Clients no longer accept compressed answers, which no entry sends.

--- a/jacinthcart/caller/_client.py
+++ b/jacinthcart/caller/_client.py
@@ -23,9 +23,15 @@
     RefusedError,
     UnreachableError,
 )
-from jacinthcart.errors import InvalidMessageError, Ran, RefusalCode
+from jacinthcart.errors import (
+    BodyMemoryError,
+    BodyTooLargeError,
+    InvalidMessageError,
+    Ran,
+    RefusalCode,
+)
 from jacinthcart.program import Clock
-from jacinthcart.wire import decode_json, encode_json
+from jacinthcart.wire import BodyReader, decode_json, encode_json
 
 _STATUS_OK = 200
 #: Statuses of refusals. The HTTP library accepts larger ones.
@@ -35,6 +41,13 @@
 _ADDRESSES_TIMEOUT_S = 1
 #: Extra time to wait for an answer that was sent at the deadline.
 _ANSWER_MARGIN_S = 0.1
+#: Bytes of one response body.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Bytes of all response bodies that are being received.
+_MAX_HELD_BYTES = 64 * 1024 * 1024
+#: A compressed body could expand a thousandfold beyond the limits.
+_PLAIN_ENCODING = 'identity'
+_BODY_ERRORS = (BodyTooLargeError, BodyMemoryError)
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -65,7 +78,10 @@
     ) -> None:
         """Create the HTTP client; `transport` replaces the network."""
         self._clock = clock
-        headers = {'authorization': f'Bearer {key}'} if key else {}
+        self._bodies = BodyReader(_MAX_BODY_BYTES, _MAX_HELD_BYTES)
+        headers = {'accept-encoding': _PLAIN_ENCODING}
+        if key:
+            headers['authorization'] = f'Bearer {key}'
         self._client = httpx.AsyncClient(
             headers=headers,
             trust_env=False,
@@ -91,17 +107,17 @@
         )
         team, _, route = request.route.partition('/')
         path = f'/v1/teams/{_quote(team)}/routes/{_quote(route)}'
-        response = await self._post(
+        status, response_body = await self._post(
             address.base_url + path,
             body,
             remaining_s,
         )
-        message = _decode_object(response)
+        message = _decode_object(response_body)
         _check_request_id(message, request.request_id)
-        if response.status_code in _REFUSAL_STATUSES:
+        if status in _REFUSAL_STATUSES:
             raise _decode_refusal(message)
-        if response.status_code != _STATUS_OK:
-            raise InvalidAnswerError(f'status {response.status_code}')
+        if status != _STATUS_OK:
+            raise InvalidAnswerError(f'status {status}')
         try:
             return ANSWER_ADAPTER.validate_python(message)
         except pydantic.ValidationError as error:
@@ -116,17 +132,23 @@
         query = {'workspace': workspace} if workspace else {}
         try:
             with anyio.fail_after(_ADDRESSES_TIMEOUT_S):
-                response = await self._client.get(
+                async with self._client.stream(
+                    'GET',
                     f'{address.base_url}/v1/addresses',
                     params=query,
                     timeout=None,
-                )
-        except (httpx.TransportError, TimeoutError) as error:
+                ) as response:
+                    body = await self._read_body(response)
+        except (
+            httpx.TransportError,
+            TimeoutError,
+            InvalidAnswerError,
+        ) as error:
             raise UnreachableError(
                 f'{address}: address request failed'
             ) from error
         try:
-            return ADDRESS_LIST_ADAPTER.validate_json(response.content)
+            return ADDRESS_LIST_ADAPTER.validate_json(body)
         except pydantic.ValidationError as error:
             raise UnreachableError(
                 f'{address}: address list is malformed'
@@ -141,13 +163,14 @@
         url: str,
         body: bytes,
         remaining_s: float,
-    ) -> httpx.Response:
+    ) -> tuple[int, bytes]:
         connect_s = min(remaining_s, _CONNECT_TIMEOUT_S)
         try:
             # The connect timeout is shorter than this one, so that a slow
             # connect counts as not sent.
             with anyio.fail_after(remaining_s + _ANSWER_MARGIN_S):
-                return await self._client.post(
+                async with self._client.stream(
+                    'POST',
                     url,
                     content=body,
                     headers={'content-type': 'application/json'},
@@ -156,7 +179,9 @@
                         connect=connect_s,
                         pool=connect_s,
                     ),
-                )
+                ) as response:
+                    body = await self._read_body(response)
+                    return response.status_code, body
         except _NOT_SENT_ERRORS as error:
             raise UnreachableError(
                 f'request was not sent: {error!r}'
@@ -166,14 +191,25 @@
                 f'no answer to the sent request: {error!r}'
             ) from error
 
+    async def _read_body(self, response: httpx.Response) -> bytes:
+        headers = response.headers
+        if headers.get('content-encoding', _PLAIN_ENCODING) != _PLAIN_ENCODING:
+            raise InvalidAnswerError('the answer is compressed')
+        try:
+            return await self._bodies.read(
+                response.aiter_bytes(), headers.get('content-length')
+            )
+        except _BODY_ERRORS as error:
+            raise InvalidAnswerError(str(error)) from error
+
 
 def _quote(segment: str) -> str:
     return quote(segment, safe='')
 
 
-def _decode_object(response: httpx.Response) -> dict[str, Any]:
+def _decode_object(body: bytes) -> dict[str, Any]:
     try:
-        message = decode_json(response.content)
+        message = decode_json(body)
     except InvalidMessageError as error:
         raise InvalidAnswerError(str(error)) from error
     if not isinstance(message, dict):
--- a/jacinthcart/control/_internal_api.py
+++ b/jacinthcart/control/_internal_api.py
@@ -10,10 +10,21 @@
 
 from jacinthcart.control._node import ControlNode
 from jacinthcart.control._state_service import StateService
-from jacinthcart.errors import InvalidMessageError
-from jacinthcart.wire import decode_json, encode_json
+from jacinthcart.errors import (
+    BodyMemoryError,
+    BodyTooLargeError,
+    InvalidMessageError,
+)
+from jacinthcart.wire import BodyReader, decode_json, encode_json
 
 _STATUS_BAD_REQUEST = 400
+_STATUS_TOO_LARGE = 413
+_STATUS_UNAVAILABLE = 503
+#: Bytes of one request body. The largest reports warm entries, of about 150
+#: bytes for each searcher.
+_MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Bytes of all request bodies that are being received.
+_MAX_HELD_BYTES = 32 * 1024 * 1024
 
 _JsonEndpoint = Callable[[Request], Awaitable[Any]]
 
@@ -25,6 +36,7 @@
         """Create an API that serves the state of `node`."""
         self._node = node
         self._states = StateService(node)
+        self._bodies = BodyReader(_MAX_BODY_BYTES, _MAX_HELD_BYTES)
 
     async def poll_state(self, request: Request) -> dict[str, Any]:
         """Handle a state poll of a local process."""
@@ -38,12 +50,12 @@
 
     async def handle_permits(self, request: Request) -> dict[str, Any]:
         """Handle a permit request of the entry process."""
-        message = await _read_object(request)
+        message = await self._read_object(request)
         return await self._node.dependencies.permits.handle(message)
 
     async def report_warm(self, request: Request) -> dict[str, Any]:
         """Merge and replicate warm entries reported by the gather process."""
-        message = await _read_object(request)
+        message = await self._read_object(request)
         await self._node.warm_replicator.report(message.get('entries'))
         return {}
 
@@ -56,6 +68,15 @@
         after = _read_number(request.query_params.get('after', '0'))
         return self._node.export_settings(after)
 
+    async def _read_object(self, request: Request) -> dict[str, Any]:
+        body = await self._bodies.read(
+            request.stream(), request.headers.get('content-length')
+        )
+        message = decode_json(body)
+        if not isinstance(message, dict):
+            raise InvalidMessageError('body is not an object')
+        return message
+
 
 def create_internal_application(node: ControlNode) -> Starlette:
     """Create the application served on the control port."""
@@ -76,15 +97,20 @@
         try:
             message = await endpoint(request)
         except InvalidMessageError as error:
-            return create_json_response(
-                {'error': str(error)},
-                _STATUS_BAD_REQUEST,
-            )
+            return _create_error_response(error, _STATUS_BAD_REQUEST)
+        except BodyTooLargeError as error:
+            return _create_error_response(error, _STATUS_TOO_LARGE)
+        except BodyMemoryError as error:
+            return _create_error_response(error, _STATUS_UNAVAILABLE)
         return create_json_response(message)
 
     return Route(path, respond, methods=[method])
 
 
+def _create_error_response(error: Exception, status: int) -> Response:
+    return create_json_response({'error': str(error)}, status)
+
+
 def create_json_response(message: Any, status: int = 200) -> Response:
     """Create a response with a JSON body."""
     return Response(
@@ -94,13 +120,6 @@
     )
 
 
-async def _read_object(request: Request) -> dict[str, Any]:
-    message = decode_json(await request.body())
-    if not isinstance(message, dict):
-        raise InvalidMessageError('body is not an object')
-    return message
-
-
 def _read_number(text: str) -> int:
     if not text.isdecimal():
         raise InvalidMessageError(
--- a/jacinthcart/errors/__init__.py
+++ b/jacinthcart/errors/__init__.py
@@ -2,6 +2,8 @@
 
 from jacinthcart.errors._codes import Ran, RefusalCode
 from jacinthcart.errors._tree import (
+    BodyMemoryError,
+    BodyTooLargeError,
     InvalidMessageError,
     InvariantViolationError,
     JacinthcartError,
@@ -16,6 +18,8 @@
 )
 
 __all__ = [
+    'BodyMemoryError',
+    'BodyTooLargeError',
     'InvalidMessageError',
     'InvariantViolationError',
     'JacinthcartError',
--- a/jacinthcart/errors/_tree.py
+++ b/jacinthcart/errors/_tree.py
@@ -21,6 +21,14 @@
     """A message between processes does not match its model."""
 
 
+class BodyTooLargeError(JacinthcartError):
+    """The body of a request or response exceeds the limit of a single one."""
+
+
+class BodyMemoryError(JacinthcartError):
+    """A body was dropped because all bodies together exceed their limit."""
+
+
 class InvariantViolationError(JacinthcartError):
     """A condition that must always hold does not hold."""
 
--- a/jacinthcart/load/_transport.py
+++ b/jacinthcart/load/_transport.py
@@ -6,12 +6,20 @@
 
 import httpx
 
-from jacinthcart.errors import InvalidMessageError
+from jacinthcart.errors import (
+    BodyMemoryError,
+    BodyTooLargeError,
+    InvalidMessageError,
+)
 from jacinthcart.load._models import EntryAddress
-from jacinthcart.wire import decode_json
+from jacinthcart.wire import BodyReader, decode_json
 
 _ADDRESSES_PATH = '/v1/addresses'
 _STATUS_OK = 200
+#: Bytes of one response body.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Bytes of all response bodies that are being received.
+_MAX_HELD_BYTES = 64 * 1024 * 1024
 #: The cost of a request in the connection pool grows with the square of
 #: the idle connections; hundreds of them delayed the load generator itself.
 _MAX_IDLE_CONNECTIONS = 16
@@ -47,6 +55,7 @@
     def __init__(self, pinned_entry: EntryAddress | None) -> None:
         """Create a transport without open connections."""
         self._pinned_entry = pinned_entry
+        self._bodies = BodyReader(_MAX_BODY_BYTES, _MAX_HELD_BYTES)
         self._transport = httpx.AsyncHTTPTransport(
             retries=0,
             trust_env=False,
@@ -62,7 +71,7 @@
     ) -> httpx.Response:
         """Send the request without retries."""
         response = await self._transport.handle_async_request(request)
-        body = await response.aread()
+        body = await self._read_body(response)
         if request.url.path == _ADDRESSES_PATH:
             body = self._pin_addresses(body)
         else:
@@ -75,6 +84,19 @@
         """Close all connections."""
         await self._transport.aclose()
 
+    async def _read_body(self, response: httpx.Response) -> bytes:
+        try:
+            if 'content-encoding' in response.headers:
+                # It could expand a thousandfold beyond the limits.
+                raise httpx.RemoteProtocolError('the body is compressed')
+            return await self._bodies.read(
+                response.aiter_bytes(), response.headers.get('content-length')
+            )
+        except (BodyTooLargeError, BodyMemoryError) as error:
+            raise httpx.RemoteProtocolError(str(error)) from error
+        finally:
+            await response.aclose()
+
     def _pin_addresses(self, body: bytes) -> bytes:
         message = _decode_object(body)
         if self._pinned_entry is None or 'addresses' not in message:
--- a/jacinthcart/wire/__init__.py
+++ b/jacinthcart/wire/__init__.py
@@ -1,5 +1,6 @@
 """HTTP and JSON between processes: client, connection pool, server."""
 
+from jacinthcart.wire._bodies import BodyReader
 from jacinthcart.wire._client import HttpConnection, HttpResponse
 from jacinthcart.wire._codec import decode_json, encode_json
 from jacinthcart.wire._head import (
@@ -14,6 +15,7 @@
 __all__ = [
     'AsgiApplication',
     'BodyFraming',
+    'BodyReader',
     'ConnectionPool',
     'HttpConnection',
     'HttpResponse',
