Count each text of an answer by its own widest character

Callers saw nothing so far; a VM whose store has one key outside ASCII would have refused tables of an eighth to a quarter of its memory's share, and followed neither configuration nor searchers any more.

Cause: the estimate of decoded objects counted four bytes for each byte of an answer that contains any character outside ASCII.

Change: each text counts by its widest character, as CPython stores it. Texts within ASCII are skipped by one pattern without backtracking, and the number of texts that are looked at is bounded by the elements of the message.

--- a/jacinthcart/wire/_codec.py
+++ b/jacinthcart/wire/_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding of messages."""
 
+import re
 from typing import Any
 
 import orjson
@@ -14,8 +15,25 @@
 _ELEMENT_STARTS = (b',', b'[', b'{')
 #: Begins the escape sequence of a character outside ASCII.
 _ESCAPE = r'\u'.encode()
-#: Bytes of a character in a text with a character of four bytes.
-_WIDE_CHARACTER_BYTES = 4
+#: A string with a character outside ASCII or an escape sequence of one, after
+#: strings without. Possessive quantifiers keep it from being searched in
+#: quadratic time.
+_WIDE_STRING = re.compile(
+    rb'(?:[^"]++|"(?:[\x00-!#-\[\]-\x7f]++|\\[\x00-tv-\x7f])*+")*+'
+    rb'"((?:[^"\\]++|\\.)*+)"',
+    re.DOTALL,
+)
+#: Characters for which CPython takes four bytes for each character of a text,
+#: and those for which it takes two. Half of a surrogate pair may stand in an
+#: escape sequence.
+_FOUR_BYTES = re.compile(rb'[\xf0-\xff]|\\u[dD][89abAB]')
+_TWO_BYTES = re.compile(rb'[\xc4-\xef]|\\u(?!00)')
+#: Bytes after the first one of a character in UTF-8.
+_CONTINUATION_BYTES = bytes(range(0x80, 0xC0))
+#: Bytes of a text that are copied at once to count its characters.
+_PART_BYTES = 65536
+#: Bytes that the object of a text outside ASCII takes more than another one.
+_WIDE_STRING_BYTES = 32
 
 
 def encode_json(message: Any) -> bytes:
@@ -46,7 +64,35 @@
 
 def estimate_decoded_bytes(body: bytes | bytearray) -> int:
     """Return an upper bound of the bytes of a JSON message's objects."""
-    is_narrow = body.isascii() and _ESCAPE not in body
     elements = 1 + sum(body.count(start) for start in _ELEMENT_STARTS)
-    text_bytes = len(body) * (1 if is_narrow else _WIDE_CHARACTER_BYTES)
-    return text_bytes + elements * _ELEMENT_BYTES
+    estimate = len(body) + elements * _ELEMENT_BYTES
+    if body.isascii() and _ESCAPE not in body:
+        return estimate
+    # An element has a name and a value at most. A message with more strings
+    # is malformed, and no object of it is created.
+    found = _WIDE_STRING.match(body)
+    for _ in range(2 * elements):
+        if found is None:
+            break
+        estimate += _compute_added_bytes(body, *found.span(1))
+        found = _WIDE_STRING.match(body, found.end())
+    return estimate
+
+
+def _compute_added_bytes(body: bytes | bytearray, start: int, end: int) -> int:
+    """Return the bytes that a text takes beyond those of its encoding."""
+    character_bytes = 1
+    if _FOUR_BYTES.search(body, start, end):
+        character_bytes = 4
+    elif _TWO_BYTES.search(body, start, end):
+        character_bytes = 2
+    characters = sum(
+        _count_characters(body[part : min(part + _PART_BYTES, end)])
+        for part in range(start, end, _PART_BYTES)
+    )
+    added_bytes = max(0, characters * character_bytes - (end - start))
+    return added_bytes + _WIDE_STRING_BYTES
+
+
+def _count_characters(part: bytes | bytearray) -> int:
+    return len(part.translate(None, _CONTINUATION_BYTES))
