Read from searchers only what is parsed next

Callers saw no fault of this yet: the read-ahead of a connection was counted by an estimate only.

Cause: the streams that anyio connects read up to 256 KB in one go on asyncio and hand it out in parts of 64 KB, copying the rest each time. What they hold is in no account, so each long response was charged for it.

Change: connections to searchers use the stream that accepted connections have, which leaves what it is not asked for to the kernel. A long response is charged for the kernel's buffer only, 256 KB instead of 512 KB.

--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -20,9 +20,8 @@
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 #: Received bytes of a body above which its connection's buffers count too.
 _SMALL_BODY_BYTES = 65536
-#: Bytes that the buffers of a connection hold at most: the kernel's, which is
-#: twice SO_RCVBUF, and what the event loop has read of it in one go.
-_CONNECTION_BUFFER_BYTES = 4 * RECEIVE_BUFFER_BYTES
+#: Bytes that the kernel holds of a connection at most: twice SO_RCVBUF.
+_CONNECTION_BUFFER_BYTES = 2 * RECEIVE_BUFFER_BYTES
 #: The last bytes of each chunked body.
 _CHUNKED_END = b'\r\n\r\n'
 _LINE_FEED = 10
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from jacinthcart.catalogue import Searcher
 from jacinthcart.errors import (
@@ -35,6 +35,7 @@
 from jacinthcart.streams import (
     STREAM_FAILURES,
     ProcessingBudget,
+    connect,
     count_queue_bytes,
     is_readable,
 )
@@ -74,7 +75,7 @@
 class _RequestSender:
     """Sends a large request in parts."""
 
-    def __init__(self, stream: SocketStream, message: bytes) -> None:
+    def __init__(self, stream: ByteStream, message: bytes) -> None:
         """Create the sender; `run` sends the request."""
         self.is_finished = False
         #: Set if the searcher does not read the request.
@@ -106,7 +107,7 @@
 
     def __init__(
         self,
-        stream: SocketStream,
+        stream: ByteStream,
         codec: BaseSearcherCodec,
         memory: ResponseMemory,
         now: float,
@@ -393,10 +394,7 @@
     async def _open(self, searcher: Searcher) -> SearcherConnection:
         try:
             with anyio.fail_after(self._params.connect_timeout_s):
-                stream = await anyio.connect_tcp(
-                    searcher.address,
-                    searcher.port,
-                )
+                stream = await connect(searcher.address, searcher.port)
         except (OSError, TimeoutError) as error:
             raise NotSentError(f'connect: {error!r}') from error
         limit_receive_buffer(stream)
--- a/jacinthcart/routing/_receive_buffer.py
+++ b/jacinthcart/routing/_receive_buffer.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute
 
 #: Bytes of SO_RCVBUF. Linux reserves twice as many, for its own structures
 #: too. Without a limit, the buffer of a connection grows up to the last figure
@@ -10,7 +10,7 @@
 RECEIVE_BUFFER_BYTES = 128 * 1024
 
 
-def limit_receive_buffer(stream: SocketStream) -> None:
+def limit_receive_buffer(stream: ByteStream) -> None:
     """Limit the receive buffer of a connection, if its socket allows it."""
     raw_socket = stream.extra(SocketAttribute.raw_socket, None)
     if raw_socket is None:
--- a/jacinthcart/routing/_response_receiver.py
+++ b/jacinthcart/routing/_response_receiver.py
@@ -3,7 +3,7 @@
 import functools
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import ByteStream
 
 from jacinthcart.errors import OutcomeUnknownError
 from jacinthcart.routing._codec import ResponseHead
@@ -23,7 +23,7 @@
 
     def __init__(
         self,
-        stream: SocketStream,
+        stream: ByteStream,
         parser: ResponseParser,
         reading: SearcherReading,
     ) -> None:
--- a/jacinthcart/streams/__init__.py
+++ b/jacinthcart/streams/__init__.py
@@ -1,6 +1,7 @@
 """Streams: failed or used connections, the cost of reading long messages."""
 
 from jacinthcart.streams._accepted import AcceptedStream, accept
+from jacinthcart.streams._connected import connect
 from jacinthcart.streams._idle import (
     STREAM_FAILURES,
     count_queue_bytes,
@@ -24,6 +25,7 @@
     'ProcessingBudget',
     'ProcessingParameters',
     'accept',
+    'connect',
     'count_queue_bytes',
     'is_closed_by_peer',
     'is_readable',
--- a/jacinthcart/streams/_accepted.py
+++ b/jacinthcart/streams/_accepted.py
@@ -1,4 +1,4 @@
-"""Streams of accepted connections, which read only what is asked for."""
+"""Streams of connections, which read only what is asked for."""
 
 import contextlib
 import socket
@@ -15,9 +15,9 @@
 
 
 class AcceptedStream(ByteStream):
-    """A TCP connection that a listener has accepted.
+    """A TCP connection that a listener has accepted, or an own one.
 
-    The streams that anyio's listeners return read ahead without a bound while
+    The streams that anyio returns read ahead without a bound while
     no one waits for what they read: on asyncio they pause only after a wait.
     This one leaves what it is not asked for to the kernel.
     """
