Discard only the response that exceeds the memory limit

Callers saw failed answers of sound searchers while another searcher sent without end, or while many large responses arrived at once.

Cause: a response that reaches the limit as it is parsed may be the one that is discarded. Frames of its own parsing still referred to its body, so its bytes remained counted, and further responses were discarded until the others fit beside it.

Change: these frames drop their references before the limit is applied.

Measured: in the new test five sound responses of 360 KB arrive beside an endless one; before the change they failed with "response is too large to be held".

--- a/jacinthcart/routing/_response_parser.py
+++ b/jacinthcart/routing/_response_parser.py
@@ -75,6 +75,8 @@
             self._hold = self._memory.open(self._discard, 0)
         if body is not None:
             body.hold = self._hold
+        # If the body is discarded below, it must not be held any longer.
+        body = None
         self._memory.resize(self._hold.reference, held_bytes)
 
     def complete(self, held_bytes: int) -> ResponseHold | None:
@@ -181,6 +183,8 @@
             self._slice_bytes = _choose_slice_bytes(
                 self._slice_bytes, body.pieces - pieces
             )
+        # If the body is discarded below, it must not be held any longer.
+        body = None
         if self.is_in_response:
             self._record_held()
 
--- a/tests/routing/test_response_memory.py
+++ b/tests/routing/test_response_memory.py
@@ -1,5 +1,6 @@
 """Tests of the count of what the responses of searchers hold."""
 
+import contextlib
 import itertools
 import time
 import tracemalloc
@@ -26,9 +27,10 @@
 class _Stream:
     """A stream whose peer sends pieces and then stalls."""
 
-    def __init__(self, pieces: Iterator[bytes]) -> None:
-        """Create the stream."""
+    def __init__(self, pieces: Iterator[bytes], delay_s: float = 0) -> None:
+        """Create a stream whose pieces arrive `delay_s` apart."""
         self._pieces = pieces
+        self._delay_s = delay_s
 
     def extra(self, attribute: Any) -> None:
         """Return no attribute."""
@@ -38,7 +40,7 @@
 
     async def receive(self, max_bytes: int) -> bytes:
         """Return the next piece."""
-        await anyio.sleep(0)
+        await anyio.sleep(self._delay_s)
         piece = next(self._pieces, None)
         if piece is None:
             await anyio.sleep_forever()
@@ -92,6 +94,15 @@
                 self._receive(iter([sound]))
         self.assertLessEqual(self.memory.held_bytes, _LIMIT_BYTES)
 
+    def test_response_beyond_the_limit_takes_no_others_along(self) -> None:
+        """Guards against sound responses given up beside an endless one."""
+        for head in (b'', b'transfer-encoding: chunked\r\n'):
+            with self.subTest(head):
+                self.responses.clear()
+                self.assertEqual(
+                    run_in_virtual_time(self._receive_beside_endless, head), 5
+                )
+
     def test_body_that_something_keeps_is_counted(self) -> None:
         """Guards against a count that falls while the bytes remain."""
         head = b'%s\r\n' % _HEAD
@@ -147,6 +158,22 @@
         connection = SearcherConnection(stream, codec, self.memory, 0)
         self.responses.append(await connection.exchange(b'', 'a'))
 
+    async def _receive_beside_endless(self, framing: bytes) -> int:
+        """Return how many of five sound responses arrive."""
+        head = b'%s%s\r\n' % (_HEAD, framing)
+        chunk = b'fffffff\r\n' if framing else b''
+        endless: Any = _Stream(
+            itertools.chain([head, chunk], itertools.repeat(_BLOCK))
+        )
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                sound: Any = _Stream(_create_sound(6), delay_s=0.1)
+                tasks.start_soon(self._exchange, sound)
+            await anyio.sleep(0.35)
+            with contextlib.suppress(OutcomeUnknownError):
+                await self._exchange(endless)
+        return len(self.responses)
+
     async def _keep_body(self, stream: Any) -> list[Any]:
         codec = PlatformSearcherCodec()
         connection = SearcherConnection(stream, codec, self.memory, 0)
