Refuse bodies whose stated length has thousands of digits

Cause: Python refuses to convert a text of more than 4,300 digits, so such a Content-Length raised ValueError in the new reader of bodies, which callers would have seen as status 500.

Change: a length of more than 20 digits counts as too large.

Measured: the test raised ValueError before and gets 413 now.

--- a/jacinthcart/wire/_bodies.py
+++ b/jacinthcart/wire/_bodies.py
@@ -1,11 +1,15 @@
 """Bounded reading of bodies that another library receives in pieces."""
 
 import contextlib
+import math
 from collections.abc import AsyncGenerator, AsyncIterator
 
 from jacinthcart.errors import BodyMemoryError, BodyTooLargeError
 from jacinthcart.wire._limits import BodyMemory, HeldBody
 
+#: Digits of a stated length. Python refuses to convert several thousands.
+_MAX_LENGTH_DIGITS = 20
+
 
 class BodyReader:
     """Reads bodies, each and all of which have a maximum size.
@@ -58,9 +62,12 @@
         )
 
 
-def _parse_length(stated_length: str | None) -> int:
+def _parse_length(stated_length: str | None) -> float:
+    """Return the length; infinity if it has too many digits for a number."""
     if stated_length is None or not stated_length.isdecimal():
         return 0
+    if len(stated_length) > _MAX_LENGTH_DIGITS:
+        return math.inf
     return int(stated_length)
 
 
--- a/tests/wire/test_bodies.py
+++ b/tests/wire/test_bodies.py
@@ -63,6 +63,7 @@
             for headers, most in (
                 ((), _BOUND_BYTES),
                 (((b'content-length', b'100000000'),), 0),
+                (((b'content-length', b'9' * 5000),), 0),
             ):
                 body = _EndlessBody()
                 status = anyio.run(_post, application, path, headers, body)
