Split messages, parser and writer from the connection of callers

Only code moves: requests and responses to `_messages`, the parser of requests to `_parser`, the writer to `_writer`. Names that other modules use lose their underscore. The tests change their imports only.

--- a/jacinthcart/front/__init__.py
+++ b/jacinthcart/front/__init__.py
@@ -1,6 +1,6 @@
 """The HTTP/1.1 server of a node for callers, peers and operators."""
 
-from jacinthcart.front._connection import (
+from jacinthcart.front._messages import (
     BaseRequestHandler,
     RawRequest,
     RawResponse,
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -7,8 +7,9 @@
 from anyio.abc import ByteStream, SocketAttribute, SocketListener, TaskGroup
 from anyio.lowlevel import checkpoint
 
-from jacinthcart.front._connection import BaseRequestHandler, ServerConnection
+from jacinthcart.front._connection import ServerConnection
 from jacinthcart.front._memory import CallerMemory, CallerMemoryParameters
+from jacinthcart.front._messages import BaseRequestHandler
 from jacinthcart.network import Endpoint
 from jacinthcart.program import Clock
 from jacinthcart.streams import ProcessingBudget, accept, is_readable
--- a/tests/front/test_parser.py
+++ b/tests/front/test_parser.py
@@ -4,7 +4,7 @@
 
 from jacinthcart.catalogue import FrontLimits
 from jacinthcart.front import CallerMemory, CallerMemoryParameters
-from jacinthcart.front._connection import _RequestParser
+from jacinthcart.front._parser import RequestParser
 from jacinthcart.front._memory import BaseAccountHolder
 from jacinthcart.telemetry import Metrics, create_logger
 
@@ -57,7 +57,7 @@
         self.assertEqual(parser.account.incoming_bytes, counted + len(_PIECE))
 
 
-def _create_parser() -> _RequestParser:
+def _create_parser() -> RequestParser:
     limits = FrontLimits(_LIMIT_BYTES, 2048, 0.3, 5)
     memory = CallerMemory(
         CallerMemoryParameters(10_000_000, 10_000_000),
@@ -66,4 +66,4 @@
         create_logger('test'),
     )
     holder = mock.create_autospec(BaseAccountHolder, instance=True)
-    return _RequestParser(float, lambda: limits, memory.open(holder))
+    return RequestParser(float, lambda: limits, memory.open(holder))
--- a/tests/front/test_processing.py
+++ b/tests/front/test_processing.py
@@ -7,7 +7,7 @@
 import anyio
 
 from jacinthcart.front import HttpServer
-from jacinthcart.front._connection import _RequestParser
+from jacinthcart.front._parser import RequestParser
 from jacinthcart.streams import ProcessingBudget, ProcessingParameters
 from tests.front.test_server import FakeHandler, run_scenario
 
@@ -32,9 +32,9 @@
         A read of 256 KB holds 43,000 chunks, which took more than 100 ms.
         """
         counted = [0, 0]
-        take = _RequestParser.on_body
+        take = RequestParser.on_body
 
-        def on_body(parser: _RequestParser, chunk: bytes) -> None:
+        def on_body(parser: RequestParser, chunk: bytes) -> None:
             counted[0] += 1
             counted[1] = max(counted)
             take(parser, chunk)
@@ -59,7 +59,7 @@
             self.assertEqual(set(map(len, handler.bodies)), {_CHUNKS})
             self.assertEqual(server._memory.held_bytes, 0)
 
-        with mock.patch.object(_RequestParser, 'on_body', on_body):
+        with mock.patch.object(RequestParser, 'on_body', on_body):
             run_scenario(scenario)
         # A part of 16 KB before the first turn, and a slice of 4 KB.
         self.assertLess(counted[1], (16_384 + 4096) / len(_CHUNK) + 10)
--- a/tests/front/test_response.py
+++ b/tests/front/test_response.py
@@ -3,7 +3,7 @@
 import unittest
 
 from jacinthcart.front import RawResponse
-from jacinthcart.front._connection import encode_response
+from jacinthcart.front._messages import encode_response
 
 
 class EncodeResponseTests(unittest.TestCase):
--- a/tests/front/test_slow_callers.py
+++ b/tests/front/test_slow_callers.py
@@ -20,7 +20,7 @@
     RawRequest,
     RawResponse,
 )
-from jacinthcart.front import _connection
+from jacinthcart.front import _connection, _writer
 from jacinthcart.front._memory import ConnectionAccount
 from jacinthcart.network import Endpoint
 from jacinthcart.program import read_boot_clock
@@ -176,7 +176,7 @@
 ) -> None:
     # No answer may time out before the scenario ends.
     with (
-        mock.patch.object(_connection, '_SEND_TIMEOUT_S', 60),
+        mock.patch.object(_writer, '_SEND_TIMEOUT_S', 60),
         mock.patch.object(anyio, 'create_tcp_listener', _create_listener),
     ):
         anyio.run(functools.partial(_Server(connections).run, scenario))
