Test that uploads in small chunks are parsed in turns

Uploads in chunks of 28 to 127 bytes with their framing evaded the processor budget, which mended without a test: a part of 16 KB was dense, the slice after it had fewer pieces than the limit, and the next part was unlimited again.

--- a/tests/front/test_parser.py
+++ b/tests/front/test_parser.py
@@ -2,10 +2,13 @@
 
 from unittest import TestCase, mock
 
+import anyio
+
 from jacinthcart.catalogue import FrontLimits
 from jacinthcart.front import CallerMemory, CallerMemoryParameters
-from jacinthcart.front._parser import RequestParser
 from jacinthcart.front._memory import BaseAccountHolder
+from jacinthcart.front._parser import PartParser, RequestParser
+from jacinthcart.streams import ProcessingBudget, ProcessingParameters
 from jacinthcart.telemetry import Metrics, create_logger
 
 _LIMIT_BYTES = 1024
@@ -21,6 +24,8 @@
     b'%b;' % _CHUNKED,
     b'%b\r\nX: ' % _CHUNKED,
 )
+_UPLOAD = b'%bTransfer-Encoding: chunked\r\n\r\n' % _START
+_UPLOAD_BYTES = 262_144
 
 
 class RequestParserTests(TestCase):
@@ -57,8 +62,38 @@
         self.assertEqual(parser.account.incoming_bytes, counted + len(_PIECE))
 
 
-def _create_parser() -> RequestParser:
-    limits = FrontLimits(_LIMIT_BYTES, 2048, 0.3, 5)
+class PartParserTests(TestCase):
+    """Parts are parsed in turns if they have many pieces for their bytes."""
+
+    def test_small_chunks_are_parsed_in_turns(self) -> None:
+        """Guards against chunks that are few in each slice and not limited."""
+        for chunk_bytes in (1, 22, 60, 110):
+            with self.subTest(chunk_bytes):
+                limited = anyio.run(_measure_limited_part, chunk_bytes)
+                self.assertGreater(limited, 0.75)
+
+    def test_large_chunks_take_no_turns(self) -> None:
+        """Guards against uploads that wait although they cost little."""
+        for chunk_bytes in (1024, 4096):
+            limited = anyio.run(_measure_limited_part, chunk_bytes)
+            self.assertEqual(limited, 0)
+
+
+async def _measure_limited_part(chunk_bytes: int) -> float:
+    """Return the part of an upload that is parsed in turns, from 0 to 1."""
+    chunk = b'%x\r\n%b\r\n' % (chunk_bytes, b'x' * chunk_bytes)
+    message = _UPLOAD + chunk * (_UPLOAD_BYTES // len(chunk))
+    params = ProcessingParameters(processor_share=1_000_000)
+    processing = ProcessingBudget(params).open('caller')
+    parts = PartParser(_create_parser(_UPLOAD_BYTES), processing)
+    parsed_bytes = 0
+    while parsed_bytes < len(message):
+        parsed_bytes = await parts.parse(message, parsed_bytes)
+    return processing.limited_bytes / len(message)
+
+
+def _create_parser(max_body_bytes: int = 2048) -> RequestParser:
+    limits = FrontLimits(_LIMIT_BYTES, max_body_bytes, 0.3, 5)
     memory = CallerMemory(
         CallerMemoryParameters(10_000_000, 10_000_000),
         float,
