Count the queues of connections before responses are discarded

Callers saw failed answers when many large sound responses arrived at once: responses were given up while most of the memory for them was free.

Cause: each response of more than 64 KB is charged for the kernel's buffer of its connection, 256 KB, however little this holds.

Change: what the kernel holds replaces the charge before anything is discarded. A response is charged in full again as its next block arrives, so that at most one queue is counted for each block. A queue that was counted may fill later, up to 256 KB, until its response is read again.

--- a/jacinthcart/routing/_body.py
+++ b/jacinthcart/routing/_body.py
@@ -70,15 +70,15 @@
     def compute_held_bytes(self) -> int:
         """Return the bytes of memory that the body takes.
 
-        They include the unused part of its buffer and, unless it is small,
-        what the buffers of its connection may hold.
+        They include the unused part of its buffer.
         """
-        held_bytes = sys.getsizeof(self._content)
+        return sys.getsizeof(self._content)
+
+    def compute_buffered_bytes(self) -> int:
+        """Return what its connection may hold; 0 while the body is small."""
         if self._received_bytes <= _SMALL_BODY_BYTES:
-            return held_bytes
-        return held_bytes + min(
-            _CONNECTION_BUFFER_BYTES, self._compute_missing_bytes()
-        )
+            return 0
+        return min(_CONNECTION_BUFFER_BYTES, self._compute_missing_bytes())
 
     def _compute_missing_bytes(self) -> int:
         """Return the bytes that the body still lacks at most."""
--- a/jacinthcart/routing/_pool.py
+++ b/jacinthcart/routing/_pool.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 connections to searchers."""
 
 import dataclasses
+import functools
 import weakref
 from collections.abc import Callable
 
@@ -129,11 +130,17 @@
         # The parser refers to no connection: as a cycle they would remain in
         # memory after the close, with what the stream has received.
         self._body_rule = BodyRule(codec)
-        self._parser = ResponseParser(memory, self._body_rule.has_body)
+        self._socket = stream.extra(SocketAttribute.raw_socket)
+        self._parser = ResponseParser(
+            memory,
+            self._body_rule.has_body,
+            functools.partial(count_queue_bytes, self._socket)
+            if self._socket
+            else None,
+        )
         self._receiver = ResponseReceiver(
             stream, self._parser, reading or create_single_reading()
         )
-        self._socket = stream.extra(SocketAttribute.raw_socket)
         #: Ids of requests that this connection answered without success.
         self._failed_ids: set[str] = set()
 
--- a/jacinthcart/routing/_response_memory.py
+++ b/jacinthcart/routing/_response_memory.py
@@ -1,6 +1,7 @@
 """Limit on the memory of all responses of searchers."""
 
 import abc
+import dataclasses
 import weakref
 from collections.abc import Callable
 
@@ -33,6 +34,18 @@
         self.reference = weakref.ref(self, forget)
 
 
+@dataclasses.dataclass(frozen=True)
+class HeldBytes:
+    """The bytes of memory that a response in progress takes."""
+
+    #: Bytes of the response in this process.
+    counted: int
+    #: Bytes that the buffers of its connection may hold besides.
+    buffered: int = 0
+    #: Returns what these buffers hold now; None if that is unknown.
+    count_buffered: Callable[[], int] | None = None
+
+
 _Reference = weakref.ref[ResponseHold]
 _Discard = weakref.WeakMethod[Callable[[], None]]
 _Responses = dict[_Reference, _Discard]
@@ -43,7 +56,8 @@
 
     Searchers in trouble may send without end on many connections. While all
     responses together exceed the limit, one of the largest in progress is
-    discarded, so that small ones of other searchers still arrive. Complete
+    discarded, so that small ones of other searchers still arrive. Before that,
+    what the buffers of connections hold replaces what they may hold. Complete
     responses are counted until they are dropped, and are never discarded: if
     they leave no room, a response that arrives is.
     """
@@ -58,6 +72,8 @@
         #: The responses in progress by number of bits of their size, so that
         #: no search among all of them is needed for each block received.
         self._discards: list[_Responses] = [{} for _ in range(_SIZE_CLASSES)]
+        #: The responses whose buffers were not counted since their last block.
+        self._estimates: dict[_Reference, HeldBytes] = {}
 
     @property
     def is_full(self) -> bool:
@@ -93,15 +109,30 @@
         The caller keeps no other reference to a hold than the owner's.
         """
         while self.is_full:
-            if not self._discard_largest():
+            if not self._count_buffered() and not self._discard_largest():
                 break
 
-    def resize(self, reference: _Reference, held_bytes: int) -> None:
+    def resize(self, reference: _Reference, held: HeldBytes) -> None:
         """Set the bytes that a response holds and apply the limit.
 
         This may discard any response in progress, also this one; see
         `make_room`.
         """
+        if held.buffered and held.count_buffered is not None:
+            self._estimates[reference] = held
+        self._set(reference, held.counted + held.buffered)
+        if self.is_full:
+            self.make_room()
+
+    def complete(self, reference: _Reference, held_bytes: int) -> None:
+        """Set the bytes of a complete response, which is not discarded."""
+        previous_bytes = self._bytes_by_hold[reference]
+        self._bytes_by_hold[reference] = held_bytes
+        self.held_bytes += held_bytes - previous_bytes
+        self._discards[previous_bytes.bit_length()].pop(reference, None)
+        self._estimates.pop(reference, None)
+
+    def _set(self, reference: _Reference, held_bytes: int) -> None:
         previous_bytes = self._bytes_by_hold[reference]
         self._bytes_by_hold[reference] = held_bytes
         self.held_bytes += held_bytes - previous_bytes
@@ -111,15 +142,17 @@
             discard = self._discards[previous_class].pop(reference, None)
             if discard is not None:
                 self._discards[size_class][reference] = discard
-        if self.is_full:
-            self.make_room()
 
-    def complete(self, reference: _Reference, held_bytes: int) -> None:
-        """Set the bytes of a complete response, which is not discarded."""
-        previous_bytes = self._bytes_by_hold[reference]
-        self._bytes_by_hold[reference] = held_bytes
-        self.held_bytes += held_bytes - previous_bytes
-        self._discards[previous_bytes.bit_length()].pop(reference, None)
+    def _count_buffered(self) -> bool:
+        """Count the buffers of one response; return whether one was left."""
+        if not self._estimates:
+            return False
+        reference = next(iter(self._estimates))
+        held = self._estimates.pop(reference)
+        assert held.count_buffered is not None
+        buffered_bytes = min(held.buffered, held.count_buffered())
+        self._set(reference, held.counted + buffered_bytes)
+        return True
 
     def _discard_largest(self) -> bool:
         """Discard a response of the largest class; return whether one is."""
@@ -134,4 +167,5 @@
     def _forget(self, reference: _Reference) -> None:
         held_bytes = self._bytes_by_hold.pop(reference)
         self._discards[held_bytes.bit_length()].pop(reference, None)
+        self._estimates.pop(reference, None)
         self.held_bytes -= held_bytes
--- a/jacinthcart/routing/_response_parser.py
+++ b/jacinthcart/routing/_response_parser.py
@@ -7,7 +7,11 @@
 from jacinthcart.routing._body import BaseResponseBody, create_body
 from jacinthcart.routing._codec import BaseSearcherCodec, ResponseHead
 from jacinthcart.routing._failure import copy_without_traceback
-from jacinthcart.routing._response_memory import ResponseHold, ResponseMemory
+from jacinthcart.routing._response_memory import (
+    HeldBytes,
+    ResponseHold,
+    ResponseMemory,
+)
 from jacinthcart.routing._response_progress import ResponseProgress
 from jacinthcart.streams import COPY_SLICE_BYTES, SLICE_BYTES
 from jacinthcart.wire import ParsedHead, ResponseHeadParser
@@ -69,7 +73,7 @@
         """Stop holding the response."""
         self._hold = None
 
-    def record(self, held_bytes: int, body: BaseResponseBody | None) -> None:
+    def record(self, held: HeldBytes, body: BaseResponseBody | None) -> None:
         """Set the held bytes, which may discard the response."""
         if self._hold is None:
             self._hold = self._memory.open(self._discard, 0)
@@ -77,7 +81,7 @@
             body.hold = self._hold
         # If the body is discarded below, it must not be held any longer.
         body = None
-        self._memory.resize(self._hold.reference, held_bytes)
+        self._memory.resize(self._hold.reference, held)
 
     def complete(self, held_bytes: int) -> ResponseHold | None:
         """Return the hold of a complete response; None if there is no room."""
@@ -100,10 +104,12 @@
         self,
         memory: ResponseMemory,
         has_body: Callable[[ResponseHead], bool],
+        count_buffered: Callable[[], int] | None = None,
     ) -> None:
         """Create a parser in its initial state.
 
         `has_body` returns whether the body that a head announces follows it.
+        `count_buffered` returns what the connection's buffers hold.
         """
         self.complete: list[tuple[ResponseHead, bytes]] = []
         #: Why no further response can be read; None while one can.
@@ -117,6 +123,7 @@
         self._head: ParsedHead | None = None
         self._body: BaseResponseBody | None = None
         self._has_body = has_body
+        self._count_buffered = count_buffered
         self._account = _ResponseAccount(memory, self.discard)
         #: Received bytes that are parsed from `_parsed` on.
         self._received = b''
@@ -272,7 +279,10 @@
         This may discard the response in progress.
         """
         held_bytes = self._heads.held_bytes + len(self._received) + added_bytes
+        buffered_bytes = 0
         if self._head is not None and self._body is not None:
             held_bytes += self._head.held_bytes
             held_bytes += self._body.compute_held_bytes()
-        self._account.record(held_bytes, self._body)
+            buffered_bytes = self._body.compute_buffered_bytes()
+        held = HeldBytes(held_bytes, buffered_bytes, self._count_buffered)
+        self._account.record(held, self._body)
