Do not blame searchers for responses that this VM can't hold

Callers saw sound searchers avoided under load: a response that was given up for lack of this VM's memory was a failure of its searcher.

Cause: health did not tell a response that is too long from one that the VM had no room for.

Change: a response that is given up for lack of memory leaves health as it is if its searcher has completed one of at least half the length within the last 10 s. Any other is a failure as before: an endless response is longer than what its searcher completes, and a searcher in trouble completes none. A searcher in trouble that completed long responses within the last 10 s is not blamed until then for those given up earlier than at that length.

Endless responses and searchers that completed none lately still count as failures.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -24,6 +24,7 @@
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._report_recorder import ReportRecorder
+from jacinthcart.routing._response_progress import ResponseProgress
 from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.routing._traffic import TrafficTable
@@ -314,7 +315,15 @@
             if isinstance(error, MalformedResponseError):
                 self._log.log_malformed_response(searcher, error)
                 reason = f'malformed response: {error}'
-            return Outcome(OutcomeKind.UNKNOWN, reason)
+            return Outcome(
+                OutcomeKind.UNKNOWN,
+                reason,
+                affects_health=not _is_usual_discard(
+                    self.table.get_health(searcher),
+                    connection.progress,
+                    self.clock(),
+                ),
+            )
         finally:
             with anyio.CancelScope(shield=True):
                 await self._pools.release(searcher, connection, idle_timeout_s)
@@ -413,6 +422,7 @@
         route = context.route
         median_s = self.estimate_median_s(route)
         self._health_tracker.record_success(health)
+        self._health_tracker.record_length(health, len(response.body))
         # Before the latency is recorded, because that uses the slowdown.
         self._reports.check(
             attempt.searcher,
@@ -432,3 +442,16 @@
                 ('prediction', route.name),
                 latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
             )
+
+
+def _is_usual_discard(
+    health: SearcherHealth, progress: ResponseProgress, now: float
+) -> bool:
+    """Return whether a response of usual length was given up.
+
+    The memory of this VM says nothing about a searcher that has lately
+    completed responses of that length.
+    """
+    return progress.was_discarded and health.has_usual_length(
+        progress.received_bytes, now
+    )
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -35,6 +35,10 @@
 #: Age in service times from which a reported load is ignored.
 _LOAD_EXPIRY_SERVICE_TIMES = 3.0
 _MAX_DOUBLINGS = 8
+#: Seconds for which the length of a complete response is remembered.
+_LENGTH_S = 10.0
+#: Factor by which sound responses may be longer than the remembered one.
+_LENGTH_FACTOR = 2.0
 
 
 @dataclasses.dataclass
@@ -56,6 +60,10 @@
     consecutive_sheds: int = 0
     #: Time until which other searchers are preferred.
     backoff_until: float = -math.inf
+    #: Length in bytes of the longest successful response lately.
+    longest_bytes: int = 0
+    #: Time of the last response of about that length.
+    longest_at: float = -math.inf
     #: Load last reported, at `load_at`; None before the first report.
     load: LoadReport | None = None
     #: Unanswered sends of this VM at `load_at`.
@@ -114,6 +122,11 @@
         weight = math.exp2(-age_s / _FAILURE_RATE_HALF_LIFE_S)
         return self.failure_rate * weight
 
+    def has_usual_length(self, length: int, now: float) -> bool:
+        """Return whether successful responses lately were about as long."""
+        is_recent = now - self.longest_at <= _LENGTH_S
+        return is_recent and length <= self.longest_bytes * _LENGTH_FACTOR
+
     def estimate_queue_length(
         self, now: float, slots: int, service_time_s: float
     ) -> float:
@@ -185,6 +198,15 @@
         health.consecutive_sheds = 0
         health.backoff_until = -math.inf
 
+    def record_length(self, health: SearcherHealth, length: int) -> None:
+        """Record the length in bytes of a successful response."""
+        now = self._clock()
+        is_recent = now - health.longest_at <= _LENGTH_S
+        if length * _LENGTH_FACTOR >= health.longest_bytes or not is_recent:
+            health.longest_at = now
+        if length >= health.longest_bytes or not is_recent:
+            health.longest_bytes = length
+
     def record_failure(self, health: SearcherHealth) -> None:
         """Record a failed send and back off from the searcher."""
         self._record_result(health, failed=True)
