Derive the memory bounds of a VM from their targets

Cause: the fraction for responses was derived from a measured factor of 2.3, and the sum of all bounds of a VM of 300 MB was 314 MB, with 75 MB more while the largest answer of a peer is decoded.

Change: what is held, each byte once, is 75 % of the memory with the process itself, and with the second copy of a response and the objects of a decoded answer the sum is 95 %, 285 of 300 MB. Responses have 10 % (12), requests to searchers 8 % (10), connections of callers 22 % (25), bodies of the store and of peers 5 % (12.5).

Free memory that malloc keeps is in no bound.

--- a/jacinthcart/node/_memory.py
+++ b/jacinthcart/node/_memory.py
@@ -14,18 +14,19 @@
 #: Fraction of the memory that requests and answers of callers may hold.
 _CALLER_FRACTION = 0.15
 #: Fraction of the memory that callers' connections themselves may take.
-_CONNECTION_FRACTION = 0.25
+_CONNECTION_FRACTION = 0.22
 #: Fraction of the memory that requests in progress to searchers may hold.
-_REQUEST_FRACTION = 0.1
+_REQUEST_FRACTION = 0.08
 #: Fraction of the memory that one answer of the store or of a peer may take.
 #: While it is decoded, its objects take up to twice that besides. Each VM
 #: holds the whole table and the configuration made from it, which takes
 #: several times the bytes, so a larger table would not fit any way.
-_TABLE_FRACTION = 0.125
-#: Fraction of the memory that responses of searchers may hold. At this limit
-#: the process takes up to 2.3 times as much, with what malloc keeps and the
-#: kernel's queues (docs/design/memory-bounds.md).
-_RESPONSE_FRACTION = 0.12
+_TABLE_FRACTION = 0.05
+#: Fraction of the memory that responses of searchers may hold. All fractions
+#: and 15 % for the process itself are 75 %; of the rest, the second copy of
+#: a response and the objects of a decoded answer may take 20 %
+#: (docs/design/memory-bounds.md).
+_RESPONSE_FRACTION = 0.1
 
 
 class MemoryBounds:
