Limit what the kernel receives for callers

Beside 8 busy processes, 40 uploads a second in chunks of one byte brought the receive queues of a VM to 150 and 182 MB; with 182 MB the VM of 300 MB was ended (load 21).

Cause: accepted sockets had no SO_RCVBUF. Their buffers grow while they are read, to 1.5 to 1.8 MB each.

Change: the listening socket gets SO_RCVBUF of 128 KB before it listens, and accepted sockets take it over. The setter is shared with the connections to searchers. The tests of slow callers replace the new function instead of anyio's; their listener sets the same options as before.

--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -1,10 +1,9 @@
 """HTTP server with graceful shutdown."""
 
 import socket
-from typing import cast
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute, SocketListener, TaskGroup
+from anyio.abc import ByteStream, TaskGroup
 from anyio.lowlevel import checkpoint
 
 from jacinthcart.front._connection import ServerConnection
@@ -12,7 +11,7 @@
 from jacinthcart.front._messages import BaseRequestHandler
 from jacinthcart.network import Endpoint
 from jacinthcart.program import Clock
-from jacinthcart.streams import ProcessingBudget, accept, is_readable
+from jacinthcart.streams import ProcessingBudget, accept, is_readable, listen
 from jacinthcart.telemetry import Logger, Metrics
 
 _BACKLOG = 512
@@ -64,18 +63,11 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Bind and accept connections; raise OSError if the port is in use."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self._endpoint.address,
-            local_port=self._endpoint.port,
-            backlog=_BACKLOG,
+        listening = await listen(
+            self._endpoint.address, self._endpoint.port, _BACKLOG
         )
         self._accepting = anyio.CancelScope()
-        tasks.start_soon(
-            self._accept,
-            cast(SocketListener, listener.listeners[0]),
-            self._accepting,
-            tasks,
-        )
+        tasks.start_soon(self._accept, listening, self._accepting, tasks)
 
     def drain(self) -> None:
         """Close each connection after its next response."""
@@ -95,13 +87,12 @@
 
     async def _accept(
         self,
-        listener: SocketListener,
+        raw_socket: socket.socket,
         accepting: anyio.CancelScope,
         tasks: TaskGroup,
     ) -> None:
-        raw_socket = listener.extra(SocketAttribute.raw_socket)
         # Closes the socket also if the task is cancelled.
-        async with listener:
+        with raw_socket:
             with accepting:
                 await self._accept_all(raw_socket, tasks)
             # Closing the socket resets the connections that wait in its
--- a/jacinthcart/routing/_receive_buffer.py
+++ b/jacinthcart/routing/_receive_buffer.py
@@ -1,13 +1,12 @@
 """Limit on what the kernel receives for a connection to a searcher."""
 
-import socket
+import contextlib
 
 from anyio.abc import SocketAttribute, SocketStream
 
-#: Bytes of SO_RCVBUF. Linux reserves twice as many, for its own structures
-#: too. Without a limit, the buffer of a connection grows up to the last figure
-#: of tcp_rmem, some MB to some 10 MB, and counts for the process.
-RECEIVE_BUFFER_BYTES = 128 * 1024
+from jacinthcart import streams
+
+RECEIVE_BUFFER_BYTES = streams.RECEIVE_BUFFER_BYTES
 
 
 def limit_receive_buffer(stream: SocketStream) -> None:
@@ -15,10 +14,6 @@
     raw_socket = stream.extra(SocketAttribute.raw_socket, None)
     if raw_socket is None:
         return
-    try:
-        raw_socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-    except OSError:
-        # The connection has failed already, which its first use reports.
-        return
+    # A connection that has failed already reports it at its first use.
+    with contextlib.suppress(OSError):
+        streams.limit_receive_buffer(raw_socket)
--- a/jacinthcart/streams/__init__.py
+++ b/jacinthcart/streams/__init__.py
@@ -7,6 +7,7 @@
     is_closed_by_peer,
     is_readable,
 )
+from jacinthcart.streams._listening import listen
 from jacinthcart.streams._processing import (
     COPY_SLICE_BYTES,
     SLICE_BYTES,
@@ -14,9 +15,14 @@
     ProcessingBudget,
     ProcessingParameters,
 )
+from jacinthcart.streams._receive_buffer import (
+    RECEIVE_BUFFER_BYTES,
+    limit_receive_buffer,
+)
 
 __all__ = [
     'COPY_SLICE_BYTES',
+    'RECEIVE_BUFFER_BYTES',
     'SLICE_BYTES',
     'STREAM_FAILURES',
     'AcceptedStream',
@@ -27,4 +33,6 @@
     'count_queue_bytes',
     'is_closed_by_peer',
     'is_readable',
+    'limit_receive_buffer',
+    'listen',
 ]
--- a/tests/front/test_slow_callers.py
+++ b/tests/front/test_slow_callers.py
@@ -9,7 +9,7 @@
 from unittest import TestCase, mock
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
 from jacinthcart.catalogue import FrontLimits
 from jacinthcart.front import (
@@ -20,7 +20,7 @@
     RawRequest,
     RawResponse,
 )
-from jacinthcart.front import _connection, _writer
+from jacinthcart.front import _connection, _server, _writer
 from jacinthcart.front._memory import ConnectionAccount
 from jacinthcart.network import Endpoint
 from jacinthcart.program import read_boot_clock
@@ -41,7 +41,7 @@
 _BYTES_BY_TARGET = types.MappingProxyType(
     {b'/small': 1, b'/slow': 1, b'/large': _LARGE_BYTES, b'/huge': 8_000_000}
 )
-_CREATE_LISTENER = anyio.create_tcp_listener
+_LISTEN = _server.listen
 _POST = _HEAD % (b'POST', b'small', b'Content-Length: %d\r\n' % _LARGE_BYTES)
 
 
@@ -158,16 +158,15 @@
             await anyio.sleep(0.01)
 
 
-async def _create_listener(**arguments: Any) -> Any:
-    """Return a listener whose connections have small kernel buffers.
+async def _listen(*arguments: Any) -> socket.socket:
+    """Return a socket whose connections have small kernel buffers.
 
     What the kernel takes is not held by the server.
     """
-    listener = await _CREATE_LISTENER(**arguments)
-    raw_socket = listener.extra(SocketAttribute.raw_socket)
+    raw_socket = await _LISTEN(*arguments)
     for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
         raw_socket.setsockopt(socket.SOL_SOCKET, option, 65536)
-    return listener
+    return raw_socket
 
 
 def _run(
@@ -177,7 +176,7 @@
     # No answer may time out before the scenario ends.
     with (
         mock.patch.object(_writer, '_SEND_TIMEOUT_S', 60),
-        mock.patch.object(anyio, 'create_tcp_listener', _create_listener),
+        mock.patch.object(_server, 'listen', _listen),
     ):
         anyio.run(functools.partial(_Server(connections).run, scenario))
 
