Give callers a share of the time that a VM gets

Beside 8 busy processes, callers that upload in chunks of one byte still stopped others: in 4 of 10 plays of 8 s (path `caller`, `chunks-of-1-byte`, 40 a second) 38 to 149 of 160 sound requests failed, p99 4.5 to 4.8 s.

Cause: the processor budget counts processor time, but is filled by the clock. A VM that got 0.2 to 0.4 of a processor gave its callers as much as one that has a whole processor, and little was left for anything else. The VMs used 2.2 to 4.9 s of processor time in these plays, 6 s on a less busy machine.

Change: the budgets of callers count by the clock what a step takes. A step that is interrupted by other processes counts for longer, and the share becomes one of the time that the VM gets.

test_interruptions_count_as_use failed before: 0.00003 s instead of 0.02 s. tests/front 51, tests/streams 18 and tests/platform 58 passed.

--- a/jacinthcart/front/__init__.py
+++ b/jacinthcart/front/__init__.py
@@ -6,7 +6,7 @@
     RawResponse,
 )
 from jacinthcart.front._memory import CallerMemory, CallerMemoryParameters
-from jacinthcart.front._server import HttpServer
+from jacinthcart.front._server import HttpServer, create_processing
 
 __all__ = [
     'BaseRequestHandler',
@@ -15,4 +15,5 @@
     'HttpServer',
     'RawRequest',
     'RawResponse',
+    'create_processing',
 ]
--- a/jacinthcart/front/_server.py
+++ b/jacinthcart/front/_server.py
@@ -1,6 +1,7 @@
 """HTTP server with graceful shutdown."""
 
 import socket
+import time
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
@@ -26,6 +27,15 @@
 _ACCEPT_WAITING_S = 0.3
 
 
+def create_processing() -> ProcessingBudget:
+    """Return a budget for the callers of one server or of several.
+
+    On a busy machine this process gets less than a processor. The budget
+    counts interruptions as use, so that it is a share of what is left.
+    """
+    return ProcessingBudget(read_processor_s=time.perf_counter)
+
+
 class HttpServer:
     """Serves one address, with a task for each connection."""
 
@@ -55,7 +65,7 @@
             Metrics(),
             logger,
         )
-        self._processing = processing or ProcessingBudget()
+        self._processing = processing or create_processing()
         self._connections: set[ServerConnection] = set()
         self._accepting: anyio.CancelScope | None = None
         self._listener_closed = anyio.Event()
--- a/jacinthcart/platform/assembly.py
+++ b/jacinthcart/platform/assembly.py
@@ -2,7 +2,11 @@
 
 import random
 
-from jacinthcart.front import BaseRequestHandler, HttpServer
+from jacinthcart.front import (
+    BaseRequestHandler,
+    HttpServer,
+    create_processing,
+)
 from jacinthcart.network import Endpoint
 from jacinthcart.node import MemoryBounds, Node, NodeSettings
 from jacinthcart.platform._catalogue_updater import CatalogueUpdater
@@ -15,7 +19,6 @@
 from jacinthcart.platform._headers import PlatformSearcherCodec
 from jacinthcart.platform._keys import OPERATOR_PREFIX
 from jacinthcart.platform._store import PlatformStore
-from jacinthcart.streams import ProcessingBudget
 
 
 def create_node(settings: NodeSettings) -> tuple[Node, list[HttpServer]]:
@@ -33,7 +36,7 @@
         (settings.callers, CallerHandler(node)),
         (settings.directory, DirectoryHandler(node, random.Random())),
     ]
-    processing = ProcessingBudget()
+    processing = create_processing()
     servers = [
         HttpServer(
             endpoint,
--- a/jacinthcart/streams/_processing.py
+++ b/jacinthcart/streams/_processing.py
@@ -101,7 +101,8 @@
         """Create a budget whose bucket is full.
 
         `clock` returns seconds that pass as anyio's time does;
-        `read_processor_s` returns the processor seconds of this thread.
+        `read_processor_s` returns the processor seconds of this thread, or
+        those of a clock that runs on while other processes interrupt it.
         """
         self.params = params or ProcessingParameters()
         self.read_processor_s = read_processor_s
--- a/tests/front/test_processing.py
+++ b/tests/front/test_processing.py
@@ -1,14 +1,20 @@
 """Tests of the processor time that parsing of requests takes."""
 
 import contextlib
+import functools
 import itertools
+import time
 from unittest import TestCase, mock
 
 import anyio
 
-from jacinthcart.front import HttpServer
+from jacinthcart.front import HttpServer, create_processing
 from jacinthcart.front._parser import RequestParser
-from jacinthcart.streams import ProcessingBudget, ProcessingParameters
+from jacinthcart.streams import (
+    SLICE_BYTES,
+    ProcessingBudget,
+    ProcessingParameters,
+)
 from tests.front.test_server import FakeHandler, run_scenario
 
 _CHUNK = b'1\r\na\r\n'
@@ -116,6 +122,18 @@
         run_scenario(scenario)
 
 
+class BusyMachineTests(TestCase):
+    """The share of callers is one of what this process gets."""
+
+    def test_interruptions_count_as_use(self) -> None:
+        """Guards against a share that is all that a busy machine leaves."""
+        processing = create_processing().open('caller')
+        processing.record_free(SLICE_BYTES)
+        wait = functools.partial(time.sleep, 0.02)
+        anyio.run(processing.process, SLICE_BYTES, wait)
+        self.assertGreaterEqual(processing.used_s, 0.02)
+
+
 class UnparsedRequestTests(TestCase):
     """Requests that wait to be parsed are requests that have arrived."""
 
