Spend less processor time on the turns of long messages

Callers saw late answers of sound services while searchers sent small chunks without end: waiting for turns took a third of the processor time that the budget limits, and no budget counts it.

Cause: while others wait, a message asked for a new turn before each slice, however short the last one was, and each wait opened a cancel scope and passed the event loop once more than needed.

Waits without a timeout need no scope, and only a turn that is granted at once lets other tasks run.

--- a/jacinthcart/streams/_processing.py
+++ b/jacinthcart/streams/_processing.py
@@ -144,7 +144,6 @@
 
         Return the turn. It must be recorded before anything is awaited.
         """
-        await checkpoint()
         waiter = _Waiter()
         source = self._get_source(source_name)
         entry = (used_s, next(self._order), waiter)
@@ -173,6 +172,7 @@
             self._wake_leader()
 
     async def _wait(self, waiter: _Waiter) -> None:
+        has_waited = False
         while not waiter.is_granted:
             wait_s = math.inf
             if self._leader is None:
@@ -180,11 +180,13 @@
             if self._leader is waiter:
                 wait_s = self._grant_next()
             if waiter.is_granted:
-                return
-            with anyio.move_on_after(wait_s):
-                await waiter.event.wait()
+                break
+            has_waited = True
+            await _wait_for_event(waiter.event, wait_s)
             if not waiter.is_granted:
                 waiter.event = anyio.Event()
+        if not has_waited:
+            await checkpoint()
 
     def _grant_next(self) -> float:
         """Let the next message go on if one may.
@@ -251,6 +253,15 @@
         return source
 
 
+async def _wait_for_event(event: anyio.Event, timeout_s: float) -> None:
+    # Most waiters have no timeout, and a cancel scope costs more than a wait.
+    if timeout_s == math.inf:
+        await event.wait()
+        return
+    with anyio.move_on_after(timeout_s):
+        await event.wait()
+
+
 class MessageProcessing:
     """The processing of one message. Its parts are processed in order."""
 
@@ -265,6 +276,8 @@
         #: The part of the free bytes that is used up, from 0 to 1.
         self._free_used = 0.0
         self._used_in_turn_s = 0.0
+        #: Whether the message has waited for the turn it is in.
+        self._has_turn = False
 
     @property
     def is_long(self) -> bool:
@@ -294,9 +307,12 @@
         self.limited_bytes += length
         budget = self._budget
         turn = None
-        if self._used_in_turn_s >= budget.params.turn_s or budget.must_wait():
+        # A turn costs as much as a short slice, so it is used up.
+        is_used_up = self._used_in_turn_s >= budget.params.turn_s
+        if is_used_up or (not self._has_turn and budget.must_wait()):
             turn = await budget.wait_turn(self._source, self.used_s)
             self._used_in_turn_s = 0
+            self._has_turn = True
         started_s = budget.read_processor_s()
         try:
             return parse()
--- a/tests/streams/test_processing.py
+++ b/tests/streams/test_processing.py
@@ -1,6 +1,8 @@
 """Tests of the limit on the processor time for long messages."""
 
 import asyncio
+import functools
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import TestCase, mock
@@ -70,6 +72,12 @@
         """Guards against tasks that wait while a full budget is used up."""
         self.assertLessEqual(_run(self._measure_longest_turn), 3)
 
+    def test_turn_of_short_slices_is_used_up(self) -> None:
+        """Guards against turns that cost more than what they limit."""
+        names = _run(self._read_short)
+        turns = [len(list(group)) for _, group in itertools.groupby(names)]
+        self.assertGreaterEqual(len(names) / len(turns), 2)
+
     def test_long_message_passes_endless_ones_of_other_sources(self) -> None:
         """Guards against a sound searcher that waits for a faulty one.
 
@@ -135,6 +143,27 @@
             await message.process(SLICE_BYTES, self.processor.parse)
             done += 1
 
+    async def _read_short(self) -> list[str]:
+        """Return whose slices, each of 0.2 ms, were parsed in order."""
+        names: list[str] = []
+
+        def parse(name: str) -> None:
+            names.append(name)
+            self.processor.used_s += 0.0002
+
+        async def read(name: str) -> None:
+            message = self.budget.open(name)
+            while True:
+                await message.process(
+                    SLICE_BYTES, functools.partial(parse, name)
+                )
+
+        with anyio.move_on_after(1):
+            async with anyio.create_task_group() as tasks:
+                for name in ('a', 'b', 'c'):
+                    tasks.start_soon(read, name)
+        return names
+
     async def _read_endless(self, time_s: float) -> None:
         with anyio.move_on_after(time_s):
             async with anyio.create_task_group() as tasks:
