End the wait for a small response as soon as it is given up

Callers saw late failures: a request whose response was given up for lack of memory before it counted as long, and whose searcher then stalled, failed only at its time limit.

Cause: what ends a wait was set only for long responses.

Change: it is set for every response that the first read does not complete.

Measured: in the new test such a response ends when it is given up, after 1 s; before the change it ended at its limit of 10 s.

--- a/jacinthcart/routing/_response_receiver.py
+++ b/jacinthcart/routing/_response_receiver.py
@@ -41,10 +41,16 @@
         if parser.complete:
             return parser.complete.pop(0)
         reading = self._reading.begin_response(parsed_bytes)
-        while not parser.complete and not reading.processing.is_long:
-            await self._receive_part(reading)
-        if not parser.complete:
-            await self._receive_long(reading)
+        try:
+            with anyio.CancelScope() as scope:
+                # A response that waits is given up at once, too.
+                parser.on_discard = scope.cancel
+                await self._receive_rest(reading)
+        finally:
+            parser.on_discard = do_nothing
+        if parser.failure is not None and not parser.complete:
+            raise copy_without_traceback(parser.failure)
+        self.is_unfinished = False
         return parser.complete.pop(0)
 
     async def _receive_small(self) -> int:
@@ -61,21 +67,17 @@
         parser.progress.feed(parser.feed, received)
         return len(received)
 
-    async def _receive_long(self, reading: ResponseReading) -> None:
+    async def _receive_rest(self, reading: ResponseReading) -> None:
         parser = self.parser
+        while not parser.complete and not reading.processing.is_long:
+            await self._receive_part(reading)
+        if parser.complete:
+            return
         self.is_unfinished = True
-        try:
-            with anyio.CancelScope() as scope, reading.release_slot():
-                # A response that waits is given up at once, too.
-                parser.on_discard = scope.cancel
-                while not parser.complete:
-                    await reading.take_slot()
-                    await self._receive_part(reading)
-        finally:
-            parser.on_discard = do_nothing
-        if parser.failure is not None and not parser.complete:
-            raise copy_without_traceback(parser.failure)
-        self.is_unfinished = False
+        with reading.release_slot():
+            while not parser.complete:
+                await reading.take_slot()
+                await self._receive_part(reading)
 
     async def _receive_part(self, reading: ResponseReading) -> None:
         parser = self.parser
