--- a/jacinthcart/streams/_processing.py
+++ b/jacinthcart/streams/_processing.py
@@ -149,7 +149,6 @@
 
         Return the turn. It must be recorded before anything is awaited.
         """
-        await checkpoint()
         waiter = _Waiter()
         source = self._get_source(source_name)
         entry = (used_s, next(self._order), waiter)
@@ -178,6 +177,7 @@
             self._wake_leader()
 
     async def _wait(self, waiter: _Waiter) -> None:
+        has_waited = False
         while not waiter.is_granted:
             wait_s = math.inf
             if self._leader is None:
@@ -185,11 +185,13 @@
             if self._leader is waiter:
                 wait_s = self._grant_next()
             if waiter.is_granted:
-                return
-            with anyio.move_on_after(wait_s):
-                await waiter.event.wait()
+                break
+            has_waited = True
+            await _wait_for_event(waiter.event, wait_s)
             if not waiter.is_granted:
                 waiter.event = anyio.Event()
+        if not has_waited:
+            await checkpoint()
 
     def _grant_next(self) -> float:
         """Let the next message go on if one may.
@@ -256,6 +258,15 @@
         return source
 
 
+async def _wait_for_event(event: anyio.Event, timeout_s: float) -> None:
+    # Most waiters have no timeout, and a cancel scope costs more than a wait.
+    if timeout_s == math.inf:
+        await event.wait()
+        return
+    with anyio.move_on_after(timeout_s):
+        await event.wait()
+
+
 class MessageProcessing:
     """The processing of one message. Its parts are processed in order."""
 
@@ -301,10 +312,8 @@
         if self._take_free(length, is_copied=is_copied):
             return parse()
         self.limited_bytes += length
+        turn = await self._take_turn()
         budget = self._budget
-        turn = None
-        if self._used_in_turn_s >= budget.params.turn_s or budget.must_wait():
-            turn = await self._wait_turn()
         started_s = budget.read_processor_s()
         try:
             return parse()
@@ -320,14 +329,10 @@
         recorded, but do not wait. Short works share a turn: a wait for each
         would take about as long as they do.
         """
-        budget = self._budget
-        is_used = self._used_in_turn_s >= budget.params.turn_s
-        turn = None
-        if is_used or (budget.must_wait() and not self._has_turn):
-            turn = await self._wait_turn()
+        turn = await self._take_turn()
         steps = MeasuredSteps(
             work(),
-            budget.read_processor_s,
+            self._budget.read_processor_s,
             functools.partial(self._record, turn),
         )
         self._steps = steps
@@ -344,8 +349,13 @@
             used_s += self._steps.compute_used_s()
         return used_s < self._budget.params.turn_s
 
-    async def _wait_turn(self) -> _Waiter:
-        turn = await self._budget.wait_turn(self._source, self.used_s)
+    async def _take_turn(self) -> _Waiter | None:
+        """Wait for a turn if the last one is used up; return a new one."""
+        budget = self._budget
+        is_used_up = self._used_in_turn_s >= budget.params.turn_s
+        if not is_used_up and (self._has_turn or not budget.must_wait()):
+            return None
+        turn = await budget.wait_turn(self._source, self.used_s)
         self._used_in_turn_s = 0
         self._has_turn = True
         return turn
