--- a/jacinthcart/wire/_client.py
+++ b/jacinthcart/wire/_client.py
@@ -33,9 +33,8 @@
 #: Maximum size of a body unless a call states another one. A server in trouble
 #: may send without end.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
-#: Chunks of a body: 16 MiB in chunks of 128 bytes. Each costs about 10 us of
-#: processor time.
-_MAX_CHUNKS = 131_072
+#: Chunks of a body. Each costs more than 10 us of processor time.
+_MAX_CHUNKS = 32_768
 _CONNECTION_ERRORS = (
     *STREAM_FAILURES,
     anyio.EndOfStream,
--- a/jacinthcart/wire/_limits.py
+++ b/jacinthcart/wire/_limits.py
@@ -2,15 +2,11 @@
 
 from anyio.lowlevel import RunVar
 
-from jacinthcart.streams import ProcessingBudget, ProcessingParameters
+from jacinthcart.streams import ProcessingBudget
 
 #: Bytes of all bodies that are being received, unless a process states
 #: another maximum.
 _MAX_HELD_BYTES = 64 * 1024 * 1024
-#: Processor seconds that responses may take at once after a time of less use.
-#: 16 MiB in chunks of 250 bytes take about 10 us for each chunk and have to
-#: arrive within the store reader's timeout of 1 s.
-_BURST_S = 0.7
 
 
 class HeldBody:
@@ -74,9 +70,7 @@
     def __init__(self) -> None:
         """Create limits of which nothing is used."""
         self.memory = BodyMemory(_MAX_HELD_BYTES)
-        self.processing = ProcessingBudget(
-            ProcessingParameters(burst_s=_BURST_S)
-        )
+        self.processing = ProcessingBudget()
 
 
 #: Those of the current event loop, as its tasks wait for them.
