Read what follows a refused request for its full second again

Callers would have seen a connection reset in place of status 413 for uploads of 5 MB and more.

A refusal is for bodies beyond the largest allowed one, so no size tells when the caller has ended.

Change: bytes are dropped for one second whatever their number, as before. Each socket's queue stays limited.

--- a/jacinthcart/front/_connection.py
+++ b/jacinthcart/front/_connection.py
@@ -37,8 +37,6 @@
 #: closing with unread bytes would reset the connection, and the caller would
 #: lose the refusal.
 _DISCARD_TIMEOUT_S = 1.0
-#: Bytes of it that are dropped at most. Callers that send more get a reset.
-_DISCARD_BYTES = 1024 * 1024
 _CONNECTION_FAILURES = (*STREAM_FAILURES, anyio.EndOfStream)
 _STATUS_BAD_REQUEST = 400
 _STATUS_TIMEOUT = 408
@@ -298,10 +296,9 @@
 
 
 async def _discard_rest(stream: ByteStream) -> None:
-    """Receive and drop bytes until the caller closes or has sent too many."""
-    dropped_bytes = 0
+    """Receive and drop everything until the caller closes."""
     try:
-        while dropped_bytes < _DISCARD_BYTES:
-            dropped_bytes += len(await stream.receive(_RECEIVE_BYTES))
+        while True:
+            await stream.receive(_RECEIVE_BYTES)
     except _CONNECTION_FAILURES:
         return
