Estimate the objects of many short texts in bounded time

A peer's answer of 54,647 bytes that expands to 37.5 MB of short texts outside ASCII held the event loop of a VM for 11.3 s, and 16 MB from the store for 5.3 s (found by the review).

Cause: the estimate of decoded objects looked at each such text, even when the number of elements alone exceeded the limit.

Change: it ends as soon as the limit is exceeded and looks at 10,000 texts at most; the rest counts as before, four bytes for each of its bytes.

--- a/jacinthcart/wire/_codec.py
+++ b/jacinthcart/wire/_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding of messages."""
 
+import math
 import re
 from typing import Any
 
@@ -32,6 +33,10 @@
 _CONTINUATION_BYTES = bytes(range(0x80, 0xC0))
 #: Bytes of a text that are copied at once to count its characters.
 _PART_BYTES = 65536
+#: Texts outside ASCII that are looked at. Each takes about 2 us.
+_MAX_WIDE_STRINGS = 10_000
+#: Bytes that a byte of any text adds at most, as a part of a wide one.
+_MAX_ADDED_BYTES = 3
 #: Bytes that the object of a text outside ASCII takes more than another one.
 _WIDE_STRING_BYTES = 32
 
@@ -51,7 +56,7 @@
     """
     if (
         max_decoded_bytes is not None
-        and estimate_decoded_bytes(body) > max_decoded_bytes
+        and estimate_decoded_bytes(body, max_decoded_bytes) > max_decoded_bytes
     ):
         raise InvalidMessageError('message would take too much memory')
     try:
@@ -62,21 +67,32 @@
     raise InvalidMessageError(f'invalid JSON: {reason}')
 
 
-def estimate_decoded_bytes(body: bytes | bytearray) -> int:
-    """Return an upper bound of the bytes of a JSON message's objects."""
+def estimate_decoded_bytes(
+    body: bytes | bytearray, limit_bytes: float = math.inf
+) -> int:
+    """Return an upper bound of the bytes of a JSON message's objects.
+
+    An estimate above `limit_bytes` may be too low, as it is not completed.
+    """
     elements = 1 + sum(body.count(start) for start in _ELEMENT_STARTS)
     estimate = len(body) + elements * _ELEMENT_BYTES
     if body.isascii() and _ESCAPE not in body:
         return estimate
-    # An element has a name and a value at most. A message with more strings
-    # is malformed, and no object of it is created.
-    found = _WIDE_STRING.match(body)
-    for _ in range(2 * elements):
+    end = 0
+    for _ in range(_MAX_WIDE_STRINGS):
+        if estimate > limit_bytes:
+            return estimate
+        found = _WIDE_STRING.match(body, end)
         if found is None:
-            break
+            return estimate
         estimate += _compute_added_bytes(body, *found.span(1))
-        found = _WIDE_STRING.match(body, found.end())
-    return estimate
+        end = found.end()
+    # Others count as if each of their bytes were a character of four bytes.
+    estimate += (len(body) - end) * _MAX_ADDED_BYTES
+    return min(
+        estimate,
+        len(body) * (1 + _MAX_ADDED_BYTES) + elements * _ELEMENT_BYTES,
+    )
 
 
 def _compute_added_bytes(body: bytes | bytearray, start: int, end: int) -> int:
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -4,8 +4,10 @@
 import json
 import sys
 from typing import Any
-from unittest import TestCase
+from unittest import TestCase, mock
 
+from jacinthcart.errors import InvalidMessageError
+from jacinthcart.wire import _codec as codec_module
 from jacinthcart.wire import decode_json, encode_json
 from jacinthcart.wire._codec import estimate_decoded_bytes
 
@@ -45,6 +47,21 @@
             estimate = estimate_decoded_bytes(body)
             self.assertLess(estimate, 4 * len(body) + 1000)
 
+    def test_message_of_many_texts_is_estimated_at_once(self) -> None:
+        """Guards against an answer that holds the event loop for seconds."""
+        texts = 1_000_000
+        body = b'[%b]' % b','.join(
+            itertools.repeat(encode_json('\u00e9'), texts)
+        )
+        searched = mock.Mock(wraps=codec_module._compute_added_bytes)
+        with mock.patch.object(codec_module, '_compute_added_bytes', searched):
+            self.assertRaises(InvalidMessageError, decode_json, body, texts)
+            self.assertEqual(searched.call_count, 0)
+            estimate = estimate_decoded_bytes(body)
+        self.assertLessEqual(searched.call_count, 10_000)
+        size = sum(map(sys.getsizeof, decode_json(body)))
+        self.assertGreaterEqual(estimate, size)
+
 
 def _measure(message: Any) -> int:
     """Return the bytes of a message and of its texts."""
