Do not blame searchers for responses of usual length that are cut off

Callers with short deadlines made VMs avoid sound searchers: a response of which more than a part was received when its request's time ended counted as a failure, whatever its searcher had completed before (found by the review).

Change: the rule for responses that are given up for lack of memory holds here, too: nothing is recorded if the searcher has completed a response of at least half the length in the last 10 s.

Open: a sound searcher whose long responses all are cut off is still blamed.

--- a/jacinthcart/routing/_call.py
+++ b/jacinthcart/routing/_call.py
@@ -24,7 +24,6 @@
 from jacinthcart.routing._pool import SearcherConnection, SearcherPools
 from jacinthcart.routing._quantiles import QuantileTracker
 from jacinthcart.routing._report_recorder import ReportRecorder
-from jacinthcart.routing._response_progress import ResponseProgress
 from jacinthcart.routing._searcher_log import SearcherLog
 from jacinthcart.routing._table import RoutingTable
 from jacinthcart.routing._traffic import TrafficTable
@@ -318,10 +317,11 @@
             return Outcome(
                 OutcomeKind.UNKNOWN,
                 reason,
-                affects_health=not _is_usual_discard(
-                    self.table.get_health(searcher),
-                    connection.progress,
-                    self.clock(),
+                affects_health=not (
+                    connection.progress.was_discarded
+                    and self._health_tracker.has_usual_length(
+                        searcher.process, connection.progress.received_bytes
+                    )
                 ),
             )
         finally:
@@ -363,8 +363,12 @@
                     expects_body=context.request.method != 'HEAD',
                 )
             finally:
+                # One of usual length may end soon; its request had little time.
                 attempt.has_unfinished_response = (
                     connection.has_unfinished_response
+                    and not self._health_tracker.has_usual_length(
+                        process, connection.progress.received_bytes
+                    )
                 )
 
     def _create_withheld(
@@ -442,16 +446,3 @@
                 ('prediction', route.name),
                 latency_s / max(attempt.predicted_s, _MIN_PREDICTED_S),
             )
-
-
-def _is_usual_discard(
-    health: SearcherHealth, progress: ResponseProgress, now: float
-) -> bool:
-    """Return whether a response of usual length was given up.
-
-    The memory of this VM says nothing about a searcher that has lately
-    completed responses of that length.
-    """
-    return progress.was_discarded and health.has_usual_length(
-        progress.received_bytes, now
-    )
--- a/jacinthcart/routing/_health.py
+++ b/jacinthcart/routing/_health.py
@@ -166,6 +166,15 @@
             self._health_by_process[process] = found
         return found
 
+    def has_usual_length(self, process: tuple[str, int], length: int) -> bool:
+        """Return whether a process lately completed responses as long.
+
+        Its health doesn't depend on the memory of this VM or on the time that
+        callers leave for such a response.
+        """
+        health = self.get_or_create(process)
+        return health.has_usual_length(length, self._clock())
+
     def retain_only(self, processes: set[tuple[str, int]]) -> None:
         """Drop processes not in `processes` that have no sends in flight."""
         for key, found in list(self._health_by_process.items()):
--- a/tests/routing/test_discarded_responses.py
+++ b/tests/routing/test_discarded_responses.py
@@ -54,6 +54,20 @@
         )
         self.assertEqual(health.consecutive_failures, 1)
 
+    def test_response_of_usual_length_that_is_cut_off_is_no_failure(
+        self,
+    ) -> None:
+        """Guards against short deadlines that make VMs avoid searchers."""
+        for earlier, failures in ((_SOUND, 0), (_SMALL, 1)):
+            health = run_in_virtual_time(
+                _give_up,
+                earlier,
+                1,
+                iter([_SOUND[:400_000]]),
+                10 * _LIMIT_BYTES,
+            )
+            self.assertEqual(health.consecutive_failures, failures)
+
     def test_searcher_without_recent_responses_has_no_usual_length(
         self,
     ) -> None:
@@ -72,12 +86,15 @@
 
 
 async def _give_up(
-    earlier: bytes, pause_s: float, received: Iterator[bytes]
+    earlier: bytes,
+    pause_s: float,
+    received: Iterator[bytes],
+    limit_bytes: int = _LIMIT_BYTES,
 ) -> SearcherHealth:
     """Receive an earlier response and, with little memory, another one."""
     responses = iter((_read(earlier), received))
     pools = EndlessPools(
-        lambda searcher: EndlessStream(next(responses)), _LIMIT_BYTES
+        lambda searcher: EndlessStream(next(responses)), limit_bytes
     )
     searcher = create_searcher('s')
     client = create_client(
@@ -110,5 +127,8 @@
     )
     ended = anyio.Event()
     on_end = mock.Mock(side_effect=lambda attempt: ended.set())
-    client.start(context, create_searcher('s'), on_end)
-    await ended.wait()
+    attempt = client.start(context, create_searcher('s'), on_end)
+    with anyio.move_on_after(3):
+        await ended.wait()
+    client.cancel(attempt)
+    await anyio.sleep(0.1)
