--- a/jacinthcart/streams/_connected.py
+++ b/jacinthcart/streams/_connected.py
@@ -23,8 +23,8 @@
         ip_address = ipaddress.ip_address(address)
     except ValueError as error:
         raise OSError(f'no IP address: {address}') from error
-    is_old = isinstance(ip_address, ipaddress.IPv4Address)
-    family = socket.AF_INET if is_old else socket.AF_INET6
+    is_ipv4 = isinstance(ip_address, ipaddress.IPv4Address)
+    family = socket.AF_INET if is_ipv4 else socket.AF_INET6
     raw_socket = socket.socket(family, socket.SOCK_STREAM)
     try:
         raw_socket.setblocking(False)
